--- /dev/null
+++ b/bamboorudderctl/pools.c
@@ -0,0 +1,7 @@
+#include "bamboorudderctl/command.h"
+
+enum exit_status
+command_pools(const struct target *target, int word_count, char **words)
+{
+	return table_command(target, "pools", word_count, words);
+}
--- /dev/null
+++ b/bamboorudderd/dump.c
@@ -0,0 +1,125 @@
+#include "bamboorudderd/dump.h"
+
+#include "bamboorudderd/control.h"
+#include "core/owner.h"
+
+static const char *
+state_name(enum member_state state)
+{
+	static const char *const names[] = { "unknown", "live", "down" };
+
+	return names[state];
+}
+
+static json_t *
+dump_member(const struct member *member, uint64_t now_ms)
+{
+	return json_pack("{s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I}", "address",
+	    member->address, "domain", member->domain, "state",
+	    state_name(member->state), "leaving", member->leaving,
+	    "incarnation", (json_int_t)member->incarnation, "heard_ms_ago",
+	    member->heard_ms == 0 ? (json_int_t)-1
+				  : (json_int_t)(now_ms - member->heard_ms),
+	    "routes_version", (json_int_t)member->routes_version,
+	    "pools_version", (json_int_t)member->pools_version);
+}
+
+static json_t *
+dump_members(const struct members *members, uint64_t now_ms)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < members->peers->len; i++)
+		json_array_append_new(list,
+		    dump_member(&g_array_index(members->peers, struct member,
+				    i),
+			now_ms));
+	return list;
+}
+
+static const char *
+account_name(const struct tables *tables, uint64_t account_id)
+{
+	for (uint32_t i = 0; i < tables->route_count; i++)
+		if (tables->routes[i].account_id == account_id)
+			return tables->routes[i].account;
+	return "?";
+}
+
+static json_t *
+dump_accounts(const struct owner *owner, const struct tables *tables)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < owner->accounts->len; i++) {
+		const struct fair_account *account =
+		    &g_array_index(owner->accounts, struct fair_account, i);
+		json_array_append_new(list,
+		    json_pack("{s:s, s:i, s:i, s:i, s:I}", "account",
+			account_name(tables, account->account_id), "weight",
+			(int)account->weight, "waiting",
+			(int)account->waiting_count, "running",
+			(int)account->running_count, "vtime",
+			(json_int_t)account->vtime));
+	}
+	return list;
+}
+
+static json_t *
+dump_endpoints(const struct owner *owner, const struct pool *pool)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < owner->endpoints->len; i++) {
+		const struct owner_endpoint *state =
+		    &g_array_index(owner->endpoints, struct owner_endpoint, i);
+		const struct endpoint *endpoint = pool_find_endpoint(pool,
+		    state->endpoint_id);
+		json_array_append_new(list,
+		    json_pack("{s:s, s:i, s:i, s:b}", "address",
+			endpoint == NULL ? "?" : endpoint->address, "slots",
+			(int)state->slots, "running", (int)state->running_count,
+			"leaving", state->leaving));
+	}
+	return list;
+}
+
+static json_t *
+dump_owners(struct control *control)
+{
+	const struct tables *tables = &control->snapshot->tables;
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < tables->pool_count; i++) {
+		const struct owner *owner = g_hash_table_lookup(control->owners,
+		    &tables->pools[i].pool_id);
+		if (owner == NULL)
+			continue;
+		json_array_append_new(list,
+		    json_pack("{s:s, s:I, s:b, s:I, s:I, s:o, s:o}", "pool",
+			tables->pools[i].name, "epoch",
+			(json_int_t)owner->epoch, "syncing", owner->syncing,
+			"grants", (json_int_t)owner->grants_count,
+			"releases_lost", (json_int_t)owner->releases_lost_count,
+			"accounts", dump_accounts(owner, tables), "endpoints",
+			dump_endpoints(owner, &tables->pools[i])));
+	}
+	return list;
+}
+
+json_t *
+dump_control(struct control *control)
+{
+	uint64_t now_ms = clk_monotonic_ms(&control->clk);
+	uint32_t waiting_count, running_count;
+
+	entry_counts(&control->entry, &waiting_count, &running_count);
+	return json_pack("{s:o, s:o, s:o, s:{s:i, s:i, s:I, s:I, s:b}}", "self",
+	    dump_member(&control->members.config.self, now_ms), "members",
+	    dump_members(&control->members, now_ms), "owners",
+	    dump_owners(control), "entry", "waiting", (int)waiting_count,
+	    "running", (int)running_count, "refused",
+	    (json_int_t)control->entry.refused_count, "stale_grants",
+	    (json_int_t)control->entry.stale_grants_count, "draining",
+	    control->entry.draining);
+}
--- /dev/null
+++ b/bamboorudderd/main.c
@@ -0,0 +1,219 @@
+#include <argtable2.h>
+#include <civetweb.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "bamboorudderd/admin.h"
+#include "bamboorudderd/control.h"
+#include "bamboorudderd/front.h"
+#include "bamboorudderd/settings.h"
+#include "bamboorudderd/watcher.h"
+#include "common/log.h"
+
+#define EXIT_USAGE 2
+#define DRAIN_POLL_MS 50u
+#define NS_PER_MS 1000000L
+#define SOURCES_MAX_COUNT 128
+
+/* All parts of the process. */
+struct daemon {
+	struct settings settings;
+	struct tablestore store;
+	struct platform platform;
+	struct control control;
+	struct watcher watchers[TABLE_KIND_COUNT];
+	struct front front;
+	struct admin admin;
+};
+
+static void
+print_findings(const struct findings *findings)
+{
+	char line[FINDING_PLACE_MAX_BYTES + FINDING_TEXT_MAX_BYTES + 32];
+
+	for (size_t i = 0; i < findings->count; i++) {
+		finding_format(&findings->items[i], line, sizeof(line));
+		fprintf(stderr, "%s\n", line);
+	}
+	if (findings->total_count > findings->count)
+		fprintf(stderr, "and %zu more\n",
+		    findings->total_count - findings->count);
+}
+
+static void
+print_settings(const struct settings *settings,
+    const enum settings_source *sources)
+{
+	GString *text = g_string_new(NULL);
+
+	settings_print(settings, sources, text);
+	fputs(text->str, stdout);
+	g_string_free(text, TRUE);
+}
+
+static gboolean
+daemon_start(struct daemon *daemon, GError **error)
+{
+	const struct settings *settings = &daemon->settings;
+
+	tablestore_init(&daemon->store);
+	platform_init_http(&daemon->platform, settings->platform_url,
+	    settings->platform_timeout_ms);
+	if (!control_init(&daemon->control, settings, &daemon->store, error))
+		return FALSE;
+	daemon->store.on_change = control_tables_changed;
+	daemon->store.on_change_context = &daemon->control;
+	control_start(&daemon->control);
+	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++)
+		watcher_init(&daemon->watchers[kind], &daemon->platform,
+		    &daemon->store, (enum table_kind)kind,
+		    settings->watch_wait_ms);
+	return front_init(&daemon->front, settings, &daemon->control,
+		   &daemon->store, error) &&
+	    admin_init(&daemon->admin, settings, &daemon->control,
+		&daemon->store, &daemon->platform, error);
+}
+
+/* Waits until nothing waits or runs, a second signal, or the limit. */
+static void
+daemon_drain(struct daemon *daemon, const sigset_t *signals)
+{
+	struct timespec pause = { 0, DRAIN_POLL_MS * NS_PER_MS };
+	uint32_t waited_ms = 0;
+
+	log_event(LOG_LEVEL_INFO, "draining", NULL);
+	atomic_store(&daemon->admin.draining, 1);
+	control_drain(&daemon->control);
+	while (waited_ms < daemon->settings.drain_timeout_ms &&
+	    control_active_count(&daemon->control) > 0) {
+		int signal_number = sigtimedwait(signals, NULL, &pause);
+		if (signal_number == SIGTERM || signal_number == SIGINT)
+			return;
+		waited_ms += DRAIN_POLL_MS;
+	}
+}
+
+static void
+daemon_stop(struct daemon *daemon)
+{
+	platform_stop(&daemon->platform);
+	front_finish(&daemon->front);
+	admin_finish(&daemon->admin);
+	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++)
+		watcher_finish(&daemon->watchers[kind]);
+	control_stop(&daemon->control);
+	control_finish(&daemon->control);
+	platform_finish(&daemon->platform);
+	tablestore_finish(&daemon->store);
+	log_event(LOG_LEVEL_INFO, "stopped", NULL);
+}
+
+static void
+write_dump(struct daemon *daemon)
+{
+	json_t *dump = control_dump(&daemon->control);
+
+	json_dumpf(dump, stderr, JSON_COMPACT);
+	fputc('\n', stderr);
+	json_decref(dump);
+}
+
+static int
+daemon_run(struct daemon *daemon)
+{
+	GError *error = NULL;
+	sigset_t signals;
+	int signal_number;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGUSR1);
+	sigaddset(&signals, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	if (!daemon_start(daemon, &error)) {
+		log_event(LOG_LEVEL_ERROR, "start_failed", "reason",
+		    error->message, NULL);
+		exit(EXIT_FAILURE);
+	}
+	log_event(LOG_LEVEL_INFO, "started", "listen",
+	    daemon->settings.listen_address, "admin",
+	    daemon->settings.admin_address, "peer",
+	    daemon->settings.peer_address, NULL);
+	while (sigwait(&signals, &signal_number) == 0 &&
+	    signal_number != SIGTERM && signal_number != SIGINT)
+		if (signal_number == SIGUSR1)
+			write_dump(daemon);
+	daemon_drain(daemon, &signals);
+	daemon_stop(daemon);
+	return EXIT_SUCCESS;
+}
+
+static int
+run_with_file(const char *path, bool check, bool print)
+{
+	enum settings_source sources[SOURCES_MAX_COUNT];
+	struct findings *findings = g_new(struct findings, 1);
+	struct daemon *daemon = g_new0(struct daemon, 1);
+	int status = EXIT_SUCCESS;
+
+	findings_init(findings);
+	if (!settings_read(path, &daemon->settings, sources, findings)) {
+		print_findings(findings);
+		status = EXIT_USAGE;
+	} else if (print)
+		print_settings(&daemon->settings, sources);
+	else if (check)
+		printf("%s: no findings\n", path);
+	else {
+		log_configure(strcmp(daemon->settings.log_format, "json") == 0
+			? LOG_FORMAT_JSON
+			: LOG_FORMAT_LOGFMT,
+		    daemon->settings.log_level[0] == 'e' ? LOG_LEVEL_ERROR
+			: daemon->settings.log_level[0] == 'w'
+			? LOG_LEVEL_WARN
+			: LOG_LEVEL_INFO);
+		curl_global_init(CURL_GLOBAL_DEFAULT);
+		mg_init_library(0);
+		status = daemon_run(daemon);
+		mg_exit_library();
+		curl_global_cleanup();
+	}
+	g_free(daemon);
+	g_free(findings);
+	return status;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this help");
+	struct arg_lit *check = arg_lit0(NULL, "check-settings",
+	    "report all findings in the settings and end");
+	struct arg_lit *print = arg_lit0(NULL, "print-settings",
+	    "print the effective settings with their sources and end");
+	struct arg_file *file = arg_file1(NULL, NULL, "FILE",
+	    "settings in TOML");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, check, print, file, end };
+	int errors = arg_parse(argc, argv, table), status;
+
+	if (help->count > 0) {
+		printf("usage: bamboorudderd");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-18s %s\n");
+		status = EXIT_SUCCESS;
+	} else if (errors > 0) {
+		arg_print_errors(stderr, end, "bamboorudderd");
+		status = EXIT_USAGE;
+	} else
+		status = run_with_file(file->filename[0], check->count > 0,
+		    print->count > 0);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
--- /dev/null
+++ b/bamboorudderd/peer_zmq.c
@@ -0,0 +1,281 @@
+#include "bamboorudderd/peer.h"
+
+#include <string.h>
+#include <zmq.h>
+
+#include "common/codec.h"
+#include "common/metric.h"
+
+#define LINGER_MS 200
+#define RECONNECT_MIN_MS 50
+#define RECONNECT_MAX_MS 1000
+#define QUEUE_MAX_MESSAGES 2000
+#define HANDSHAKE_MAX_MS 2000
+#define KEY_Z85_BYTES 40u
+#define KEY_BYTES 32u
+#define ZAP_FRAMES 8
+#define MESSAGES_PER_WAIT 256
+
+/* State of the transport; context of its struct peer. */
+struct zmq_peer {
+	void *context;
+	void *router;
+	void *zap; /* answers the library's key checks, or NULL */
+	GHashTable *dealers; /* address to socket */
+	char public_key[KEY_Z85_BYTES + 1];
+	char secret_key[KEY_Z85_BYTES + 1];
+	uint8_t public_key_bytes[KEY_BYTES];
+};
+
+GQuark
+peer_error_quark(void)
+{
+	return g_quark_from_static_string("peer-error");
+}
+
+static void
+set_int(void *socket, int option, int value)
+{
+	zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void
+set_limits(void *socket)
+{
+	set_int(socket, ZMQ_LINGER, LINGER_MS);
+	set_int(socket, ZMQ_SNDHWM, QUEUE_MAX_MESSAGES);
+	set_int(socket, ZMQ_RCVHWM, QUEUE_MAX_MESSAGES);
+	set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
+	set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+	set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MAX_MS);
+}
+
+static void
+set_keys(const struct zmq_peer *state, void *socket, bool server)
+{
+	if (state->zap == NULL)
+		return;
+	if (server) {
+		set_int(socket, ZMQ_CURVE_SERVER, 1);
+		zmq_setsockopt(socket, ZMQ_ZAP_DOMAIN, "fleet", 5);
+	} else {
+		zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, state->public_key,
+		    KEY_Z85_BYTES + 1);
+		zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, state->public_key,
+		    KEY_Z85_BYTES + 1);
+	}
+	zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, state->secret_key,
+	    KEY_Z85_BYTES + 1);
+}
+
+static void
+dealer_free(gpointer socket)
+{
+	zmq_close(socket);
+}
+
+static void *
+dealer_of(struct zmq_peer *state, const char *address)
+{
+	void *socket = g_hash_table_lookup(state->dealers, address);
+	char *url;
+
+	if (socket != NULL)
+		return socket;
+	socket = zmq_socket(state->context, ZMQ_DEALER);
+	if (socket == NULL)
+		return NULL;
+	set_limits(socket);
+	set_keys(state, socket, false);
+	url = g_strdup_printf("tcp://%s", address);
+	if (zmq_connect(socket, url) != 0) {
+		zmq_close(socket);
+		socket = NULL;
+	} else
+		g_hash_table_insert(state->dealers, g_strdup(address), socket);
+	g_free(url);
+	return socket;
+}
+
+static bool
+zmq_peer_send(struct peer *peer, const char *address, const void *bytes,
+    size_t length_bytes)
+{
+	void *socket = dealer_of(peer->context, address);
+
+	if (socket == NULL ||
+	    zmq_send(socket, bytes, length_bytes, ZMQ_DONTWAIT) < 0)
+		return false;
+	metric_add(METRIC_PEER_MESSAGES_SENT, 1);
+	metric_add(METRIC_PEER_SENT_BYTES, length_bytes);
+	return true;
+}
+
+/* Answers one key check of the library: RFC 27, ZAP. */
+static void
+answer_key_check(struct zmq_peer *state)
+{
+	zmq_msg_t frames[ZAP_FRAMES];
+	const char *code;
+	int count = 0, more = 1;
+	bool known;
+
+	while (more && count < ZAP_FRAMES) {
+		zmq_msg_init(&frames[count]);
+		if (zmq_msg_recv(&frames[count], state->zap, 0) < 0)
+			break;
+		more = zmq_msg_more(&frames[count]);
+		count++;
+	}
+	known = count >= 7 && zmq_msg_size(&frames[6]) == KEY_BYTES &&
+	    memcmp(zmq_msg_data(&frames[6]), state->public_key_bytes,
+		KEY_BYTES) == 0;
+	code = known ? "200" : "400";
+	if (!known)
+		metric_add(METRIC_PEER_STRANGERS, 1);
+	zmq_send(state->zap, "1.0", 3, ZMQ_SNDMORE);
+	zmq_send(state->zap, count > 1 ? zmq_msg_data(&frames[1]) : "",
+	    count > 1 ? zmq_msg_size(&frames[1]) : 0, ZMQ_SNDMORE);
+	zmq_send(state->zap, code, 3, ZMQ_SNDMORE);
+	zmq_send(state->zap, "", 0, ZMQ_SNDMORE);
+	zmq_send(state->zap, "", 0, ZMQ_SNDMORE);
+	zmq_send(state->zap, "", 0, 0);
+	while (count > 0)
+		zmq_msg_close(&frames[--count]);
+}
+
+/* Receives one message: the sender's identity, then the payload. */
+static bool
+receive_one(struct zmq_peer *state, peer_message_fn on_message, void *context)
+{
+	zmq_msg_t frame;
+	int index = 0, more = 1;
+
+	while (more) {
+		zmq_msg_init(&frame);
+		if (zmq_msg_recv(&frame, state->router, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&frame);
+			return false;
+		}
+		more = zmq_msg_more(&frame);
+		if (index++ == 1 && !more) {
+			metric_add(METRIC_PEER_MESSAGES_RECEIVED, 1);
+			metric_add(METRIC_PEER_RECEIVED_BYTES,
+			    zmq_msg_size(&frame));
+			on_message(context, zmq_msg_data(&frame),
+			    zmq_msg_size(&frame));
+		}
+		zmq_msg_close(&frame);
+	}
+	return true;
+}
+
+static void
+zmq_peer_wait(struct peer *peer, int wake_fd, uint32_t timeout_ms,
+    peer_message_fn on_message, void *context)
+{
+	struct zmq_peer *state = peer->context;
+	zmq_pollitem_t items[] = {
+		{ NULL, wake_fd, ZMQ_POLLIN, 0 },
+		{ state->router, 0, ZMQ_POLLIN, 0 },
+		{ state->zap, 0, ZMQ_POLLIN, 0 },
+	};
+
+	if (zmq_poll(items, state->zap == NULL ? 2 : 3, (long)timeout_ms) <= 0)
+		return;
+	if (state->zap != NULL && items[2].revents != 0)
+		answer_key_check(state);
+	if (items[1].revents == 0)
+		return;
+	for (int i = 0; i < MESSAGES_PER_WAIT; i++)
+		if (!receive_one(state, on_message, context))
+			return;
+}
+
+static void
+zmq_peer_forget(struct peer *peer, const char *address)
+{
+	struct zmq_peer *state = peer->context;
+
+	g_hash_table_remove(state->dealers, address);
+}
+
+static void
+zmq_peer_finish(struct peer *peer)
+{
+	struct zmq_peer *state = peer->context;
+
+	g_hash_table_destroy(state->dealers);
+	if (state->router != NULL)
+		zmq_close(state->router);
+	if (state->zap != NULL)
+		zmq_close(state->zap);
+	zmq_ctx_term(state->context);
+	g_free(state);
+	peer->context = NULL;
+}
+
+static gboolean
+load_keys(struct zmq_peer *state, const struct peer_zmq_config *config,
+    GError **error)
+{
+	if (config->public_key[0] == '\0')
+		return TRUE;
+	if (strlen(config->public_key) != KEY_Z85_BYTES ||
+	    strlen(config->secret_key) != KEY_Z85_BYTES ||
+	    zmq_z85_decode(state->public_key_bytes, config->public_key) ==
+		NULL) {
+		g_set_error(error, PEER_ERROR, 0,
+		    "peer keys must be texts of 40 bytes in Z85");
+		return FALSE;
+	}
+	g_strlcpy(state->public_key, config->public_key, KEY_Z85_BYTES + 1);
+	g_strlcpy(state->secret_key, config->secret_key, KEY_Z85_BYTES + 1);
+	state->zap = zmq_socket(state->context, ZMQ_REP);
+	set_int(state->zap, ZMQ_LINGER, 0);
+	if (zmq_bind(state->zap, "inproc://zeromq.zap.01") == 0)
+		return TRUE;
+	g_set_error(error, PEER_ERROR, 0, "key check: %s",
+	    zmq_strerror(zmq_errno()));
+	return FALSE;
+}
+
+static gboolean
+bind_router(struct zmq_peer *state, const char *address, GError **error)
+{
+	char *url = g_strdup_printf("tcp://%s", address);
+	int64_t max_bytes = CODEC_MESSAGE_MAX_BYTES;
+	int result;
+
+	state->router = zmq_socket(state->context, ZMQ_ROUTER);
+	set_limits(state->router);
+	zmq_setsockopt(state->router, ZMQ_MAXMSGSIZE, &max_bytes,
+	    sizeof(max_bytes));
+	set_keys(state, state->router, true);
+	result = zmq_bind(state->router, url);
+	if (result != 0)
+		g_set_error(error, PEER_ERROR, 0, "bind %s: %s", url,
+		    zmq_strerror(zmq_errno()));
+	g_free(url);
+	return result == 0;
+}
+
+gboolean
+peer_init_zmq(struct peer *peer, const struct peer_zmq_config *config,
+    GError **error)
+{
+	static const struct peer_ops ops = { zmq_peer_send, zmq_peer_wait,
+		zmq_peer_forget, zmq_peer_finish };
+	struct zmq_peer *state = g_new0(struct zmq_peer, 1);
+
+	peer->ops = &ops;
+	peer->context = state;
+	state->context = zmq_ctx_new();
+	state->dealers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    dealer_free);
+	if (load_keys(state, config, error) &&
+	    bind_router(state, config->address, error))
+		return TRUE;
+	zmq_peer_finish(peer);
+	return FALSE;
+}
--- /dev/null
+++ b/bamboorudderd/settings.c
@@ -0,0 +1,294 @@
+#include "bamboorudderd/settings.h"
+
+#include <stddef.h>
+#include <string.h>
+
+#include "common/toml_read.h"
+
+#define TEXT(name, member, preset)                                             \
+	{                                                                      \
+		name, SETTINGS_TEXT, offsetof(struct settings, member), "", 0, \
+		    0, 0, preset, NULL, NULL, false, false                     \
+	}
+#define WORD(name, member, preset, words, reload)                              \
+	{                                                                      \
+		name, SETTINGS_TEXT, offsetof(struct settings, member), "", 0, \
+		    0, 0, preset, words, NULL, false, reload                   \
+	}
+#define SECRET(name, member, variable)                                         \
+	{                                                                      \
+		name, SETTINGS_TEXT, offsetof(struct settings, member), "", 0, \
+		    0, 0, "", NULL, variable, true, false                      \
+	}
+#define NUMBER(name, member, unit, low, high, preset)                          \
+	{                                                                      \
+		name, SETTINGS_UINT32, offsetof(struct settings, member),      \
+		    unit, low, high, preset, "", NULL, NULL, false, false      \
+	}
+#define LIST(name, member, variable, secret, reload)                           \
+	{                                                                      \
+		name, SETTINGS_LIST, offsetof(struct settings, member), "", 0, \
+		    0, 0, "", NULL, variable, secret, reload                   \
+	}
+
+static const struct settings_key keys[] = {
+	TEXT("listen.address", listen_address, NULL),
+	NUMBER("listen.worker_threads", worker_threads_count, "threads", 4,
+	    2048, 128),
+	NUMBER("listen.body_max_bytes", body_max_bytes, "bytes", 1024, 16777216,
+	    1048576),
+	TEXT("admin.address", admin_address, NULL),
+	LIST("admin.tokens", operator_tokens, NULL, true, true),
+	TEXT("peer.address", peer_address, NULL),
+	TEXT("peer.failure_domain", failure_domain, "default"),
+	LIST("peer.seeds", peer_seeds, NULL, false, false),
+	TEXT("peer.public_key", peer_public_key, ""),
+	SECRET("peer.secret_key", peer_secret_key,
+	    "BAMBOORUDDER_PEER_SECRET_KEY"),
+	NUMBER("peer.heartbeat_period_ms", heartbeat_period_ms, "ms", 50, 60000,
+	    500),
+	NUMBER("peer.down_after_ms", down_after_ms, "ms", 200, 120000, 2000),
+	TEXT("platform.url", platform_url, NULL),
+	NUMBER("platform.timeout_ms", platform_timeout_ms, "ms", 50, 60000,
+	    1000),
+	NUMBER("platform.watch_wait_ms", watch_wait_ms, "ms", 100, 60000,
+	    10000),
+	WORD("share.policy", policy, "fleet", "fleet,naive", false),
+	WORD("share.order", order, "vtc", "vtc,fifo", false),
+	NUMBER("share.report_period_ms", report_period_ms, "ms", 50, 10000,
+	    500),
+	NUMBER("share.fallback_after_ms", fallback_after_ms, "ms", 100, 60000,
+	    1500),
+	NUMBER("share.sync_timeout_ms", sync_timeout_ms, "ms", 50, 10000, 800),
+	NUMBER("share.grant_settle_ms", grant_settle_ms, "ms", 10, 10000, 400),
+	NUMBER("request.queue_timeout_ms", queue_timeout_ms, "ms", 100, 600000,
+	    60000),
+	NUMBER("request.connect_timeout_ms", connect_timeout_ms, "ms", 50,
+	    60000, 1000),
+	NUMBER("request.idle_timeout_ms", idle_timeout_ms, "ms", 1000, 600000,
+	    30000),
+	NUMBER("request.timeout_ms", request_timeout_ms, "ms", 1000, 3600000,
+	    600000),
+	NUMBER("shutdown.drain_timeout_ms", drain_timeout_ms, "ms", 0, 3600000,
+	    60000),
+	WORD("log.format", log_format, "logfmt", "logfmt,json", true),
+	WORD("log.level", log_level, "info", "error,warn,info", true),
+};
+
+struct read_context {
+	const char *path;
+	struct settings *settings;
+	enum settings_source *sources;
+	struct findings *findings;
+};
+
+const struct settings_key *
+settings_keys(size_t *count)
+{
+	*count = G_N_ELEMENTS(keys);
+	return keys;
+}
+
+static void *
+key_target(struct settings *settings, const struct settings_key *key)
+{
+	return (char *)settings + key->offset;
+}
+
+static void
+set_default(struct settings *settings, const struct settings_key *key)
+{
+	if (key->type == SETTINGS_UINT32)
+		*(uint32_t *)key_target(settings, key) = key->default_number;
+	else if (key->type == SETTINGS_TEXT && key->default_text != NULL)
+		g_strlcpy(key_target(settings, key), key->default_text,
+		    SETTINGS_TEXT_MAX_BYTES);
+}
+
+static bool
+word_allowed(const char *words, const char *text)
+{
+	char **list = g_strsplit(words, ",", -1);
+	bool found = g_strv_contains((const char *const *)list, text);
+
+	g_strfreev(list);
+	return found;
+}
+
+static void
+read_text(struct read_context *context, const struct settings_key *key,
+    const struct toml_value *value, char *out)
+{
+	if (value->type != TOML_TEXT || value->in_list)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s must be a text", key->name);
+	else if (strlen(value->text) >= SETTINGS_TEXT_MAX_BYTES)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s is longer than %u bytes", key->name,
+		    SETTINGS_TEXT_MAX_BYTES - 1);
+	else if (key->words != NULL && !word_allowed(key->words, value->text))
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s must be one of: %s", key->name,
+		    key->words);
+	else
+		g_strlcpy(out, value->text, SETTINGS_TEXT_MAX_BYTES);
+}
+
+static void
+read_number(struct read_context *context, const struct settings_key *key,
+    const struct toml_value *value, uint32_t *out)
+{
+	if (value->type != TOML_INTEGER || value->in_list)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s must be a whole number", key->name);
+	else if (value->integer < key->low || value->integer > key->high)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column,
+		    "%s is %" G_GINT64_FORMAT ", allowed is %u to %u %s",
+		    key->name, value->integer, key->low, key->high, key->unit);
+	else
+		*out = (uint32_t)value->integer;
+}
+
+static void
+read_list(struct read_context *context, const struct settings_key *key,
+    const struct toml_value *value, struct settings_list *out)
+{
+	if (value->type != TOML_TEXT || !value->in_list)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s must be a list of texts", key->name);
+	else if (out->count == SETTINGS_LIST_MAX_COUNT)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s has more than %u items", key->name,
+		    SETTINGS_LIST_MAX_COUNT);
+	else
+		g_strlcpy(out->items[out->count++], value->text,
+		    SETTINGS_TEXT_MAX_BYTES);
+}
+
+static void
+on_value(void *pointer, const struct toml_value *value)
+{
+	struct read_context *context = pointer;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		void *target = key_target(context->settings, &keys[i]);
+		if (strcmp(keys[i].name, value->key) != 0)
+			continue;
+		context->sources[i] = SETTINGS_FILE;
+		if (keys[i].type == SETTINGS_TEXT)
+			read_text(context, &keys[i], value, target);
+		else if (keys[i].type == SETTINGS_UINT32)
+			read_number(context, &keys[i], value, target);
+		else
+			read_list(context, &keys[i], value, target);
+		return;
+	}
+	findings_add_line(context->findings, context->path, value->line,
+	    value->column, "unknown key %.64s", value->key);
+}
+
+static void
+on_error(void *pointer, const char *text, uint32_t line, uint32_t column)
+{
+	struct read_context *context = pointer;
+
+	findings_add_line(context->findings, context->path, line, column, "%s",
+	    text);
+}
+
+static void
+apply_environment(struct read_context *context)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		const char *value = keys[i].environment == NULL
+		    ? NULL
+		    : g_getenv(keys[i].environment);
+		if (value == NULL)
+			continue;
+		g_strlcpy(key_target(context->settings, &keys[i]), value,
+		    SETTINGS_TEXT_MAX_BYTES);
+		context->sources[i] = SETTINGS_ENVIRONMENT;
+	}
+}
+
+static void
+check_whole(struct read_context *context)
+{
+	const struct settings *settings = context->settings;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		if (keys[i].default_text == NULL &&
+		    context->sources[i] == SETTINGS_DEFAULT)
+			findings_add_line(context->findings, context->path, 1,
+			    1, "%s is missing", keys[i].name);
+	if (settings->down_after_ms < 2 * settings->heartbeat_period_ms)
+		findings_add_line(context->findings, context->path, 1, 1,
+		    "peer.down_after_ms must be at least twice "
+		    "peer.heartbeat_period_ms");
+	if ((settings->peer_public_key[0] == '\0') !=
+	    (settings->peer_secret_key[0] == '\0'))
+		findings_add_line(context->findings, context->path, 1, 1,
+		    "peer.public_key and peer.secret_key go together");
+}
+
+bool
+settings_read(const char *path, struct settings *settings,
+    enum settings_source *sources, struct findings *findings)
+{
+	enum settings_source local[G_N_ELEMENTS(keys)] = { SETTINGS_DEFAULT };
+	struct read_context context = { path, settings,
+		sources == NULL ? local : sources, findings };
+	size_t before_count = findings->total_count;
+	GError *error = NULL;
+	char *text;
+
+	memset(settings, 0, sizeof(*settings));
+	memset(context.sources, 0, sizeof(local));
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		set_default(settings, &keys[i]);
+	if (!g_file_get_contents(path, &text, NULL, &error)) {
+		findings_add_line(findings, path, 0, 0, "%s", error->message);
+		g_error_free(error);
+		return false;
+	}
+	if (toml_read(text, &context, on_value, on_error)) {
+		apply_environment(&context);
+		check_whole(&context);
+	}
+	g_free(text);
+	return findings->total_count == before_count;
+}
+
+static void
+print_list(const struct settings_list *list, bool secret, GString *out)
+{
+	g_string_append_c(out, '[');
+	for (uint32_t i = 0; i < list->count; i++)
+		g_string_append_printf(out, "%s\"%s\"", i == 0 ? "" : ", ",
+		    secret ? "***" : list->items[i]);
+	g_string_append_c(out, ']');
+}
+
+void
+settings_print(const struct settings *settings,
+    const enum settings_source *sources, GString *out)
+{
+	static const char *const names[] = { "default", "file", "environment" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		const struct settings_key *key = &keys[i];
+		const void *target = (const char *)settings + key->offset;
+
+		g_string_append_printf(out, "%s = ", key->name);
+		if (key->type == SETTINGS_UINT32)
+			g_string_append_printf(out, "%u",
+			    *(const uint32_t *)target);
+		else if (key->type == SETTINGS_LIST)
+			print_list(target, key->secret, out);
+		else
+			g_string_append_printf(out, "\"%s\"",
+			    key->secret ? "***" : (const char *)target);
+		g_string_append_printf(out, "  # %s\n", names[sources[i]]);
+	}
+}
--- /dev/null
+++ b/common/codec.c
@@ -0,0 +1,445 @@
+#include "common/codec.h"
+
+#include <mpack.h>
+#include <string.h>
+
+#define CODEC_VERSION 1u
+#define REPORT_ITEM_FIELDS 7u
+#define REPORT_VTIME_FIELDS 2u
+
+struct reader {
+	mpack_tokbuf_t tokbuf;
+	const char *bytes;
+	size_t left_bytes;
+	bool failed;
+};
+
+static void
+write_token(GByteArray *out, mpack_token_t token)
+{
+	mpack_tokbuf_t tokbuf = MPACK_TOKBUF_INITIAL_VALUE;
+	char buffer[MPACK_MAX_TOKEN_LEN];
+	size_t left_bytes = sizeof(buffer);
+	char *end = buffer;
+
+	mpack_write(&tokbuf, &end, &left_bytes, &token);
+	g_byte_array_append(out, (const guint8 *)buffer, (guint)(end - buffer));
+}
+
+static void
+write_uint(GByteArray *out, uint64_t value)
+{
+	write_token(out, mpack_pack_uint(value));
+}
+
+static void
+write_int(GByteArray *out, int64_t value)
+{
+	if (value < 0)
+		write_token(out, mpack_pack_sint(value));
+	else
+		write_uint(out, (uint64_t)value);
+}
+
+static void
+write_text(GByteArray *out, const char *text, size_t length_bytes)
+{
+	write_token(out, mpack_pack_str((mpack_uint32_t)length_bytes));
+	g_byte_array_append(out, (const guint8 *)text, (guint)length_bytes);
+}
+
+static void
+write_report(GByteArray *out, const struct msg_report *report)
+{
+	write_uint(out, report->pool_id);
+	write_uint(out, report->epoch_seen);
+	write_token(out, mpack_pack_array(report->item_count));
+	for (uint32_t i = 0; i < report->item_count; i++) {
+		const struct report_item *item = &report->items[i];
+		write_token(out, mpack_pack_array(REPORT_ITEM_FIELDS));
+		write_uint(out, item->account_id);
+		write_uint(out, item->seq);
+		write_uint(out, item->endpoint_id);
+		write_uint(out, item->prefix_hash);
+		write_uint(out, item->tokens);
+		write_uint(out, item->estimate_tokens);
+		write_uint(out, item->state);
+	}
+	write_token(out, mpack_pack_array(report->vtime_count));
+	for (uint32_t i = 0; i < report->vtime_count; i++) {
+		write_token(out, mpack_pack_array(REPORT_VTIME_FIELDS));
+		write_uint(out, report->vtimes[i].account_id);
+		write_int(out, report->vtimes[i].vtime);
+	}
+}
+
+static void
+write_heartbeat(GByteArray *out, const struct msg_heartbeat *heartbeat)
+{
+	write_uint(out, heartbeat->probe_seq);
+	write_text(out, heartbeat->address, strlen(heartbeat->address));
+	write_text(out, heartbeat->domain, strlen(heartbeat->domain));
+	write_uint(out, heartbeat->routes_version);
+	write_uint(out, heartbeat->pools_version);
+	write_uint(out, heartbeat->leaving);
+}
+
+static void
+write_ask(GByteArray *out, const struct msg_ask *ask)
+{
+	write_uint(out, ask->pool_id);
+	write_uint(out, ask->account_id);
+	write_uint(out, ask->seq);
+	write_uint(out, ask->prefix_hash);
+	write_uint(out, ask->estimate_tokens);
+}
+
+static void
+write_grant(GByteArray *out, const struct msg_grant *grant)
+{
+	write_uint(out, grant->pool_id);
+	write_uint(out, grant->epoch);
+	write_uint(out, grant->seq);
+	write_uint(out, grant->endpoint_id);
+	write_int(out, grant->account_vtime);
+}
+
+static void
+write_refuse(GByteArray *out, const struct msg_refuse *refuse)
+{
+	write_uint(out, refuse->pool_id);
+	write_uint(out, refuse->epoch);
+	write_uint(out, refuse->seq);
+	write_uint(out, refuse->retry_after_ms);
+	write_uint(out, refuse->reason);
+}
+
+static void
+write_body(GByteArray *out, const struct msg *msg)
+{
+	switch (msg->type) {
+	case MSG_HEARTBEAT:
+	case MSG_HEARTBEAT_ACK:
+		write_heartbeat(out, &msg->u.heartbeat);
+		break;
+	case MSG_ASK:
+		write_ask(out, &msg->u.ask);
+		break;
+	case MSG_CANCEL:
+		write_uint(out, msg->u.cancel.pool_id);
+		write_uint(out, msg->u.cancel.seq);
+		break;
+	case MSG_DONE:
+		write_uint(out, msg->u.done.pool_id);
+		write_uint(out, msg->u.done.seq);
+		write_uint(out, msg->u.done.tokens);
+		write_uint(out, msg->u.done.endpoint_failed);
+		break;
+	case MSG_REPORT:
+		write_report(out, &msg->u.report);
+		break;
+	case MSG_SYNC:
+		write_uint(out, msg->u.sync.pool_id);
+		write_uint(out, msg->u.sync.epoch);
+		break;
+	case MSG_GRANT:
+		write_grant(out, &msg->u.grant);
+		break;
+	case MSG_REFUSE:
+		write_refuse(out, &msg->u.refuse);
+		break;
+	case MSG_STALE:
+		write_uint(out, msg->u.stale.pool_id);
+		write_uint(out, msg->u.stale.epoch_seen);
+		break;
+	case MSG_TABLES_NEWS:
+	case MSG_TABLES_PULL:
+		write_uint(out, msg->u.tables.routes_version);
+		write_uint(out, msg->u.tables.pools_version);
+		break;
+	case MSG_TABLES_DATA:
+		write_uint(out, msg->u.tables_data.kind);
+		write_uint(out, msg->u.tables_data.version);
+		write_text(out, msg->u.tables_data.text,
+		    msg->u.tables_data.text_bytes);
+		break;
+	case MSG_TYPE_COUNT:
+		break;
+	}
+}
+
+void
+codec_encode(const struct msg *msg, GByteArray *out)
+{
+	write_uint(out, CODEC_VERSION);
+	write_uint(out, msg->type);
+	write_uint(out, msg->from_node_id);
+	write_uint(out, msg->from_incarnation);
+	write_body(out, msg);
+}
+
+static mpack_token_t
+read_token(struct reader *reader)
+{
+	mpack_token_t token = { 0 };
+
+	if (!reader->failed &&
+	    (reader->left_bytes == 0 ||
+		mpack_read(&reader->tokbuf, &reader->bytes, &reader->left_bytes,
+		    &token) != MPACK_OK))
+		reader->failed = true;
+	return token;
+}
+
+static uint64_t
+read_uint(struct reader *reader, uint64_t max)
+{
+	mpack_token_t token = read_token(reader);
+	uint64_t value;
+
+	if (reader->failed || token.type != MPACK_TOKEN_UINT) {
+		reader->failed = true;
+		return 0;
+	}
+	value = mpack_unpack_uint(token);
+	if (value > max)
+		reader->failed = true;
+	return reader->failed ? 0 : value;
+}
+
+static int64_t
+read_int(struct reader *reader)
+{
+	mpack_token_t token = read_token(reader);
+
+	if (!reader->failed && token.type == MPACK_TOKEN_SINT)
+		return mpack_unpack_sint(token);
+	if (!reader->failed && token.type == MPACK_TOKEN_UINT &&
+	    mpack_unpack_uint(token) <= INT64_MAX)
+		return (int64_t)mpack_unpack_uint(token);
+	reader->failed = true;
+	return 0;
+}
+
+static uint32_t
+read_count(struct reader *reader, uint32_t max_count)
+{
+	mpack_token_t token = read_token(reader);
+
+	if (!reader->failed && token.type == MPACK_TOKEN_ARRAY &&
+	    token.length <= max_count)
+		return token.length;
+	reader->failed = true;
+	return 0;
+}
+
+/* Points text at its bytes in the input. */
+static size_t
+read_bytes(struct reader *reader, size_t max_bytes, const char **text)
+{
+	mpack_token_t token = read_token(reader);
+	size_t length_bytes = token.length;
+
+	if (reader->failed || token.type != MPACK_TOKEN_STR ||
+	    length_bytes > max_bytes || length_bytes > reader->left_bytes) {
+		reader->failed = true;
+		return 0;
+	}
+	*text = reader->bytes;
+	reader->bytes += length_bytes;
+	reader->left_bytes -= length_bytes;
+	/* the text's bytes were taken here, not through the token buffer */
+	reader->tokbuf.passthrough = 0;
+	return length_bytes;
+}
+
+static void
+read_text(struct reader *reader, char *out, size_t size_bytes)
+{
+	const char *text = "";
+	size_t length_bytes = read_bytes(reader, size_bytes - 1, &text);
+
+	if (memchr(text, '\0', length_bytes) != NULL)
+		reader->failed = true;
+	memcpy(out, text, length_bytes);
+	out[length_bytes] = '\0';
+}
+
+static void
+read_report_item(struct reader *reader, struct report_item *item)
+{
+	if (read_count(reader, REPORT_ITEM_FIELDS) != REPORT_ITEM_FIELDS)
+		reader->failed = true;
+	item->account_id = read_uint(reader, UINT64_MAX);
+	item->seq = read_uint(reader, UINT64_MAX);
+	item->endpoint_id = read_uint(reader, UINT64_MAX);
+	item->prefix_hash = read_uint(reader, UINT64_MAX);
+	item->tokens = read_uint(reader, UINT32_MAX);
+	item->estimate_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
+	item->state = (uint8_t)read_uint(reader, REPORT_RUNNING);
+}
+
+static void
+read_report(struct reader *reader, struct msg_report *report)
+{
+	struct report_vtime *vtimes;
+	struct report_item *items;
+
+	report->pool_id = read_uint(reader, UINT64_MAX);
+	report->epoch_seen = read_uint(reader, UINT64_MAX);
+	report->item_count = read_count(reader, REPORT_ITEMS_MAX_COUNT);
+	items = g_new0(struct report_item, report->item_count);
+	report->items = items;
+	for (uint32_t i = 0; i < report->item_count && !reader->failed; i++)
+		read_report_item(reader, &items[i]);
+	report->vtime_count = read_count(reader, REPORT_ITEMS_MAX_COUNT);
+	vtimes = g_new0(struct report_vtime, report->vtime_count);
+	report->vtimes = vtimes;
+	for (uint32_t i = 0; i < report->vtime_count && !reader->failed; i++) {
+		if (read_count(reader, REPORT_VTIME_FIELDS) !=
+		    REPORT_VTIME_FIELDS)
+			reader->failed = true;
+		vtimes[i].account_id = read_uint(reader, UINT64_MAX);
+		vtimes[i].vtime = read_int(reader);
+	}
+}
+
+static void
+read_heartbeat(struct reader *reader, struct msg_heartbeat *heartbeat)
+{
+	heartbeat->probe_seq = read_uint(reader, UINT64_MAX);
+	read_text(reader, heartbeat->address, sizeof(heartbeat->address));
+	read_text(reader, heartbeat->domain, sizeof(heartbeat->domain));
+	heartbeat->routes_version = read_uint(reader, UINT64_MAX);
+	heartbeat->pools_version = read_uint(reader, UINT64_MAX);
+	heartbeat->leaving = (uint8_t)read_uint(reader, 1);
+}
+
+static void
+read_ask(struct reader *reader, struct msg_ask *ask)
+{
+	ask->pool_id = read_uint(reader, UINT64_MAX);
+	ask->account_id = read_uint(reader, UINT64_MAX);
+	ask->seq = read_uint(reader, UINT64_MAX);
+	ask->prefix_hash = read_uint(reader, UINT64_MAX);
+	ask->estimate_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
+}
+
+static void
+read_grant(struct reader *reader, struct msg_grant *grant)
+{
+	grant->pool_id = read_uint(reader, UINT64_MAX);
+	grant->epoch = read_uint(reader, UINT64_MAX);
+	grant->seq = read_uint(reader, UINT64_MAX);
+	grant->endpoint_id = read_uint(reader, UINT64_MAX);
+	grant->account_vtime = read_int(reader);
+}
+
+static void
+read_refuse(struct reader *reader, struct msg_refuse *refuse)
+{
+	refuse->pool_id = read_uint(reader, UINT64_MAX);
+	refuse->epoch = read_uint(reader, UINT64_MAX);
+	refuse->seq = read_uint(reader, UINT64_MAX);
+	refuse->retry_after_ms = (uint32_t)read_uint(reader, UINT32_MAX);
+	refuse->reason = (uint8_t)read_uint(reader, REFUSE_REASON_COUNT - 1);
+}
+
+static void
+read_tables_data(struct reader *reader, struct msg_tables_data *data)
+{
+	const char *text = "";
+
+	data->kind = (uint8_t)read_uint(reader, TABLE_KIND_COUNT - 1);
+	data->version = read_uint(reader, UINT64_MAX);
+	data->text_bytes = (uint32_t)read_bytes(reader, CODEC_MESSAGE_MAX_BYTES,
+	    &text);
+	data->text = g_strndup(text, data->text_bytes);
+}
+
+static void
+read_body(struct reader *reader, struct msg *msg)
+{
+	switch (msg->type) {
+	case MSG_HEARTBEAT:
+	case MSG_HEARTBEAT_ACK:
+		read_heartbeat(reader, &msg->u.heartbeat);
+		break;
+	case MSG_ASK:
+		read_ask(reader, &msg->u.ask);
+		break;
+	case MSG_CANCEL:
+		msg->u.cancel.pool_id = read_uint(reader, UINT64_MAX);
+		msg->u.cancel.seq = read_uint(reader, UINT64_MAX);
+		break;
+	case MSG_DONE:
+		msg->u.done.pool_id = read_uint(reader, UINT64_MAX);
+		msg->u.done.seq = read_uint(reader, UINT64_MAX);
+		msg->u.done.tokens = read_uint(reader, UINT32_MAX);
+		msg->u.done.endpoint_failed = (uint8_t)read_uint(reader, 1);
+		break;
+	case MSG_REPORT:
+		read_report(reader, &msg->u.report);
+		break;
+	case MSG_SYNC:
+		msg->u.sync.pool_id = read_uint(reader, UINT64_MAX);
+		msg->u.sync.epoch = read_uint(reader, UINT64_MAX);
+		break;
+	case MSG_GRANT:
+		read_grant(reader, &msg->u.grant);
+		break;
+	case MSG_REFUSE:
+		read_refuse(reader, &msg->u.refuse);
+		break;
+	case MSG_STALE:
+		msg->u.stale.pool_id = read_uint(reader, UINT64_MAX);
+		msg->u.stale.epoch_seen = read_uint(reader, UINT64_MAX);
+		break;
+	case MSG_TABLES_NEWS:
+	case MSG_TABLES_PULL:
+		msg->u.tables.routes_version = read_uint(reader, UINT64_MAX);
+		msg->u.tables.pools_version = read_uint(reader, UINT64_MAX);
+		break;
+	case MSG_TABLES_DATA:
+		read_tables_data(reader, &msg->u.tables_data);
+		break;
+	case MSG_TYPE_COUNT:
+		reader->failed = true;
+		break;
+	}
+}
+
+bool
+codec_decode(const void *bytes, size_t length_bytes, struct msg *msg)
+{
+	struct reader reader = { .bytes = bytes, .left_bytes = length_bytes };
+
+	memset(msg, 0, sizeof(*msg));
+	mpack_tokbuf_init(&reader.tokbuf);
+	if (length_bytes > CODEC_MESSAGE_MAX_BYTES ||
+	    read_uint(&reader, UINT32_MAX) != CODEC_VERSION)
+		return false;
+	msg->type = (enum msg_type)read_uint(&reader, MSG_TYPE_COUNT - 1);
+	msg->from_node_id = read_uint(&reader, UINT64_MAX);
+	msg->from_incarnation = read_uint(&reader, UINT64_MAX);
+	if (!reader.failed)
+		read_body(&reader, msg);
+	if (!reader.failed && reader.left_bytes == 0)
+		return true;
+	codec_release(msg);
+	return false;
+}
+
+void
+codec_release(struct msg *msg)
+{
+	if (msg->type == MSG_REPORT) {
+		g_free((gpointer)msg->u.report.items);
+		g_free((gpointer)msg->u.report.vtimes);
+		msg->u.report.items = NULL;
+		msg->u.report.vtimes = NULL;
+	} else if (msg->type == MSG_TABLES_DATA) {
+		g_free((gpointer)msg->u.tables_data.text);
+		msg->u.tables_data.text = NULL;
+	}
+}
--- /dev/null
+++ b/common/http.c
@@ -0,0 +1,164 @@
+#include "common/http.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+static void
+handle_free(gpointer handle)
+{
+	curl_easy_cleanup(handle);
+}
+
+static GPrivate thread_handle = G_PRIVATE_INIT(handle_free);
+
+GQuark
+http_error_quark(void)
+{
+	return g_quark_from_static_string("http-error");
+}
+
+static CURL *
+handle_of_thread(void)
+{
+	CURL *handle = g_private_get(&thread_handle);
+
+	if (handle == NULL) {
+		handle = curl_easy_init();
+		g_private_set(&thread_handle, handle);
+	}
+	curl_easy_reset(handle);
+	return handle;
+}
+
+static size_t
+collect_body(char *bytes, size_t size, size_t count, void *context)
+{
+	struct http_answer *answer = context;
+
+	if (answer->body->len + size * count > HTTP_ANSWER_MAX_BYTES)
+		return 0;
+	g_string_append_len(answer->body, bytes, (gssize)(size * count));
+	return size * count;
+}
+
+static size_t
+collect_header(char *bytes, size_t size, size_t count, void *context)
+{
+	static const char name[] = "etag:";
+	struct http_answer *answer = context;
+	char *value;
+
+	if (size * count > strlen(name) &&
+	    g_ascii_strncasecmp(bytes, name, strlen(name)) == 0) {
+		value = g_strndup(bytes + strlen(name),
+		    size * count - strlen(name));
+		g_strlcpy(answer->etag, g_strstrip(value),
+		    sizeof(answer->etag));
+		g_free(value);
+	}
+	return size * count;
+}
+
+static struct curl_slist *
+append_header(struct curl_slist *list, const char *name, const char *value)
+{
+	char *line;
+
+	if (value == NULL)
+		return list;
+	line = g_strdup_printf("%s: %s", name, value);
+	list = curl_slist_append(list, line);
+	g_free(line);
+	return list;
+}
+
+static struct curl_slist *
+call_headers(const struct http_call *call)
+{
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+	char *bearer = call->bearer_token == NULL
+	    ? NULL
+	    : g_strdup_printf("Bearer %s", call->bearer_token);
+
+	if (call->body != NULL)
+		list = append_header(list, "Content-Type", "application/json");
+	list = append_header(list, "Authorization", bearer);
+	list = append_header(list, "If-Match", call->if_match);
+	list = append_header(list, "If-None-Match", call->if_none_match);
+	g_free(bearer);
+	return list;
+}
+
+static int
+on_progress(void *context, curl_off_t download_total, curl_off_t download_now,
+    curl_off_t upload_total, curl_off_t upload_now)
+{
+	const struct http_call *call = context;
+
+	(void)download_total;
+	(void)download_now;
+	(void)upload_total;
+	(void)upload_now;
+	return call->cancelled != NULL && atomic_load(call->cancelled) != 0;
+}
+
+gboolean
+http_perform(const struct http_call *call, struct http_answer *answer,
+    GError **error)
+{
+	CURL *handle = handle_of_thread();
+	struct curl_slist *headers = call_headers(call);
+	CURLcode code;
+	long status = 0;
+
+	memset(answer, 0, sizeof(*answer));
+	answer->body = g_string_new(NULL);
+	curl_easy_setopt(handle, CURLOPT_URL, call->url);
+	curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call->method);
+	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, collect_body);
+	curl_easy_setopt(handle, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, collect_header);
+	curl_easy_setopt(handle, CURLOPT_HEADERDATA, answer);
+	curl_easy_setopt(handle, CURLOPT_NOPROGRESS,
+	    call->cancelled == NULL ? 1L : 0L);
+	curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(handle, CURLOPT_XFERINFODATA, call);
+	if (strcmp(call->method, "GET") != 0) {
+		/* libcurl repeats a call on a reused connection that died */
+		curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(handle, CURLOPT_POSTFIELDS,
+		    call->body == NULL ? "" : call->body);
+	}
+	code = curl_easy_perform(handle);
+	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+	curl_slist_free_all(headers);
+	answer->status = (uint32_t)status;
+	if (code == CURLE_OK)
+		return TRUE;
+	g_set_error(error, HTTP_ERROR,
+	    code == CURLE_COULDNT_CONNECT ? HTTP_ERROR_CONNECT
+					  : HTTP_ERROR_TRANSFER,
+	    "%s %s: %s", call->method, call->url, curl_easy_strerror(code));
+	http_answer_finish(answer);
+	return FALSE;
+}
+
+void
+http_answer_finish(struct http_answer *answer)
+{
+	if (answer->body != NULL)
+		g_string_free(answer->body, TRUE);
+	answer->body = NULL;
+}
+
+uint64_t
+http_etag_version(const char *etag)
+{
+	if (etag[0] == '"')
+		etag++;
+	return g_ascii_strtoull(etag, NULL, 10);
+}
--- /dev/null
+++ b/common/platform.c
@@ -0,0 +1,201 @@
+#include "common/platform.h"
+
+#include <inttypes.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include "common/http.h"
+#include "common/metric.h"
+
+GQuark
+platform_error_quark(void)
+{
+	return g_quark_from_static_string("platform-error");
+}
+
+static gboolean
+fail(GError **error, enum platform_error_code code, const char *name,
+    const char *text)
+{
+	metric_add(METRIC_PLATFORM_FAILURES, 1);
+	g_set_error(error, PLATFORM_ERROR, code, "platform object %s: %s", name,
+	    text);
+	return FALSE;
+}
+
+static gboolean
+call_platform(const struct http_call *call, const char *name,
+    struct http_answer *answer, GError **error)
+{
+	GError *cause = NULL;
+	bool unsent;
+
+	metric_add(METRIC_PLATFORM_CALLS, 1);
+	if (!http_perform(call, answer, &cause)) {
+		unsent = g_error_matches(cause, HTTP_ERROR, HTTP_ERROR_CONNECT);
+		fail(error,
+		    unsent ? PLATFORM_ERROR_UNREACHED : PLATFORM_ERROR_UNKNOWN,
+		    name, cause->message);
+		g_error_free(cause);
+		return FALSE;
+	}
+	switch (answer->status) {
+	case 200:
+	case 201:
+	case 204:
+		return TRUE;
+	case 404:
+		fail(error, PLATFORM_ERROR_NOT_FOUND, name, "not found");
+		break;
+	case 412:
+		fail(error, PLATFORM_ERROR_CONFLICT, name,
+		    "another version is current");
+		break;
+	case 429:
+		fail(error, PLATFORM_ERROR_BUSY, name, "rate limit");
+		break;
+	case 503:
+		fail(error, PLATFORM_ERROR_UNREACHED, name, "unavailable");
+		break;
+	default:
+		fail(error, PLATFORM_ERROR_UNKNOWN, name, "unexpected answer");
+		break;
+	}
+	http_answer_finish(answer);
+	return FALSE;
+}
+
+static void
+take_object(struct http_answer *answer, struct platform_object *out)
+{
+	out->version = http_etag_version(answer->etag);
+	out->text = g_string_free(answer->body, FALSE);
+	answer->body = NULL;
+}
+
+static gboolean
+http_get(struct platform *platform, const char *name,
+    struct platform_object *out, GError **error)
+{
+	char *url = g_strdup_printf("%s/objects/%s", platform->base_url, name);
+	struct http_call call = { .method = "GET",
+		.url = url,
+		.timeout_ms = platform->timeout_ms };
+	struct http_answer answer;
+	gboolean done = call_platform(&call, name, &answer, error);
+
+	g_free(url);
+	if (done)
+		take_object(&answer, out);
+	return done;
+}
+
+static gboolean
+http_put(struct platform *platform, const char *name, const char *text,
+    uint64_t *version, GError **error)
+{
+	char *url = g_strdup_printf("%s/objects/%s", platform->base_url, name);
+	char *etag = g_strdup_printf("\"%" PRIu64 "\"", *version);
+	struct http_call call = { .method = "PUT",
+		.url = url,
+		.body = text,
+		.if_match = *version == 0 ? NULL : etag,
+		.if_none_match = *version == 0 ? "*" : NULL,
+		.timeout_ms = platform->timeout_ms };
+	struct http_answer answer;
+	gboolean done = call_platform(&call, name, &answer, error);
+
+	if (done) {
+		*version = http_etag_version(answer.etag);
+		http_answer_finish(&answer);
+	}
+	g_free(etag);
+	g_free(url);
+	return done;
+}
+
+static gboolean
+http_remove(struct platform *platform, const char *name, uint64_t version,
+    GError **error)
+{
+	char *url = g_strdup_printf("%s/objects/%s", platform->base_url, name);
+	char *etag = g_strdup_printf("\"%" PRIu64 "\"", version);
+	struct http_call call = { .method = "DELETE",
+		.url = url,
+		.if_match = etag,
+		.timeout_ms = platform->timeout_ms };
+	struct http_answer answer;
+	gboolean done = call_platform(&call, name, &answer, error);
+
+	if (done)
+		http_answer_finish(&answer);
+	g_free(etag);
+	g_free(url);
+	return done;
+}
+
+static gboolean
+http_watch(struct platform *platform, const char *name, uint64_t after_version,
+    uint32_t wait_ms, struct platform_object *out, GError **error)
+{
+	char *url = g_strdup_printf("%s/watch/%s?after=%" PRIu64 "&wait_ms=%u",
+	    platform->base_url, name, after_version, wait_ms);
+	struct http_call call = { .method = "GET",
+		.url = url,
+		.timeout_ms = platform->timeout_ms + wait_ms,
+		.cancelled = &platform->stopping };
+	struct http_answer answer;
+	gboolean done = call_platform(&call, name, &answer, error);
+
+	g_free(url);
+	if (!done)
+		return FALSE;
+	memset(out, 0, sizeof(*out));
+	if (answer.status == 204)
+		http_answer_finish(&answer);
+	else
+		take_object(&answer, out);
+	return TRUE;
+}
+
+static gboolean
+http_instances(struct platform *platform, char **text, GError **error)
+{
+	char *url = g_strdup_printf("%s/instances", platform->base_url);
+	struct http_call call = { .method = "GET",
+		.url = url,
+		.timeout_ms = platform->timeout_ms };
+	struct http_answer answer;
+	gboolean done = call_platform(&call, "instances", &answer, error);
+
+	g_free(url);
+	if (done)
+		*text = g_string_free(answer.body, FALSE);
+	return done;
+}
+
+void
+platform_init_http(struct platform *platform, const char *base_url,
+    uint32_t timeout_ms)
+{
+	static const struct platform_ops ops = { http_get, http_put,
+		http_remove, http_watch, http_instances };
+
+	memset(platform, 0, sizeof(*platform));
+	platform->ops = &ops;
+	platform->base_url = g_strdup(base_url);
+	platform->timeout_ms = timeout_ms;
+}
+
+void
+platform_stop(struct platform *platform)
+{
+	atomic_store(&platform->stopping, 1);
+}
+
+void
+platform_finish(struct platform *platform)
+{
+	g_free(platform->base_url);
+	memset(platform, 0, sizeof(*platform));
+}
--- /dev/null
+++ b/core/effect.c
@@ -0,0 +1,58 @@
+#include "core/effect.h"
+
+#include <glib.h>
+#include <string.h>
+
+void
+effects_init(struct effects *effects)
+{
+	memset(effects, 0, sizeof(*effects));
+}
+
+void
+effects_clear(struct effects *effects)
+{
+	for (size_t i = 0; i < effects->count; i++) {
+		const struct effect *effect = &effects->items[i];
+		if (effect->type != EFFECT_SEND ||
+		    effect->msg.type != MSG_REPORT)
+			continue;
+		g_free((gpointer)effect->msg.u.report.items);
+		g_free((gpointer)effect->msg.u.report.vtimes);
+	}
+	effects->count = 0;
+}
+
+void
+effects_finish(struct effects *effects)
+{
+	effects_clear(effects);
+	g_free(effects->items);
+	memset(effects, 0, sizeof(*effects));
+}
+
+struct effect *
+effects_add(struct effects *effects, enum effect_type type)
+{
+	struct effect *effect;
+
+	if (effects->count == effects->capacity) {
+		effects->capacity = MAX(16, effects->capacity * 2);
+		effects->items = g_renew(struct effect, effects->items,
+		    effects->capacity);
+	}
+	effect = &effects->items[effects->count++];
+	memset(effect, 0, sizeof(*effect));
+	effect->type = type;
+	return effect;
+}
+
+struct msg *
+effects_send(struct effects *effects, uint64_t to_node_id, enum msg_type type)
+{
+	struct effect *effect = effects_add(effects, EFFECT_SEND);
+
+	effect->to_node_id = to_node_id;
+	effect->msg.type = type;
+	return &effect->msg;
+}
--- /dev/null
+++ b/include/bamboorudderd/control.h
@@ -0,0 +1,97 @@
+/**
+ * @file
+ * The control thread: runs the cores, carries out their effects and owns the
+ * peer transport. Traffic threads reach it through its mailbox.
+ */
+#ifndef BAMBOORUDDERD_CONTROL_H
+#define BAMBOORUDDERD_CONTROL_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "bamboorudderd/peer.h"
+#include "bamboorudderd/settings.h"
+#include "bamboorudderd/tablestore.h"
+#include "common/clk.h"
+#include "core/entry.h"
+#include "core/members.h"
+
+enum ticket_state { TICKET_WAITING, TICKET_GRANTED, TICKET_REFUSED };
+
+/** One request between its worker and the control thread. */
+struct ticket {
+	pthread_mutex_t mutex;
+	pthread_cond_t changed;
+	enum ticket_state state;
+	struct entry_submit submit;
+	uint64_t seq;
+	uint64_t endpoint_id;
+	enum refuse_reason reason;
+	uint32_t retry_after_ms;
+	_Atomic uint64_t tokens; /**< relayed so far */
+};
+
+struct command;
+
+struct control {
+	const struct settings *settings;
+	struct clk clk;
+	struct peer peer;
+	struct tablestore *store;
+	uint64_t incarnation;
+	pthread_t thread;
+	pthread_mutex_t mailbox_mutex;
+	STAILQ_HEAD(, command) mailbox;
+	int wake_fd;
+	bool stopping; /**< control thread only */
+	/* the rest belongs to the control thread */
+	struct snapshot *snapshot;
+	struct members members;
+	struct entry entry;
+	GHashTable *owners; /**< pool_id to struct owner */
+	GHashTable *tickets; /**< seq to struct ticket */
+	struct effects effects;
+	GByteArray *encoded;
+};
+
+/** Initialises the cores and binds the peer transport. */
+gboolean control_init(struct control *control, const struct settings *settings,
+    struct tablestore *store, GError **error);
+
+/** Starts the control thread. */
+void control_start(struct control *control);
+
+/** Stops the control thread and waits for it. */
+void control_stop(struct control *control);
+void control_finish(struct control *control);
+
+/**
+ * Submits a request and waits until it is granted or refused; queue_timeout_ms
+ * bounds the wait.
+ * @return a ticket, to be given back by control_release in either case
+ */
+struct ticket *control_acquire(struct control *control,
+    const struct entry_submit *submit);
+
+/** Ends a request and frees its ticket. */
+void control_release(struct control *control, struct ticket *ticket,
+    bool endpoint_failed);
+
+/** Refuses what waits and tells the other daemons that this one leaves. */
+void control_drain(struct control *control);
+
+/** @return requests that wait or run here */
+uint32_t control_active_count(struct control *control);
+
+/** @return the whole control state, a new reference */
+json_t *control_dump(struct control *control);
+
+/** Tells the control thread that other tables are in force. */
+void control_tables_changed(void *control);
+
+#endif
--- /dev/null
+++ b/include/bamboorudderd/settings.h
@@ -0,0 +1,89 @@
+/**
+ * @file
+ * Settings of the daemon: read from TOML, checked as a whole.
+ */
+#ifndef BAMBOORUDDERD_SETTINGS_H
+#define BAMBOORUDDERD_SETTINGS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/finding.h"
+
+#define SETTINGS_TEXT_MAX_BYTES 256u
+#define SETTINGS_LIST_MAX_COUNT 64u
+
+struct settings_list {
+	char items[SETTINGS_LIST_MAX_COUNT][SETTINGS_TEXT_MAX_BYTES];
+	uint32_t count;
+};
+
+struct settings {
+	char listen_address[SETTINGS_TEXT_MAX_BYTES];
+	char admin_address[SETTINGS_TEXT_MAX_BYTES];
+	char peer_address[SETTINGS_TEXT_MAX_BYTES];
+	char failure_domain[SETTINGS_TEXT_MAX_BYTES];
+	struct settings_list peer_seeds;
+	char peer_public_key[SETTINGS_TEXT_MAX_BYTES];
+	char peer_secret_key[SETTINGS_TEXT_MAX_BYTES];
+	char platform_url[SETTINGS_TEXT_MAX_BYTES];
+	uint32_t platform_timeout_ms;
+	uint32_t watch_wait_ms;
+	struct settings_list operator_tokens;
+	uint32_t worker_threads_count;
+	uint32_t body_max_bytes;
+	uint32_t queue_timeout_ms;
+	uint32_t connect_timeout_ms;
+	uint32_t idle_timeout_ms;
+	uint32_t request_timeout_ms;
+	char policy[SETTINGS_TEXT_MAX_BYTES];
+	char order[SETTINGS_TEXT_MAX_BYTES];
+	uint32_t report_period_ms;
+	uint32_t fallback_after_ms;
+	uint32_t sync_timeout_ms;
+	uint32_t grant_settle_ms;
+	uint32_t heartbeat_period_ms;
+	uint32_t down_after_ms;
+	uint32_t drain_timeout_ms;
+	char log_format[SETTINGS_TEXT_MAX_BYTES];
+	char log_level[SETTINGS_TEXT_MAX_BYTES];
+};
+
+/** Where an effective value came from. */
+enum settings_source { SETTINGS_DEFAULT, SETTINGS_FILE, SETTINGS_ENVIRONMENT };
+
+enum settings_type { SETTINGS_TEXT, SETTINGS_UINT32, SETTINGS_LIST };
+
+/** Describes one key; the man page lists the same. */
+struct settings_key {
+	const char *name;
+	enum settings_type type;
+	size_t offset;
+	const char *unit;
+	uint32_t low;
+	uint32_t high;
+	uint32_t default_number;
+	const char *default_text; /**< NULL: the key is required */
+	const char *words; /**< allowed texts, or NULL */
+	const char *environment; /**< variable that overrides, or NULL */
+	bool secret;
+	bool reloadable;
+};
+
+/** @return all keys; count receives their number */
+const struct settings_key *settings_keys(size_t *count);
+
+/**
+ * Reads settings; every fault is a finding with line and column.
+ * @param sources receives one source for each key, or NULL
+ * @return true if nothing was found
+ */
+bool settings_read(const char *path, struct settings *settings,
+    enum settings_source *sources, struct findings *findings);
+
+/** Appends the effective settings with their sources; secrets are masked. */
+void settings_print(const struct settings *settings,
+    const enum settings_source *sources, GString *out);
+
+#endif
--- /dev/null
+++ b/include/bamboorudderd/tablestore.h
@@ -0,0 +1,52 @@
+/**
+ * @file
+ * The newest tables that this daemon knows and the snapshot in force. May be
+ * used from any thread.
+ */
+#ifndef BAMBOORUDDERD_TABLESTORE_H
+#define BAMBOORUDDERD_TABLESTORE_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/msg.h"
+#include "core/tables.h"
+
+/** Tables in force, never changed; hold by snapshot_ref. */
+struct snapshot {
+	_Atomic uint32_t reference_count;
+	struct tables tables;
+	char *texts[TABLE_KIND_COUNT];
+};
+
+struct tablestore {
+	pthread_mutex_t mutex;
+	struct snapshot *in_force; /**< never NULL; empty at first */
+	char *texts[TABLE_KIND_COUNT]; /**< newest seen, valid or not */
+	uint64_t versions[TABLE_KIND_COUNT];
+	void (*on_change)(void *context);
+	void *on_change_context;
+};
+
+void tablestore_init(struct tablestore *store);
+void tablestore_finish(struct tablestore *store);
+
+/** Returns the tables in force; give them back by snapshot_unref. */
+struct snapshot *tablestore_ref(struct tablestore *store);
+struct snapshot *snapshot_ref(struct snapshot *snapshot);
+void snapshot_unref(struct snapshot *snapshot);
+
+/**
+ * Offers a version of one table. A version not newer than the newest seen is
+ * ignored. Both newest tables are put in force if they are valid together;
+ * else the tables in force stay and the findings are logged.
+ */
+void tablestore_offer(struct tablestore *store, enum table_kind kind,
+    uint64_t version, const char *text);
+
+/** @return the name of a table: "routes" or "pools" */
+const char *table_kind_name(enum table_kind kind);
+
+#endif
--- /dev/null
+++ b/include/common/digest.h
@@ -0,0 +1,13 @@
+/**
+ * @file
+ * SHA-256 digests of keys and tokens, as lower-case hexadecimal text.
+ */
+#ifndef COMMON_DIGEST_H
+#define COMMON_DIGEST_H
+
+#define DIGEST_HEX_BYTES 64u
+
+/** Writes the digest and a closing zero. */
+void digest_sha256_hex(const char *text, char out[DIGEST_HEX_BYTES + 1]);
+
+#endif
--- /dev/null
+++ b/include/common/log.h
@@ -0,0 +1,23 @@
+/**
+ * @file
+ * Structured log: one line for each change of state, as logfmt or JSON.
+ */
+#ifndef COMMON_LOG_H
+#define COMMON_LOG_H
+
+#include <stdbool.h>
+
+enum log_level { LOG_LEVEL_ERROR, LOG_LEVEL_WARN, LOG_LEVEL_INFO };
+enum log_format { LOG_FORMAT_LOGFMT, LOG_FORMAT_JSON };
+
+/** Sets the format and the least severe level written. */
+void log_configure(enum log_format format, enum log_level level);
+
+/**
+ * Writes one line to standard error: an event and pairs of key and value,
+ * closed by NULL. Never pass a key, a token or a body.
+ */
+void log_event(enum log_level level, const char *event, ...)
+    __attribute__((sentinel));
+
+#endif
--- /dev/null
+++ b/include/common/metric.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * Counters and gauges of one process, in the Prometheus text format.
+ */
+#ifndef COMMON_METRIC_H
+#define COMMON_METRIC_H
+
+#include <glib.h>
+#include <stdint.h>
+
+enum metric_id {
+	METRIC_REQUESTS,
+	METRIC_REQUESTS_REFUSED,
+	METRIC_REQUESTS_UNKNOWN,
+	METRIC_REQUESTS_UNAUTHORIZED,
+	METRIC_REQUESTS_MALFORMED,
+	METRIC_RETRIES,
+	METRIC_TOKENS,
+	METRIC_ANSWERS_BROKEN,
+	METRIC_PEER_SENT_BYTES,
+	METRIC_PEER_RECEIVED_BYTES,
+	METRIC_PEER_MESSAGES_SENT,
+	METRIC_PEER_MESSAGES_RECEIVED,
+	METRIC_PEER_MALFORMED,
+	METRIC_PEER_STRANGERS,
+	METRIC_PLATFORM_CALLS,
+	METRIC_PLATFORM_FAILURES,
+	METRIC_CONTROL_CPU_US,
+	METRIC_TABLES_ADOPTED,
+	METRIC_TABLES_INVALID,
+	METRIC_WAITING,
+	METRIC_RUNNING,
+	METRIC_MEMBERS_LIVE,
+	METRIC_COUNT
+};
+
+void metric_add(enum metric_id id, uint64_t delta);
+void metric_set(enum metric_id id, uint64_t value);
+uint64_t metric_get(enum metric_id id);
+
+/** Appends all metrics in the Prometheus text format. */
+void metric_render(GString *out);
+
+#endif
--- /dev/null
+++ b/include/core/entry.h
@@ -0,0 +1,113 @@
+/**
+ * @file
+ * Entry side of one daemon: the truth about its own waiting and running
+ * requests. Asks queue owners for slots and reports to them.
+ */
+#ifndef CORE_ENTRY_H
+#define CORE_ENTRY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/effect.h"
+#include "core/msg.h"
+#include "core/tables.h"
+
+struct entry;
+
+/** Where a daemon gets its slots from: the queue owner, or nobody. */
+struct entry_ops {
+	const char *name;
+	/** Called once for a new waiting request. */
+	void (*submit)(struct entry *entry, uint64_t seq, uint64_t now_ms,
+	    struct effects *effects);
+};
+
+/** Asks the pool's queue owner. */
+extern const struct entry_ops entry_fleet;
+/** The naive rival: starts at once, round-robin over the endpoints. */
+extern const struct entry_ops entry_naive;
+
+/** @return the policy of that name, or NULL */
+const struct entry_ops *entry_find(const char *name);
+
+struct entry_config {
+	uint64_t node_id;
+	uint64_t seq_first; /**< above every seq of earlier incarnations */
+	const struct entry_ops *ops;
+	uint32_t report_period_ms;
+	uint32_t fallback_after_ms; /**< no owner in reach for so long */
+};
+
+/** A request as its caller's worker submits it. */
+struct entry_submit {
+	uint64_t pool_id;
+	uint64_t account_id;
+	uint64_t prefix_hash;
+	uint64_t deadline_ms;
+	uint32_t estimate_tokens;
+	uint32_t waiting_max_count;
+};
+
+struct entry {
+	struct entry_config config;
+	uint64_t seq_next;
+	GHashTable *requests; /**< seq to struct entry_request */
+	GHashTable *pools; /**< pool_id to struct entry_pool */
+	const struct tables *tables;
+	uint64_t *live_node_ids;
+	size_t live_count;
+	GArray *report_items; /**< buffer of the current report */
+	GArray *report_vtimes;
+	bool draining;
+	uint64_t stale_grants_count;
+	uint64_t refused_count;
+	uint64_t fallback_count;
+};
+
+void entry_init(struct entry *entry, const struct entry_config *config);
+void entry_finish(struct entry *entry);
+
+/** The tables belong to the caller and must outlive the next call. */
+void entry_set_tables(struct entry *entry, const struct tables *tables,
+    uint64_t now_ms, struct effects *effects);
+
+/** Tells which nodes are live; owners follow by rendezvous hashing. */
+void entry_set_view(struct entry *entry, const uint64_t *live_node_ids,
+    size_t live_count, uint64_t now_ms, struct effects *effects);
+
+/** @return the node that owns a pool in the current view, or 0 */
+uint64_t entry_owner_of(const struct entry *entry, uint64_t pool_id);
+
+/**
+ * Takes a request in. It ends in EFFECT_START or EFFECT_REFUSE.
+ * @return its seq
+ */
+uint64_t entry_submit(struct entry *entry, const struct entry_submit *submit,
+    uint64_t now_ms, struct effects *effects);
+
+/** Tokens of a running request so far. */
+void entry_progress(struct entry *entry, uint64_t seq, uint64_t tokens);
+
+/** A running request ended, well or not. */
+void entry_done(struct entry *entry, uint64_t seq, uint64_t tokens,
+    bool endpoint_failed, struct effects *effects);
+
+/** The caller of a waiting request has gone. */
+void entry_cancel(struct entry *entry, uint64_t seq, struct effects *effects);
+
+void entry_handle(struct entry *entry, const struct msg *msg, uint64_t now_ms,
+    struct effects *effects);
+
+/** To be called at least every 100 ms. */
+void entry_tick(struct entry *entry, uint64_t now_ms, struct effects *effects);
+
+/** Refuses what waits and takes nothing more in; running work goes on. */
+void entry_drain(struct entry *entry, struct effects *effects);
+
+/** Counts for the state dump. */
+void entry_counts(const struct entry *entry, uint32_t *waiting_count,
+    uint32_t *running_count);
+
+#endif
--- /dev/null
+++ b/include/core/fair.h
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * The order between client accounts at one queue owner, as a table of
+ * functions: a virtual token counter, and first-come-first-served as its
+ * naive rival.
+ */
+#ifndef CORE_FAIR_H
+#define CORE_FAIR_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define FAIR_NONE SIZE_MAX
+
+/** What an order needs to know of an account. */
+struct fair_account {
+	uint64_t account_id;
+	int64_t vtime; /**< charged tokens * VTIME_SCALE / weight */
+	uint64_t head_arrival; /**< arrival number of its oldest waiting */
+	uint32_t weight;
+	uint32_t waiting_count;
+	uint32_t running_count;
+};
+
+/** An order between accounts. */
+struct fair_ops {
+	const char *name;
+	/** @return the index of the account whose oldest request is next, or
+	 * FAIR_NONE if nothing waits */
+	size_t (*pick)(const struct fair_account *accounts, size_t count);
+	/** Charges tokens; negative tokens take a charge back. */
+	void (*charge)(struct fair_account *account, int64_t tokens);
+	/** Called when an account that had neither waiting nor running requests
+	 * sends one: floor is the smallest virtual time of the active ones. */
+	void (*activate)(struct fair_account *account, int64_t floor_vtime);
+};
+
+/** Smallest virtual token counter first. */
+extern const struct fair_ops fair_vtc;
+/** Oldest request first, whatever its account. */
+extern const struct fair_ops fair_fifo;
+
+/** @return the order of that name, or NULL */
+const struct fair_ops *fair_find(const char *name);
+
+/**
+ * The smallest virtual time among accounts with waiting or running requests.
+ * @return false if no account is active
+ */
+bool fair_floor(const struct fair_account *accounts, size_t count,
+    int64_t *floor_vtime);
+
+#endif
--- /dev/null
+++ b/include/core/limits.h
@@ -0,0 +1,18 @@
+/**
+ * @file
+ * Limits shared by all cores, with their units.
+ */
+#ifndef CORE_LIMITS_H
+#define CORE_LIMITS_H
+
+#define NAME_MAX_BYTES 64u
+#define ADDRESS_MAX_BYTES 64u
+#define MEMBERS_MAX_COUNT 1024u
+#define POOLS_MAX_COUNT 256u
+#define ENDPOINTS_MAX_COUNT 1024u
+#define REPORT_ITEMS_MAX_COUNT 1024u
+
+/** Scale of virtual time: thousandths of a token per unit of weight. */
+#define VTIME_SCALE 1000
+
+#endif
--- /dev/null
+++ b/include/core/msg.h
@@ -0,0 +1,169 @@
+/**
+ * @file
+ * Typed messages between daemons. Their encoding lives outside the core.
+ */
+#ifndef CORE_MSG_H
+#define CORE_MSG_H
+
+#include <stdint.h>
+
+#include "core/limits.h"
+
+enum msg_type {
+	MSG_HEARTBEAT,
+	MSG_HEARTBEAT_ACK,
+	MSG_ASK,
+	MSG_CANCEL,
+	MSG_DONE,
+	MSG_REPORT,
+	MSG_SYNC,
+	MSG_GRANT,
+	MSG_REFUSE,
+	MSG_STALE,
+	MSG_TABLES_NEWS,
+	MSG_TABLES_PULL,
+	MSG_TABLES_DATA,
+	MSG_TYPE_COUNT
+};
+
+/** Why a request was refused before it ran. */
+enum refuse_reason {
+	REFUSE_NONE,
+	REFUSE_QUEUE_FULL,
+	REFUSE_DEADLINE,
+	REFUSE_NO_ENDPOINT,
+	REFUSE_SHUTDOWN,
+	REFUSE_REASON_COUNT
+};
+
+/** Liveness probe; carries the table versions that the sender holds. */
+struct msg_heartbeat {
+	uint64_t probe_seq;
+	char address[ADDRESS_MAX_BYTES];
+	char domain[NAME_MAX_BYTES];
+	uint64_t routes_version;
+	uint64_t pools_version;
+	uint8_t leaving;
+};
+
+/** An entry daemon asks the queue owner for a slot. */
+struct msg_ask {
+	uint64_t pool_id;
+	uint64_t account_id;
+	uint64_t seq;
+	uint64_t prefix_hash;
+	uint32_t estimate_tokens;
+};
+
+/** Names a request of the sender: a cancel. */
+struct msg_cancel {
+	uint64_t pool_id;
+	uint64_t seq;
+};
+
+/** The end of a granted request. */
+struct msg_done {
+	uint64_t pool_id;
+	uint64_t seq;
+	uint64_t tokens;
+	uint8_t endpoint_failed;
+};
+
+enum report_state { REPORT_WAITING, REPORT_RUNNING };
+
+/** One waiting or running request in a report. */
+struct report_item {
+	uint64_t account_id;
+	uint64_t seq;
+	uint64_t endpoint_id;
+	uint64_t prefix_hash;
+	uint64_t tokens;
+	uint32_t estimate_tokens;
+	uint8_t state;
+};
+
+/** The virtual time of an account as its last grant told it. */
+struct report_vtime {
+	uint64_t account_id;
+	int64_t vtime;
+};
+
+/**
+ * All requests that the sender holds for one pool. In an effect the arrays
+ * belong to the list of effects; in a received message, to the decoder.
+ */
+struct msg_report {
+	uint64_t pool_id;
+	uint64_t epoch_seen;
+	const struct report_item *items;
+	const struct report_vtime *vtimes;
+	uint32_t item_count;
+	uint32_t vtime_count;
+};
+
+/** A queue owner announces its epoch and asks for a report. */
+struct msg_sync {
+	uint64_t pool_id;
+	uint64_t epoch;
+};
+
+/** A slot at an endpoint for one request. */
+struct msg_grant {
+	uint64_t pool_id;
+	uint64_t epoch;
+	uint64_t seq;
+	uint64_t endpoint_id;
+	int64_t account_vtime;
+};
+
+/** The request was not run and will not be granted. */
+struct msg_refuse {
+	uint64_t pool_id;
+	uint64_t epoch;
+	uint64_t seq;
+	uint32_t retry_after_ms;
+	uint8_t reason;
+};
+
+/** Tells an owner that a newer epoch of its pool exists. */
+struct msg_stale {
+	uint64_t pool_id;
+	uint64_t epoch_seen;
+};
+
+/** Versions of the tables that the sender holds. */
+struct msg_tables {
+	uint64_t routes_version;
+	uint64_t pools_version;
+};
+
+enum table_kind { TABLE_ROUTES, TABLE_POOLS, TABLE_KIND_COUNT };
+
+/** The text of one table at a version; belongs to the sender of the effect. */
+struct msg_tables_data {
+	uint64_t version;
+	const char *text;
+	uint32_t text_bytes;
+	uint8_t kind;
+};
+
+struct msg {
+	enum msg_type type;
+	uint64_t from_node_id;
+	uint64_t from_incarnation;
+	union {
+		struct msg_heartbeat heartbeat;
+		struct msg_ask ask;
+		struct msg_cancel cancel;
+		struct msg_done done;
+		struct msg_report report;
+		struct msg_sync sync;
+		struct msg_grant grant;
+		struct msg_refuse refuse;
+		struct msg_stale stale;
+		struct msg_tables tables;
+		struct msg_tables_data tables_data;
+	} u;
+};
+
+#endif
--- /dev/null
+++ b/tests/standins/engine.c
@@ -0,0 +1,313 @@
+/*
+ * Stand-in for a model engine: continuous batching of at most SLOTS streams,
+ * first come first served beyond them, server-sent events with usage at the
+ * end, resume by Last-Event-ID, a lagging load report, leaving, model orders.
+ *
+ *   POST /v1/chat/completions  {"messages": [...], "stream": true,
+ *                               "max_tokens": N, "standin_tokens": N}
+ *   GET /load                  running and waiting, load_lag_ms late
+ *   POST /orders?fence=N       load a model or change role
+ *   POST /standin/set?leaving=&break_after=&fenced=&freeze_ms=
+ *   GET /standin/counts
+ */
+#include <glib.h>
+#include <inttypes.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "standin.h"
+
+#define THREADS "256"
+#define US_PER_MS 1000u
+#define TOKENS_DEFAULT 16
+#define EVENT_BYTES 512
+#define LOAD_LAG_US 200000u
+
+struct engine {
+	GMutex mutex;
+	GCond changed;
+	uint32_t slots;
+	uint64_t token_us;
+	uint32_t running;
+	uint32_t peak;
+	uint64_t ticket_next; /* arrival order */
+	uint64_t ticket_served;
+	uint64_t load_at_us;
+	uint32_t load_running, load_waiting;
+	uint64_t fence;
+	uint64_t orders;
+	bool fenced;
+	_Atomic uint32_t leaving;
+	_Atomic int64_t break_after; /* -1: never */
+	_Atomic uint64_t frozen_until_us;
+	_Atomic uint64_t started, finished, cancelled, refused, tokens;
+};
+
+static void
+engine_enter(struct engine *engine)
+{
+	uint64_t ticket;
+
+	g_mutex_lock(&engine->mutex);
+	ticket = engine->ticket_next++;
+	while (
+	    ticket != engine->ticket_served || engine->running >= engine->slots)
+		g_cond_wait(&engine->changed, &engine->mutex);
+	engine->ticket_served++;
+	engine->running++;
+	engine->peak = MAX(engine->peak, engine->running);
+	g_cond_broadcast(&engine->changed);
+	g_mutex_unlock(&engine->mutex);
+}
+
+static void
+engine_leave(struct engine *engine)
+{
+	g_mutex_lock(&engine->mutex);
+	engine->running--;
+	g_cond_broadcast(&engine->changed);
+	g_mutex_unlock(&engine->mutex);
+}
+
+static void
+wait_token(struct engine *engine, uint64_t *due_us)
+{
+	uint64_t now_us;
+
+	*due_us += engine->token_us;
+	now_us = standin_now_us();
+	if (*due_us > now_us)
+		standin_sleep_us(*due_us - now_us);
+	while (standin_now_us() < atomic_load(&engine->frozen_until_us))
+		standin_sleep_us(US_PER_MS);
+}
+
+static bool
+send_event(struct mg_connection *connection, const char *text)
+{
+	return mg_send_chunk(connection, text, (unsigned)strlen(text)) > 0;
+}
+
+/* Streams tokens from the first one on. @return true if all were sent */
+static bool
+stream_tokens(struct engine *engine, struct mg_connection *connection,
+    int64_t first, int64_t count)
+{
+	const char *id = mg_get_header(connection, "X-Request-Id");
+	uint64_t due_us = standin_now_us();
+	char event[EVENT_BYTES];
+
+	for (int64_t i = first; i < count; i++) {
+		wait_token(engine, &due_us);
+		if (i == atomic_load(&engine->break_after))
+			return false;
+		g_snprintf(event, sizeof(event),
+		    "id: %" PRId64 "\ndata: "
+		    "{\"choices\":[{\"delta\":{\"content\":\"t%" PRId64
+		    " \"}}],\"id\":\"%.64s\"}\n\n",
+		    i, i, id == NULL ? "" : id);
+		if (!send_event(connection, event)) {
+			atomic_fetch_add(&engine->cancelled, 1);
+			return false;
+		}
+		atomic_fetch_add(&engine->tokens, 1);
+	}
+	g_snprintf(event, sizeof(event),
+	    "data: {\"choices\":[],\"usage\":"
+	    "{\"completion_tokens\":%" PRId64 "}}\n\ndata: [DONE]\n\n",
+	    count);
+	return send_event(connection, event) &&
+	    mg_send_chunk(connection, "", 0) > 0;
+}
+
+static void
+answer_stream(struct engine *engine, struct mg_connection *connection,
+    int64_t count)
+{
+	const char *last = mg_get_header(connection, "Last-Event-ID");
+	int64_t first = last == NULL ? 0 : g_ascii_strtoll(last, NULL, 10) + 1;
+
+	mg_response_header_start(connection, 200);
+	mg_response_header_add(connection, "Content-Type", "text/event-stream",
+	    -1);
+	mg_response_header_add(connection, "Transfer-Encoding", "chunked", -1);
+	mg_response_header_send(connection);
+	if (stream_tokens(engine, connection, first, count))
+		atomic_fetch_add(&engine->finished, 1);
+	else
+		mg_disable_connection_keep_alive(connection);
+}
+
+static void
+answer_whole(struct engine *engine, struct mg_connection *connection,
+    int64_t count)
+{
+	const char *id = mg_get_header(connection, "X-Request-Id");
+	GString *content = g_string_new(NULL);
+	uint64_t due_us = standin_now_us();
+
+	for (int64_t i = 0; i < count; i++) {
+		wait_token(engine, &due_us);
+		g_string_append_printf(content, "t%" PRId64 " ", i);
+	}
+	atomic_fetch_add(&engine->tokens, (uint64_t)count);
+	atomic_fetch_add(&engine->finished, 1);
+	standin_send_json(connection, 200, NULL,
+	    json_pack("{s:[{s:{s:s}}], s:{s:I}, s:s}", "choices", "message",
+		"content", content->str, "usage", "completion_tokens",
+		(json_int_t)count, "id", id == NULL ? "" : id));
+	g_string_free(content, TRUE);
+}
+
+static void
+refuse_leaving(struct engine *engine, struct mg_connection *connection)
+{
+	static const char text[] = "{\"error\":\"leaving\"}";
+
+	atomic_fetch_add(&engine->refused, 1);
+	mg_response_header_start(connection, 503);
+	mg_response_header_add(connection, "Bamboorudder-Run", "not-run", -1);
+	mg_response_header_add(connection, "Content-Length", "19", -1);
+	mg_response_header_send(connection);
+	mg_write(connection, text, strlen(text));
+}
+
+static void
+complete(struct engine *engine, struct mg_connection *connection)
+{
+	char *body = standin_read_body(connection);
+	json_t *root = json_loads(body, 0, NULL);
+	int64_t count = TOKENS_DEFAULT;
+	const json_t *limit = json_object_get(root, "max_tokens");
+	const json_t *chosen = json_object_get(root, "standin_tokens");
+	bool stream = json_is_true(json_object_get(root, "stream"));
+
+	if (json_is_integer(chosen))
+		count = json_integer_value(chosen);
+	if (json_is_integer(limit))
+		count = MIN(count, json_integer_value(limit));
+	json_decref(root);
+	free(body);
+	if (atomic_load(&engine->leaving)) {
+		refuse_leaving(engine, connection);
+		return;
+	}
+	engine_enter(engine);
+	atomic_fetch_add(&engine->started, 1);
+	if (stream)
+		answer_stream(engine, connection, count);
+	else
+		answer_whole(engine, connection, count);
+	engine_leave(engine);
+}
+
+/* The report is at least LOAD_LAG_US old. */
+static void
+send_load(struct engine *engine, struct mg_connection *connection)
+{
+	uint32_t running, waiting;
+
+	g_mutex_lock(&engine->mutex);
+	running = engine->load_running;
+	waiting = engine->load_waiting;
+	if (standin_now_us() > engine->load_at_us + LOAD_LAG_US) {
+		engine->load_at_us = standin_now_us();
+		engine->load_running = engine->running;
+		engine->load_waiting = (uint32_t)(engine->ticket_next -
+		    engine->ticket_served);
+	}
+	g_mutex_unlock(&engine->mutex);
+	standin_send_json(connection, 200, NULL,
+	    json_pack("{s:i, s:i, s:i, s:b}", "running", (int)running,
+		"waiting", (int)waiting, "slots", (int)engine->slots, "leaving",
+		(int)atomic_load(&engine->leaving)));
+}
+
+static void
+take_order(struct engine *engine, struct mg_connection *connection)
+{
+	uint64_t fence = (uint64_t)standin_query_number(connection, "fence", 0);
+	bool refused;
+
+	g_mutex_lock(&engine->mutex);
+	refused = engine->fenced && fence < engine->fence;
+	if (!refused) {
+		engine->fence = MAX(engine->fence, fence);
+		engine->orders++;
+	}
+	g_mutex_unlock(&engine->mutex);
+	standin_send_json(connection, refused ? 409 : 200, NULL, json_object());
+}
+
+static void
+set_state(struct engine *engine, struct mg_connection *connection)
+{
+	int64_t freeze_ms = standin_query_number(connection, "freeze_ms", 0);
+
+	atomic_store(&engine->leaving,
+	    (uint32_t)standin_query_number(connection, "leaving",
+		atomic_load(&engine->leaving)));
+	atomic_store(&engine->break_after,
+	    standin_query_number(connection, "break_after",
+		atomic_load(&engine->break_after)));
+	if (freeze_ms > 0)
+		atomic_store(&engine->frozen_until_us,
+		    standin_now_us() + (uint64_t)freeze_ms * US_PER_MS);
+	g_mutex_lock(&engine->mutex);
+	engine->fenced = standin_query_number(connection, "fenced",
+			     engine->fenced) != 0;
+	g_mutex_unlock(&engine->mutex);
+	standin_send_json(connection, 200, NULL, json_object());
+}
+
+static void
+send_counts(struct engine *engine, struct mg_connection *connection)
+{
+	standin_send_json(connection, 200, NULL,
+	    json_pack("{s:I, s:I, s:I, s:I, s:I, s:i, s:I, s:I}", "started",
+		(json_int_t)atomic_load(&engine->started), "finished",
+		(json_int_t)atomic_load(&engine->finished), "cancelled",
+		(json_int_t)atomic_load(&engine->cancelled), "refused",
+		(json_int_t)atomic_load(&engine->refused), "tokens",
+		(json_int_t)atomic_load(&engine->tokens), "peak",
+		(int)engine->peak, "orders", (json_int_t)engine->orders,
+		"fence", (json_int_t)engine->fence));
+}
+
+static int
+handle(struct mg_connection *connection, void *context)
+{
+	const char *path = mg_get_request_info(connection)->local_uri;
+	struct engine *engine = context;
+
+	if (strcmp(path, "/v1/chat/completions") == 0)
+		complete(engine, connection);
+	else if (strcmp(path, "/load") == 0)
+		send_load(engine, connection);
+	else if (strcmp(path, "/orders") == 0)
+		take_order(engine, connection);
+	else if (strcmp(path, "/standin/set") == 0)
+		set_state(engine, connection);
+	else if (strcmp(path, "/standin/counts") == 0)
+		send_counts(engine, connection);
+	else
+		standin_send_json(connection, 404, NULL, json_object());
+	return 1;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct engine engine = { 0 };
+
+	if (argc != 4) {
+		fprintf(stderr, "usage: %s IP:PORT SLOTS TOKEN_US\n", argv[0]);
+		return 2;
+	}
+	g_mutex_init(&engine.mutex);
+	g_cond_init(&engine.changed);
+	engine.slots = (uint32_t)g_ascii_strtoull(argv[2], NULL, 10);
+	engine.token_us = g_ascii_strtoull(argv[3], NULL, 10);
+	atomic_store(&engine.break_after, -1);
+	return standin_serve(argv[1], THREADS, handle, &engine);
+}
