Tell owners how a request ended at its endpoint

Cause: a bool could not tell a refusal from a failure, which ejection and leaving endpoints need; and tests side by side took ports from the kernel's ephemeral range, where a client's connection may take them first. Conclusion: enum done_outcome from relay to owner; test ports lie below the ephemeral range.

--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -19,7 +19,7 @@
 	STAILQ_ENTRY(command) entries;
 	void (*run)(struct control *control, struct command *command);
 	struct ticket *ticket;
-	bool endpoint_failed;
+	enum done_outcome outcome;
 	/* for a caller that waits */
 	pthread_mutex_t mutex;
 	pthread_cond_t done_changed;
@@ -57,13 +57,13 @@
 static void
 mailbox_post(struct control *control,
     void (*run)(struct control *, struct command *), struct ticket *ticket,
-    bool endpoint_failed)
+    enum done_outcome outcome)
 {
 	struct command *command = g_new0(struct command, 1);
 
 	command->run = run;
 	command->ticket = ticket;
-	command->endpoint_failed = endpoint_failed;
+	command->outcome = outcome;
 	mailbox_push(control, command);
 }
 
@@ -428,7 +428,7 @@
 void
 control_tables_changed(void *control)
 {
-	mailbox_post(control, run_tables_changed, NULL, false);
+	mailbox_post(control, run_tables_changed, NULL, DONE_WHOLE);
 }
 
 static void
@@ -503,7 +503,7 @@
 void
 control_stop(struct control *control)
 {
-	mailbox_post(control, run_stop, NULL, false);
+	mailbox_post(control, run_stop, NULL, DONE_WHOLE);
 	pthread_join(control->thread, NULL);
 }
 
@@ -541,7 +541,7 @@
 	struct ticket *ticket = command->ticket;
 
 	entry_done(&control->entry, ticket->seq, atomic_load(&ticket->tokens),
-	    command->endpoint_failed, &control->effects);
+	    command->outcome, &control->effects);
 	g_hash_table_remove(control->tickets, &ticket->seq);
 	pthread_mutex_destroy(&ticket->mutex);
 	pthread_cond_destroy(&ticket->changed);
@@ -556,7 +556,7 @@
 	pthread_mutex_init(&ticket->mutex, NULL);
 	pthread_cond_init(&ticket->changed, NULL);
 	ticket->submit = *submit;
-	mailbox_post(control, run_submit, ticket, false);
+	mailbox_post(control, run_submit, ticket, DONE_WHOLE);
 	pthread_mutex_lock(&ticket->mutex);
 	while (ticket->state == TICKET_WAITING)
 		pthread_cond_wait(&ticket->changed, &ticket->mutex);
@@ -566,9 +566,9 @@
 
 void
 control_release(struct control *control, struct ticket *ticket,
-    bool endpoint_failed)
+    enum done_outcome outcome)
 {
-	mailbox_post(control, run_release, ticket, endpoint_failed);
+	mailbox_post(control, run_release, ticket, outcome);
 }
 
 static void
@@ -584,7 +584,7 @@
 void
 control_drain(struct control *control)
 {
-	mailbox_post(control, run_drain, NULL, false);
+	mailbox_post(control, run_drain, NULL, DONE_WHOLE);
 }
 
 static void
--- a/bamboorudderd/front.c
+++ b/bamboorudderd/front.c
@@ -265,6 +265,14 @@
 		    RUN_UNKNOWN, 0);
 }
 
+static enum done_outcome
+done_outcome_of(enum relay_outcome outcome)
+{
+	if (outcome == RELAY_WHOLE || outcome == RELAY_CALLER_GONE)
+		return DONE_WHOLE;
+	return outcome == RELAY_REFUSED ? DONE_REFUSED : DONE_FAILED;
+}
+
 static void
 run_attempts(struct exchange *exchange)
 {
@@ -279,12 +287,12 @@
 		if (ticket->state == TICKET_REFUSED) {
 			refuse_ticket(exchange, ticket);
 			control_release(exchange->front->control, ticket,
-			    false);
+			    DONE_WHOLE);
 			return;
 		}
 		outcome = attempt(exchange, ticket);
 		control_release(exchange->front->control, ticket,
-		    outcome != RELAY_WHOLE && outcome != RELAY_CALLER_GONE);
+		    done_outcome_of(outcome));
 		if (!may_retry(exchange, outcome))
 			break;
 	}
--- a/common/codec.c
+++ b/common/codec.c
@@ -133,7 +133,7 @@
 		write_uint(out, msg->u.done.pool_id);
 		write_uint(out, msg->u.done.seq);
 		write_uint(out, msg->u.done.tokens);
-		write_uint(out, msg->u.done.endpoint_failed);
+		write_uint(out, msg->u.done.outcome);
 		break;
 	case MSG_REPORT:
 		write_report(out, &msg->u.report);
@@ -376,7 +376,8 @@
 		msg->u.done.pool_id = read_uint(reader, UINT64_MAX);
 		msg->u.done.seq = read_uint(reader, UINT64_MAX);
 		msg->u.done.tokens = read_uint(reader, UINT32_MAX);
-		msg->u.done.endpoint_failed = (uint8_t)read_uint(reader, 1);
+		msg->u.done.outcome = (uint8_t)read_uint(reader,
+		    DONE_OUTCOME_COUNT - 1);
 		break;
 	case MSG_REPORT:
 		read_report(reader, &msg->u.report);
--- a/core/entry.c
+++ b/core/entry.c
@@ -310,7 +310,7 @@
 
 void
 entry_done(struct entry *entry, uint64_t seq, uint64_t tokens,
-    bool endpoint_failed, struct effects *effects)
+    enum done_outcome outcome, struct effects *effects)
 {
 	struct entry_request *request = g_hash_table_lookup(entry->requests,
 	    &seq);
@@ -325,7 +325,7 @@
 		msg->u.done.pool_id = pool->pool_id;
 		msg->u.done.seq = seq;
 		msg->u.done.tokens = tokens;
-		msg->u.done.endpoint_failed = endpoint_failed;
+		msg->u.done.outcome = (uint8_t)outcome;
 	}
 	g_hash_table_remove(entry->requests, &seq);
 }
--- a/include/bamboorudderd/control.h
+++ b/include/bamboorudderd/control.h
@@ -80,7 +80,7 @@
 
 /** Ends a request and frees its ticket. */
 void control_release(struct control *control, struct ticket *ticket,
-    bool endpoint_failed);
+    enum done_outcome outcome);
 
 /** Refuses what waits and tells the other daemons that this one leaves. */
 void control_drain(struct control *control);
--- a/include/core/entry.h
+++ b/include/core/entry.h
@@ -92,7 +92,7 @@
 
 /** A running request ended, well or not. */
 void entry_done(struct entry *entry, uint64_t seq, uint64_t tokens,
-    bool endpoint_failed, struct effects *effects);
+    enum done_outcome outcome, struct effects *effects);
 
 /** The caller of a waiting request has gone. */
 void entry_cancel(struct entry *entry, uint64_t seq, struct effects *effects);
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -61,12 +61,20 @@
 	uint64_t seq;
 };
 
+/** How a granted request ended at its endpoint. */
+enum done_outcome {
+	DONE_WHOLE, /**< answered, or cancelled by its caller */
+	DONE_FAILED, /**< the endpoint failed or was not reached */
+	DONE_REFUSED, /**< the endpoint refused it before running */
+	DONE_OUTCOME_COUNT
+};
+
 /** The end of a granted request. */
 struct msg_done {
 	uint64_t pool_id;
 	uint64_t seq;
 	uint64_t tokens;
-	uint8_t endpoint_failed;
+	uint8_t outcome; /**< enum done_outcome */
 };
 
 enum report_state { REPORT_WAITING, REPORT_RUNNING };
--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -182,18 +182,25 @@
 	return true;
 }
 
+/* Below the kernel's ephemeral ports, from a place that depends on the
+ * process, so that tests side by side don't meet. */
 uint16_t
 free_port()
 {
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	constexpr uint32_t FIRST = 10000, SPAN = 20000, STEP = 50;
+	static uint32_t next = (uint32_t)getpid() * STEP;
 	sockaddr_in address = {};
-	socklen_t length = sizeof(address);
+	bool bound = false;
 
 	address.sin_family = AF_INET;
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-	getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length);
-	close(fd);
+	while (!bound) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		address.sin_port = htons((uint16_t)(FIRST + next++ % SPAN));
+		bound = bind(fd, reinterpret_cast<sockaddr *>(&address),
+			    sizeof(address)) == 0;
+		close(fd);
+	}
 	return ntohs(address.sin_port);
 }
 
