--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -202,11 +202,14 @@
 		.fair = fair_find(control->settings->order),
 		.sync_timeout_ms = control->settings->sync_timeout_ms,
 		.grant_settle_ms = control->settings->grant_settle_ms,
+		.report_period_ms = control->settings->report_period_ms,
 	};
 	struct owner *owner = g_new0(struct owner, 1);
 
-	owner_init(owner, &config, clk_wall_ms(&control->clk), now_ms, live_ids,
-	    live_count, &control->effects);
+	owner_init(owner, &config,
+	    MAX(clk_wall_ms(&control->clk),
+		entry_epoch_seen(&control->entry, pool_id) + 1),
+	    now_ms, live_ids, live_count, &control->effects);
 	g_hash_table_insert(control->owners, &owner->config.pool_id, owner);
 	return owner;
 }
@@ -443,6 +446,7 @@
 	struct entry_config entry_config = {
 		.seq_first = control->incarnation << SEQ_INCARNATION_SHIFT,
 		.ops = entry_find(settings->policy),
+		.fair = fair_find(settings->order),
 		.report_period_ms = settings->report_period_ms,
 		.fallback_after_ms = settings->fallback_after_ms,
 	};
--- a/bamboorudderd/dump.c
+++ b/bamboorudderd/dump.c
@@ -51,9 +51,9 @@
 {
 	json_t *list = json_array();
 
-	for (guint i = 0; i < owner->accounts->len; i++) {
+	for (guint i = 0; i < owner->queue.accounts->len; i++) {
 		const struct fair_account *account =
-		    &g_array_index(owner->accounts, struct fair_account, i);
+		    fair_queue_account(&owner->queue, i);
 		json_array_append_new(list,
 		    json_pack("{s:s, s:i, s:i, s:i, s:I}", "account",
 			account_name(tables, account->account_id), "weight",
@@ -76,10 +76,11 @@
 		const struct endpoint *endpoint = pool_find_endpoint(pool,
 		    state->endpoint_id);
 		json_array_append_new(list,
-		    json_pack("{s:s, s:i, s:i, s:b}", "address",
+		    json_pack("{s:s, s:i, s:i, s:b, s:b}", "address",
 			endpoint == NULL ? "?" : endpoint->address, "slots",
 			(int)state->slots, "running", (int)state->running_count,
-			"leaving", state->leaving));
+			"leaving", state->leaving, "ejected",
+			state->eject_ms != 0));
 	}
 	return list;
 }
@@ -107,6 +108,21 @@
 	return list;
 }
 
+/* Names of the pools that are served without an owner. */
+static json_t *
+dump_fallback(struct control *control)
+{
+	const struct tables *tables = &control->snapshot->tables;
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < tables->pool_count; i++)
+		if (entry_in_fallback(&control->entry,
+			tables->pools[i].pool_id))
+			json_array_append_new(list,
+			    json_string(tables->pools[i].name));
+	return list;
+}
+
 json_t *
 dump_control(struct control *control)
 {
@@ -114,12 +130,14 @@
 	uint32_t waiting_count, running_count;
 
 	entry_counts(&control->entry, &waiting_count, &running_count);
-	return json_pack("{s:o, s:o, s:o, s:{s:i, s:i, s:I, s:I, s:b}}", "self",
-	    dump_member(&control->members.config.self, now_ms), "members",
-	    dump_members(&control->members, now_ms), "owners",
+	return json_pack("{s:o, s:o, s:o, s:{s:i, s:i, s:I, s:I, s:I, s:o, "
+			 "s:b}}",
+	    "self", dump_member(&control->members.config.self, now_ms),
+	    "members", dump_members(&control->members, now_ms), "owners",
 	    dump_owners(control), "entry", "waiting", (int)waiting_count,
 	    "running", (int)running_count, "refused",
 	    (json_int_t)control->entry.refused_count, "stale_grants",
-	    (json_int_t)control->entry.stale_grants_count, "draining",
-	    control->entry.draining);
+	    (json_int_t)control->entry.stale_grants_count, "fallback_starts",
+	    (json_int_t)control->entry.fallback_count, "fallback_pools",
+	    dump_fallback(control), "draining", control->entry.draining);
 }
--- a/common/codec.c
+++ b/common/codec.c
@@ -3,8 +3,9 @@
 #include <mpack.h>
 #include <string.h>
 
-#define CODEC_VERSION 1u
+#define CODEC_VERSION 2u
 #define REPORT_ITEM_FIELDS 7u
+#define REPORT_SHORT_ITEM_FIELDS 3u
 #define REPORT_VTIME_FIELDS 2u
 
 struct reader {
@@ -48,23 +49,38 @@
 	g_byte_array_append(out, (const guint8 *)text, (guint)length_bytes);
 }
 
+/* The seq goes as its distance from the newest one, which is a small number. */
+static void
+write_report_item(GByteArray *out, const struct msg_report *report,
+    const struct report_item *item)
+{
+	write_token(out,
+	    mpack_pack_array(
+		report->full ? REPORT_ITEM_FIELDS : REPORT_SHORT_ITEM_FIELDS));
+	write_uint(out, report->seq_max - item->seq);
+	write_uint(out, item->tokens);
+	write_uint(out, item->state);
+	if (!report->full)
+		return;
+	write_uint(out, item->account_id);
+	write_uint(out, item->endpoint_id);
+	write_uint(out, item->prefix_hash);
+	write_uint(out, item->estimate_tokens);
+}
+
 static void
 write_report(GByteArray *out, const struct msg_report *report)
 {
 	write_uint(out, report->pool_id);
 	write_uint(out, report->epoch_seen);
+	write_uint(out, report->owner_seen);
+	write_uint(out, report->send_seq);
+	write_uint(out, report->seq_max);
+	write_uint(out, report->full);
+	write_uint(out, report->wants_answer);
 	write_token(out, mpack_pack_array(report->item_count));
-	for (uint32_t i = 0; i < report->item_count; i++) {
-		const struct report_item *item = &report->items[i];
-		write_token(out, mpack_pack_array(REPORT_ITEM_FIELDS));
-		write_uint(out, item->account_id);
-		write_uint(out, item->seq);
-		write_uint(out, item->endpoint_id);
-		write_uint(out, item->prefix_hash);
-		write_uint(out, item->tokens);
-		write_uint(out, item->estimate_tokens);
-		write_uint(out, item->state);
-	}
+	for (uint32_t i = 0; i < report->item_count; i++)
+		write_report_item(out, report, &report->items[i]);
 	write_token(out, mpack_pack_array(report->vtime_count));
 	for (uint32_t i = 0; i < report->vtime_count; i++) {
 		write_token(out, mpack_pack_array(REPORT_VTIME_FIELDS));
@@ -128,11 +144,14 @@
 	case MSG_CANCEL:
 		write_uint(out, msg->u.cancel.pool_id);
 		write_uint(out, msg->u.cancel.seq);
+		write_uint(out, msg->u.cancel.send_seq);
+		write_uint(out, msg->u.cancel.endpoint_id);
 		break;
 	case MSG_DONE:
 		write_uint(out, msg->u.done.pool_id);
 		write_uint(out, msg->u.done.seq);
 		write_uint(out, msg->u.done.tokens);
+		write_uint(out, msg->u.done.send_seq);
 		write_uint(out, msg->u.done.outcome);
 		break;
 	case MSG_REPORT:
@@ -141,6 +160,7 @@
 	case MSG_SYNC:
 		write_uint(out, msg->u.sync.pool_id);
 		write_uint(out, msg->u.sync.epoch);
+		write_uint(out, msg->u.sync.wants_report);
 		break;
 	case MSG_GRANT:
 		write_grant(out, &msg->u.grant);
@@ -151,6 +171,7 @@
 	case MSG_STALE:
 		write_uint(out, msg->u.stale.pool_id);
 		write_uint(out, msg->u.stale.epoch_seen);
+		write_uint(out, msg->u.stale.owner_seen);
 		break;
 	case MSG_TABLES_NEWS:
 	case MSG_TABLES_PULL:
@@ -266,17 +287,23 @@
 }
 
 static void
-read_report_item(struct reader *reader, struct report_item *item)
+read_report_item(struct reader *reader, const struct msg_report *report,
+    struct report_item *item)
 {
-	if (read_count(reader, REPORT_ITEM_FIELDS) != REPORT_ITEM_FIELDS)
+	uint32_t field_count = report->full ? REPORT_ITEM_FIELDS
+					    : REPORT_SHORT_ITEM_FIELDS;
+
+	if (read_count(reader, field_count) != field_count)
 		reader->failed = true;
+	item->seq = report->seq_max - read_uint(reader, UINT64_MAX);
+	item->tokens = read_uint(reader, UINT32_MAX);
+	item->state = (uint8_t)read_uint(reader, REPORT_RUNNING);
+	if (!report->full)
+		return;
 	item->account_id = read_uint(reader, UINT64_MAX);
-	item->seq = read_uint(reader, UINT64_MAX);
 	item->endpoint_id = read_uint(reader, UINT64_MAX);
 	item->prefix_hash = read_uint(reader, UINT64_MAX);
-	item->tokens = read_uint(reader, UINT32_MAX);
 	item->estimate_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
-	item->state = (uint8_t)read_uint(reader, REPORT_RUNNING);
 }
 
 static void
@@ -287,11 +314,16 @@
 
 	report->pool_id = read_uint(reader, UINT64_MAX);
 	report->epoch_seen = read_uint(reader, UINT64_MAX);
+	report->owner_seen = read_uint(reader, UINT64_MAX);
+	report->send_seq = read_uint(reader, UINT64_MAX);
+	report->seq_max = read_uint(reader, UINT64_MAX);
+	report->full = (uint8_t)read_uint(reader, 1);
+	report->wants_answer = (uint8_t)read_uint(reader, 1);
 	report->item_count = read_count(reader, REPORT_ITEMS_MAX_COUNT);
 	items = g_new0(struct report_item, report->item_count);
 	report->items = items;
 	for (uint32_t i = 0; i < report->item_count && !reader->failed; i++)
-		read_report_item(reader, &items[i]);
+		read_report_item(reader, report, &items[i]);
 	report->vtime_count = read_count(reader, REPORT_ITEMS_MAX_COUNT);
 	vtimes = g_new0(struct report_vtime, report->vtime_count);
 	report->vtimes = vtimes;
@@ -371,11 +403,14 @@
 	case MSG_CANCEL:
 		msg->u.cancel.pool_id = read_uint(reader, UINT64_MAX);
 		msg->u.cancel.seq = read_uint(reader, UINT64_MAX);
+		msg->u.cancel.send_seq = read_uint(reader, UINT64_MAX);
+		msg->u.cancel.endpoint_id = read_uint(reader, UINT64_MAX);
 		break;
 	case MSG_DONE:
 		msg->u.done.pool_id = read_uint(reader, UINT64_MAX);
 		msg->u.done.seq = read_uint(reader, UINT64_MAX);
 		msg->u.done.tokens = read_uint(reader, UINT32_MAX);
+		msg->u.done.send_seq = read_uint(reader, UINT64_MAX);
 		msg->u.done.outcome = (uint8_t)read_uint(reader,
 		    DONE_OUTCOME_COUNT - 1);
 		break;
@@ -385,6 +420,7 @@
 	case MSG_SYNC:
 		msg->u.sync.pool_id = read_uint(reader, UINT64_MAX);
 		msg->u.sync.epoch = read_uint(reader, UINT64_MAX);
+		msg->u.sync.wants_report = (uint8_t)read_uint(reader, 1);
 		break;
 	case MSG_GRANT:
 		read_grant(reader, &msg->u.grant);
@@ -395,6 +431,7 @@
 	case MSG_STALE:
 		msg->u.stale.pool_id = read_uint(reader, UINT64_MAX);
 		msg->u.stale.epoch_seen = read_uint(reader, UINT64_MAX);
+		msg->u.stale.owner_seen = read_uint(reader, UINT64_MAX);
 		break;
 	case MSG_TABLES_NEWS:
 	case MSG_TABLES_PULL:
--- /dev/null
+++ b/core/entry_fleet.c
@@ -0,0 +1,266 @@
+#include "core/entry_private.h"
+#include "core/hash.h"
+
+/* Marks that the pool's requests are not as last reported. */
+static void
+pool_changed(const struct entry *entry, struct entry_pool *pool,
+    uint64_t now_ms)
+{
+	pool->changed_left_count = ENTRY_CHANGE_REPORTS_COUNT;
+	pool->report_due_ms = MIN(pool->report_due_ms,
+	    now_ms + entry->config.report_period_ms);
+}
+
+static void
+fleet_submit(struct entry *entry, struct entry_request *request,
+    uint64_t now_ms, struct effects *effects)
+{
+	struct entry_pool *pool = request->pool;
+	struct msg *msg;
+
+	if (pool->queue.waiting_count == 1 && !pool->fallback)
+		pool->heard_ms = now_ms;
+	pool_changed(entry, pool, now_ms);
+	if (pool->owner_id == 0)
+		return;
+	msg = effects_send(effects, pool->owner_id, MSG_ASK);
+	msg->u.ask.pool_id = pool->pool_id;
+	msg->u.ask.account_id = request->submit.account_id;
+	msg->u.ask.seq = request->seq;
+	msg->u.ask.prefix_hash = request->submit.prefix_hash;
+	msg->u.ask.estimate_tokens = request->submit.estimate_tokens;
+}
+
+static void
+fleet_done(const struct entry_request *request, enum done_outcome outcome,
+    struct effects *effects)
+{
+	struct entry_pool *pool = request->pool;
+	struct msg *msg;
+
+	pool->changed_left_count = ENTRY_CHANGE_REPORTS_COUNT;
+	if (pool->owner_id == 0)
+		return;
+	msg = effects_send(effects, pool->owner_id, MSG_DONE);
+	msg->u.done.pool_id = pool->pool_id;
+	msg->u.done.seq = request->seq;
+	msg->u.done.tokens = request->tokens;
+	msg->u.done.send_seq = ++pool->send_seq;
+	msg->u.done.outcome = (uint8_t)outcome;
+}
+
+static void
+send_cancel(struct entry_pool *pool, uint64_t to_node_id, uint64_t seq,
+    uint64_t endpoint_id, struct effects *effects)
+{
+	struct msg *msg = effects_send(effects, to_node_id, MSG_CANCEL);
+
+	msg->u.cancel.pool_id = pool->pool_id;
+	msg->u.cancel.seq = seq;
+	msg->u.cancel.send_seq = ++pool->send_seq;
+	msg->u.cancel.endpoint_id = endpoint_id;
+}
+
+static void
+fleet_withdraw(const struct entry_request *request, struct effects *effects)
+{
+	struct entry_pool *pool = request->pool;
+
+	pool->changed_left_count = ENTRY_CHANGE_REPORTS_COUNT;
+	if (pool->owner_id != 0)
+		send_cancel(pool, pool->owner_id, request->seq, 0, effects);
+}
+
+static void
+fleet_owner_changed(struct entry *entry, struct entry_pool *pool,
+    uint64_t now_ms, struct effects *effects)
+{
+	pool->heard_ms = now_ms;
+	pool->fallback = false;
+	entry_report_in_full(pool, now_ms);
+	if (pool->owner_id != 0)
+		entry_send_report(entry, pool, pool->owner_id, now_ms, effects);
+}
+
+/* Accepts an owner unless a newer (epoch, owner) was seen, and tells a stale
+ * one. */
+static bool
+accept_owner(struct entry *entry, struct entry_pool *pool, uint64_t owner_id,
+    uint64_t epoch, uint64_t now_ms, struct effects *effects)
+{
+	struct msg *stale;
+
+	if (epoch < pool->epoch_seen ||
+	    (epoch == pool->epoch_seen && owner_id < pool->owner_seen)) {
+		entry->stale_grants_count++;
+		stale = effects_send(effects, owner_id, MSG_STALE);
+		stale->u.stale.pool_id = pool->pool_id;
+		stale->u.stale.epoch_seen = pool->epoch_seen;
+		stale->u.stale.owner_seen = pool->owner_seen;
+		return false;
+	}
+	pool->epoch_seen = epoch;
+	pool->owner_seen = owner_id;
+	pool->heard_ms = now_ms;
+	if (pool->fallback)
+		entry_report_in_full(pool, now_ms);
+	pool->fallback = false;
+	return true;
+}
+
+static bool
+endpoint_takes_work(const struct entry *entry, uint64_t pool_id,
+    uint64_t endpoint_id)
+{
+	const struct pool *row;
+	const struct endpoint *endpoint;
+
+	if (entry->tables == NULL)
+		return true;
+	row = tables_find_pool(entry->tables, pool_id);
+	endpoint = row == NULL ? NULL : pool_find_endpoint(row, endpoint_id);
+	return endpoint != NULL && !endpoint->leaving;
+}
+
+static void
+handle_grant(struct entry *entry, const struct msg *msg, uint64_t now_ms,
+    struct effects *effects)
+{
+	const struct msg_grant *grant = &msg->u.grant;
+	struct entry_pool *pool = entry_pool(entry, grant->pool_id);
+	struct entry_request *request;
+	struct entry_account *account;
+
+	if (!accept_owner(entry, pool, msg->from_node_id, grant->epoch, now_ms,
+		effects))
+		return;
+	request = g_hash_table_lookup(entry->requests, &grant->seq);
+	if (request == NULL || request->pool != pool) {
+		send_cancel(pool, msg->from_node_id, grant->seq, 0, effects);
+		return;
+	}
+	account = entry_pool_account(pool, request);
+	account->vtime = grant->account_vtime;
+	account->granted_at_ms = now_ms;
+	fair_queue_account(&pool->queue, request->waiter.account_index)->vtime =
+	    grant->account_vtime;
+	if (request->endpoint_id == grant->endpoint_id)
+		return;
+	if (request->endpoint_id != 0) {
+		entry_report_in_full(pool, now_ms);
+		return;
+	}
+	if (!endpoint_takes_work(entry, pool->pool_id, grant->endpoint_id)) {
+		entry->unused_grants_count++;
+		send_cancel(pool, msg->from_node_id, grant->seq,
+		    grant->endpoint_id, effects);
+		return;
+	}
+	pool_changed(entry, pool, now_ms);
+	entry_start(entry, request, grant->endpoint_id, now_ms, effects);
+}
+
+static void
+handle_refuse(struct entry *entry, const struct msg *msg, uint64_t now_ms,
+    struct effects *effects)
+{
+	const struct msg_refuse *refuse = &msg->u.refuse;
+	struct entry_pool *pool = entry_pool(entry, refuse->pool_id);
+	struct entry_request *request;
+
+	if (!accept_owner(entry, pool, msg->from_node_id, refuse->epoch, now_ms,
+		effects))
+		return;
+	request = g_hash_table_lookup(entry->requests, &refuse->seq);
+	if (request != NULL && request->pool == pool &&
+	    request->endpoint_id == 0)
+		entry_refuse(entry, request, refuse->reason,
+		    refuse->retry_after_ms, effects);
+}
+
+static void
+handle_sync(struct entry *entry, const struct msg *msg, uint64_t now_ms,
+    struct effects *effects)
+{
+	struct entry_pool *pool = entry_pool(entry, msg->u.sync.pool_id);
+
+	if (!accept_owner(entry, pool, msg->from_node_id, msg->u.sync.epoch,
+		now_ms, effects) ||
+	    !msg->u.sync.wants_report)
+		return;
+	entry_report_in_full(pool, now_ms);
+	entry_send_report(entry, pool, msg->from_node_id, now_ms, effects);
+}
+
+static void
+fleet_handle(struct entry *entry, const struct msg *msg, uint64_t now_ms,
+    struct effects *effects)
+{
+	if (msg->type == MSG_GRANT)
+		handle_grant(entry, msg, now_ms, effects);
+	else if (msg->type == MSG_REFUSE)
+		handle_refuse(entry, msg, now_ms, effects);
+	else if (msg->type == MSG_SYNC)
+		handle_sync(entry, msg, now_ms, effects);
+}
+
+/* This daemon's part of the pool's slots while no owner is in reach. */
+static uint32_t
+fallback_slots(const struct entry *entry, const struct entry_pool *pool)
+{
+	const struct pool *row = entry->tables == NULL
+	    ? NULL
+	    : tables_find_pool(entry->tables, pool->pool_id);
+	uint64_t slots_count = 0;
+
+	for (uint32_t i = 0; row != NULL && i < row->endpoint_count; i++)
+		if (!row->endpoints[i].leaving)
+			slots_count += row->slots_per_endpoint;
+	return (uint32_t)MAX(1, slots_count / MAX(1, entry->live_count));
+}
+
+static void
+fallback_start(struct entry *entry, struct entry_pool *pool, uint64_t now_ms,
+    struct effects *effects)
+{
+	uint32_t slots_count = fallback_slots(entry, pool);
+	const struct endpoint *endpoint;
+	struct entry_request *request;
+	struct fair_waiter *waiter;
+
+	while (pool->running_count < slots_count &&
+	    (waiter = fair_queue_next(&pool->queue)) != NULL) {
+		request = waiter->link.data;
+		endpoint = entry_next_endpoint(entry, pool);
+		if (endpoint == NULL)
+			return;
+		pool->queue.ops->charge(fair_queue_account(&pool->queue,
+					    waiter->account_index),
+		    request->submit.estimate_tokens);
+		entry->fallback_count++;
+		entry_report_in_full(pool, now_ms);
+		entry_start(entry, request, endpoint->endpoint_id, now_ms,
+		    effects);
+	}
+}
+
+static void
+fleet_tick(struct entry *entry, struct entry_pool *pool, uint64_t now_ms,
+    struct effects *effects)
+{
+	bool is_silent = pool->queue.waiting_count > 0 &&
+	    now_ms >= pool->heard_ms + entry->config.fallback_after_ms;
+
+	if (is_silent)
+		pool->fallback = true;
+	if (pool->fallback)
+		fallback_start(entry, pool, now_ms, effects);
+	if (pool->owner_id == 0 || now_ms < pool->report_due_ms)
+		return;
+	if (pool->requests.length > 0 || pool->changed_left_count > 0 ||
+	    pool->fallback)
+		entry_send_report(entry, pool, pool->owner_id, now_ms, effects);
+}
+
+const struct entry_ops entry_fleet = { "fleet", fleet_submit, fleet_done,
+	fleet_withdraw, fleet_owner_changed, fleet_handle, fleet_tick };
--- /dev/null
+++ b/core/entry_report.c
@@ -0,0 +1,100 @@
+#include "core/entry_private.h"
+
+/* A daemon reports a pool without changes and waiting requests at every
+ * fourth period, and less often the more it holds. */
+#define REPORT_STEADY_PERIODS_COUNT 4u
+#define REPORT_ITEMS_PER_PERIOD 256u
+/* Virtual times older than this aren't handed to a new owner. */
+#define VTIME_KEEP_MS 60000u
+
+static struct report_item *
+report_items(const struct entry_pool *pool)
+{
+	struct report_item *items = g_new0(struct report_item,
+	    pool->requests.length);
+	size_t count = 0;
+
+	for (GList *link = pool->requests.head; link != NULL;
+	     link = link->next) {
+		const struct entry_request *request = link->data;
+		struct report_item *item = &items[count++];
+
+		item->account_id = request->submit.account_id;
+		item->seq = request->seq;
+		item->endpoint_id = request->endpoint_id;
+		item->prefix_hash = request->submit.prefix_hash;
+		item->tokens = request->tokens;
+		item->estimate_tokens = request->submit.estimate_tokens;
+		item->state = request->endpoint_id == 0 ? REPORT_WAITING
+							: REPORT_RUNNING;
+	}
+	return items;
+}
+
+static struct report_vtime *
+report_vtimes(const struct entry_pool *pool, uint64_t now_ms, uint32_t *count)
+{
+	struct report_vtime *vtimes = g_new0(struct report_vtime,
+	    pool->accounts->len);
+
+	*count = 0;
+	for (guint i = 0; i < pool->accounts->len; i++) {
+		const struct entry_account *account =
+		    &g_array_index(pool->accounts, struct entry_account, i);
+		if (account->granted_at_ms == 0 ||
+		    now_ms > account->granted_at_ms + VTIME_KEEP_MS ||
+		    *count == REPORT_ITEMS_MAX_COUNT)
+			continue;
+		vtimes[*count].account_id = fair_queue_account(&pool->queue, i)
+						->account_id;
+		vtimes[(*count)++].vtime = account->vtime;
+	}
+	return vtimes;
+}
+
+void
+entry_report_in_full(struct entry_pool *pool, uint64_t now_ms)
+{
+	pool->full_left_count = ENTRY_CHANGE_REPORTS_COUNT;
+	pool->changed_left_count = ENTRY_CHANGE_REPORTS_COUNT;
+	pool->report_due_ms = now_ms;
+}
+
+static uint64_t
+report_period_ms(const struct entry *entry, const struct entry_pool *pool)
+{
+	uint64_t periods_count = 1 +
+	    pool->requests.length / REPORT_ITEMS_PER_PERIOD;
+
+	if (pool->changed_left_count == 0 && pool->queue.waiting_count == 0)
+		periods_count *= REPORT_STEADY_PERIODS_COUNT;
+	return periods_count * entry->config.report_period_ms;
+}
+
+void
+entry_send_report(struct entry *entry, struct entry_pool *pool,
+    uint64_t to_node_id, uint64_t now_ms, struct effects *effects)
+{
+	struct msg_report *report =
+	    &effects_send(effects, to_node_id, MSG_REPORT)->u.report;
+
+	report->pool_id = pool->pool_id;
+	report->epoch_seen = pool->epoch_seen;
+	report->owner_seen = pool->owner_seen;
+	report->send_seq = ++pool->send_seq;
+	report->seq_max = entry->seq_next;
+	report->full = pool->full_left_count > 0;
+	report->wants_answer = pool->fallback ||
+	    (pool->queue.waiting_count > 0 &&
+		now_ms >= pool->heard_ms + entry->config.report_period_ms);
+	report->items = report_items(pool);
+	report->item_count = pool->requests.length;
+	if (report->full) {
+		report->vtimes = report_vtimes(pool, now_ms,
+		    &report->vtime_count);
+		pool->full_left_count--;
+	}
+	if (pool->changed_left_count > 0)
+		pool->changed_left_count--;
+	pool->report_due_ms = now_ms + report_period_ms(entry, pool);
+}
--- a/core/fair.c
+++ b/core/fair.c
@@ -28,19 +28,28 @@
 	return best;
 }
 
+int64_t
+fair_vtime_of(const struct fair_account *account, int64_t tokens)
+{
+	return tokens * VTIME_SCALE / (int64_t)account->weight;
+}
+
 static void
 vtc_charge(struct fair_account *account, int64_t tokens)
 {
-	account->vtime += tokens * VTIME_SCALE / (int64_t)account->weight;
+	account->vtime += fair_vtime_of(account, tokens);
 }
 
-/* An idle account comes back without saved-up credit; its debt, if any, is
- * what it was served beyond the others and stays. */
+/* An idle account comes back without credit, and with no more debt than one
+ * that stayed could have. */
 static void
-vtc_activate(struct fair_account *account, int64_t floor_vtime)
+vtc_activate(struct fair_account *account, int64_t floor_vtime,
+    int64_t debt_max_vtime)
 {
 	if (account->vtime < floor_vtime)
 		account->vtime = floor_vtime;
+	if (account->vtime > floor_vtime + debt_max_vtime)
+		account->vtime = floor_vtime + debt_max_vtime;
 }
 
 static size_t
@@ -59,10 +68,12 @@
 }
 
 static void
-fifo_activate(struct fair_account *account, int64_t floor_vtime)
+fifo_activate(struct fair_account *account, int64_t floor_vtime,
+    int64_t debt_max_vtime)
 {
 	(void)account;
 	(void)floor_vtime;
+	(void)debt_max_vtime;
 }
 
 const struct fair_ops fair_vtc = { "vtc", vtc_pick, vtc_charge, vtc_activate };
@@ -81,6 +92,15 @@
 	return NULL;
 }
 
+uint64_t
+fair_gap_bound_tokens(const struct fair_gap *gap)
+{
+	uint64_t held_tokens = gap->slots_count * gap->request_max_tokens;
+
+	return (2 + (uint64_t)gap->owner_changes_count) * held_tokens /
+	    gap->weight_min;
+}
+
 bool
 fair_floor(const struct fair_account *accounts, size_t count,
     int64_t *floor_vtime)
--- a/include/core/entry.h
+++ b/include/core/entry.h
@@ -11,17 +11,34 @@
 #include <stdint.h>
 
 #include "core/effect.h"
+#include "core/fair.h"
 #include "core/msg.h"
 #include "core/tables.h"
 
 struct entry;
 
+struct entry_pool;
+struct entry_request;
+
 /** Where a daemon gets its slots from: the queue owner, or nobody. */
 struct entry_ops {
 	const char *name;
 	/** Called once for a new waiting request. */
-	void (*submit)(struct entry *entry, uint64_t seq, uint64_t now_ms,
+	void (*submit)(struct entry *entry, struct entry_request *request,
+	    uint64_t now_ms, struct effects *effects);
+	/** A running request ended. */
+	void (*done)(const struct entry_request *request,
+	    enum done_outcome outcome, struct effects *effects);
+	/** A waiting request ended here, without having been started. */
+	void (*withdraw)(const struct entry_request *request,
 	    struct effects *effects);
+	/** The view or the pool's owner changed. */
+	void (*owner_changed)(struct entry *entry, struct entry_pool *pool,
+	    uint64_t now_ms, struct effects *effects);
+	void (*handle)(struct entry *entry, const struct msg *msg,
+	    uint64_t now_ms, struct effects *effects);
+	void (*tick)(struct entry *entry, struct entry_pool *pool,
+	    uint64_t now_ms, struct effects *effects);
 };
 
 /** Asks the pool's queue owner. */
@@ -36,6 +53,7 @@
 	uint64_t node_id;
 	uint64_t seq_first; /**< above every seq of earlier incarnations */
 	const struct entry_ops *ops;
+	const struct fair_ops *fair; /**< order of the fall-back */
 	uint32_t report_period_ms;
 	uint32_t fallback_after_ms; /**< no owner in reach for so long */
 };
@@ -58,12 +76,12 @@
 	const struct tables *tables;
 	uint64_t *live_node_ids;
 	size_t live_count;
-	GArray *report_items; /**< buffer of the current report */
-	GArray *report_vtimes;
+	GHashTable *accounts; /**< account_id to its waiting count here */
 	bool draining;
 	uint64_t stale_grants_count;
 	uint64_t refused_count;
-	uint64_t fallback_count;
+	uint64_t fallback_count; /**< starts without an owner's grant */
+	uint64_t unused_grants_count; /**< at endpoints that take no work */
 };
 
 void entry_init(struct entry *entry, const struct entry_config *config);
@@ -80,6 +98,9 @@
 /** @return the node that owns a pool in the current view, or 0 */
 uint64_t entry_owner_of(const struct entry *entry, uint64_t pool_id);
 
+/** @return the newest epoch seen of a pool's owners, or 0 */
+uint64_t entry_epoch_seen(const struct entry *entry, uint64_t pool_id);
+
 /**
  * Takes a request in. It ends in EFFECT_START or EFFECT_REFUSE.
  * @return its seq
@@ -94,7 +115,7 @@
 void entry_done(struct entry *entry, uint64_t seq, uint64_t tokens,
     enum done_outcome outcome, struct effects *effects);
 
-/** The caller of a waiting request has gone. */
+/** The caller of a request has gone; a running one counts as answered. */
 void entry_cancel(struct entry *entry, uint64_t seq, struct effects *effects);
 
 void entry_handle(struct entry *entry, const struct msg *msg, uint64_t now_ms,
@@ -106,6 +127,10 @@
 /** Refuses what waits and takes nothing more in; running work goes on. */
 void entry_drain(struct entry *entry, struct effects *effects);
 
+/** @return whether a pool is served by the local share of its slots, for want
+ * of an owner in reach */
+bool entry_in_fallback(const struct entry *entry, uint64_t pool_id);
+
 /** Counts for the state dump. */
 void entry_counts(const struct entry *entry, uint32_t *waiting_count,
     uint32_t *running_count);
--- a/include/core/fair.h
+++ b/include/core/fair.h
@@ -32,8 +32,10 @@
 	/** Charges tokens; negative tokens take a charge back. */
 	void (*charge)(struct fair_account *account, int64_t tokens);
 	/** Called when an account that had neither waiting nor running requests
-	 * sends one: floor is the smallest virtual time of the active ones. */
-	void (*activate)(struct fair_account *account, int64_t floor_vtime);
+	 * sends one: floor is the smallest virtual time of the active ones,
+	 * debt_max_vtime what the account may come back above it. */
+	void (*activate)(struct fair_account *account, int64_t floor_vtime,
+	    int64_t debt_max_vtime);
 };
 
 /** Smallest virtual token counter first. */
@@ -44,6 +46,24 @@
 /** @return the order of that name, or NULL */
 const struct fair_ops *fair_find(const char *name);
 
+/** @return the virtual time that tokens cost an account */
+int64_t fair_vtime_of(const struct fair_account *account, int64_t tokens);
+
+/** What the service gap between two accounts depends on. */
+struct fair_gap {
+	uint64_t slots_count; /**< requests that can run at once, all slots */
+	uint64_t request_max_tokens;
+	uint32_t weight_min; /**< the smaller weight of the two */
+	uint32_t owner_changes_count; /**< within the interval */
+};
+
+/**
+ * Bounds the service gap between two accounts over any interval in which both
+ * are backlogged at a queue owner with fair_vtc.
+ * @return tokens, each account's service divided by its weight
+ */
+uint64_t fair_gap_bound_tokens(const struct fair_gap *gap);
+
 /**
  * The smallest virtual time among accounts with waiting or running requests.
  * @return false if no account is active
--- a/include/core/limits.h
+++ b/include/core/limits.h
@@ -10,7 +10,8 @@
 #define MEMBERS_MAX_COUNT 1024u
 #define POOLS_MAX_COUNT 256u
 #define ENDPOINTS_MAX_COUNT 1024u
-#define REPORT_ITEMS_MAX_COUNT 1024u
+/** Requests that a daemon holds for all pools. */
+#define REPORT_ITEMS_MAX_COUNT 4096u
 
 /** Scale of virtual time: thousandths of a token per unit of weight. */
 #define VTIME_SCALE 1000
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -55,10 +55,15 @@
 	uint32_t estimate_tokens;
 };
 
-/** Names a request of the sender: a cancel. */
+/**
+ * A request of the sender ended before it was started, or its grant at
+ * endpoint_id was not used and it waits again (endpoint_id is not 0).
+ */
 struct msg_cancel {
 	uint64_t pool_id;
 	uint64_t seq;
+	uint64_t send_seq; /**< see msg_report */
+	uint64_t endpoint_id;
 };
 
 /** How a granted request ended at its endpoint. */
@@ -74,6 +79,7 @@
 	uint64_t pool_id;
 	uint64_t seq;
 	uint64_t tokens;
+	uint64_t send_seq; /**< see msg_report */
 	uint8_t outcome; /**< enum done_outcome */
 };
 
@@ -98,7 +104,9 @@
 
 /**
  * All requests that the sender holds for one pool. In an effect the arrays
- * belong to the list of effects; in a received message, to the decoder.
+ * belong to the list of effects; in a received message, to the decoder. A
+ * report that is not full names requests by seq, tokens and state alone; the
+ * owner asks for a full one when it doesn't know a request.
  */
 struct msg_report {
 	uint64_t pool_id;
@@ -107,12 +115,19 @@
 	const struct report_vtime *vtimes;
 	uint32_t item_count;
 	uint32_t vtime_count;
+	uint64_t owner_seen; /**< node that epoch_seen belongs to */
+	uint64_t send_seq; /**< rises with each report, done and cancel of the
+			     * sender for this pool */
+	uint64_t seq_max; /**< newest request taken in by the sender */
+	uint8_t full;
+	uint8_t wants_answer; /**< the owner has not been heard lately */
 };
 
-/** A queue owner announces its epoch and asks for a report. */
+/** A queue owner announces its epoch. */
 struct msg_sync {
 	uint64_t pool_id;
 	uint64_t epoch;
+	uint8_t wants_report; /**< asks for a full report */
 };
 
 /** A slot at an endpoint for one request. */
@@ -133,10 +148,11 @@
 	uint8_t reason;
 };
 
-/** Tells an owner that a newer epoch of its pool exists. */
+/** Tells an owner that a newer (epoch, owner) of its pool exists. */
 struct msg_stale {
 	uint64_t pool_id;
 	uint64_t epoch_seen;
+	uint64_t owner_seen;
 };
 
 /** Versions of the tables that the sender holds. */
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -19,7 +19,8 @@
 	message.type = MSG_REPORT;
 	message.from_node_id = 9;
 	message.from_incarnation = 10;
-	message.u.report = { 11, 12, item, vtime, 1, 1 };
+	message.u.report = { 11, 12, item, vtime, 1, 1, 13, 14, UINT64_MAX, 1,
+		0 };
 	return message;
 }
 
@@ -35,6 +36,10 @@
 	codec_encode(&message, bytes);
 	ASSERT_TRUE(codec_decode(bytes->data, bytes->len, &decoded));
 	EXPECT_EQ(decoded.from_node_id, 9u);
+	EXPECT_EQ(decoded.u.report.owner_seen, 13u);
+	EXPECT_EQ(decoded.u.report.send_seq, 14u);
+	EXPECT_EQ(decoded.u.report.items[0].account_id, 1u);
+	EXPECT_EQ(decoded.u.report.items[0].estimate_tokens, 6u);
 	EXPECT_EQ(decoded.u.report.items[0].seq, UINT64_MAX);
 	EXPECT_EQ(decoded.u.report.items[0].state, REPORT_RUNNING);
 	EXPECT_EQ(decoded.u.report.vtimes[0].vtime, -8);
--- a/tests/unit/test_fair.cc
+++ b/tests/unit/test_fair.cc
@@ -34,6 +34,28 @@
 {
 	fair_account idle = { 1, 50, 0, 1, 0, 0 };
 
-	fair_vtc.activate(&idle, 900);
+	fair_vtc.activate(&idle, 900, 100);
 	EXPECT_EQ(idle.vtime, 900);
 }
+
+TEST(Fair, DebtOfAReturningAccountIsBounded)
+{
+	fair_account within = { 1, 950, 0, 1, 0, 0 };
+	fair_account beyond = { 2, 5000, 0, 1, 0, 0 };
+
+	fair_vtc.activate(&within, 900, 100);
+	fair_vtc.activate(&beyond, 900, 100);
+	EXPECT_EQ(within.vtime, 950);
+	EXPECT_EQ(beyond.vtime, 1000);
+}
+
+TEST(Fair, GapBoundGrowsWithSlotsTokensAndOwnerChanges)
+{
+	const fair_gap steady = { 10, 100, 1, 0 };
+	const fair_gap changed = { 10, 100, 1, 1 };
+	const fair_gap heavy = { 10, 100, 4, 0 };
+
+	EXPECT_EQ(fair_gap_bound_tokens(&steady), 2000u);
+	EXPECT_EQ(fair_gap_bound_tokens(&changed), 3000u);
+	EXPECT_EQ(fair_gap_bound_tokens(&heavy), 500u);
+}
--- a/tests/unit/test_owner.cc
+++ b/tests/unit/test_owner.cc
@@ -27,6 +27,7 @@
 		config.fair = &fair_vtc;
 		config.sync_timeout_ms = 100;
 		config.grant_settle_ms = 50;
+		config.report_period_ms = 50;
 		endpoints[0].endpoint_id = 41;
 		pool_row.pool_id = POOL;
 		pool_row.slots_per_endpoint = 2;
@@ -70,6 +71,9 @@
 		message.u.report.pool_id = POOL;
 		message.u.report.items = items.data();
 		message.u.report.item_count = (uint32_t)items.size();
+		message.u.report.send_seq = ++send_seq;
+		message.u.report.full = 1;
+		message.u.report.seq_max = 1000;
 		owner_handle(&owner, &message, now_ms, &effects);
 	}
 
@@ -85,6 +89,7 @@
 		return seqs;
 	}
 
+	uint64_t send_seq = 0;
 	struct owner owner;
 	struct effects effects;
 	struct tables tables = {};
