Add a test hook that cuts a daemon off from peers or the platform

The hook wraps the tables of functions of the transport and of the platform client. POST /v1/test/cut?peers=A,B|*&platform=1 and POST /v1/test/heal steer it, only with test.hooks = true.

--- a/bamboorudderd/admin.c
+++ b/bamboorudderd/admin.c
@@ -12,6 +12,7 @@
 #define TABLE_MAX_BYTES (1024u * 1024u)
 #define ETAG_TEXT_BYTES 32
 #define ADMIN_THREADS "8"
+#define CUT_QUERY_MAX_BYTES 4096
 
 typedef void (*admin_fn)(struct admin *admin, struct mg_connection *conn);
 
@@ -239,6 +240,36 @@
 	reply_send_json(conn, 202, json_pack("{s:s}", "status", "draining"));
 }
 
+static void
+post_cut(struct admin *admin, struct mg_connection *conn)
+{
+	const char *query = mg_get_request_info(conn)->query_string;
+	size_t length_bytes = query == NULL ? 0 : strlen(query);
+	char peers[CUT_QUERY_MAX_BYTES], platform[2];
+
+	if (admin->control->hook == NULL) {
+		fail(conn, 404, "no_such_path", "test.hooks is off");
+		return;
+	}
+	if (mg_get_var(query, length_bytes, "peers", peers, sizeof(peers)) > 0)
+		hook_cut_peers(admin->control->hook, peers);
+	if (mg_get_var(query, length_bytes, "platform", platform,
+		sizeof(platform)) > 0)
+		hook_cut_platform(admin->control->hook);
+	reply_send_json(conn, 200, json_pack("{s:s}", "status", "cut"));
+}
+
+static void
+post_heal(struct admin *admin, struct mg_connection *conn)
+{
+	if (admin->control->hook == NULL) {
+		fail(conn, 404, "no_such_path", "test.hooks is off");
+		return;
+	}
+	hook_heal(admin->control->hook);
+	reply_send_json(conn, 200, json_pack("{s:s}", "status", "healed"));
+}
+
 static const struct admin_call calls[] = {
 	{ "/healthz", "GET", true, get_healthz },
 	{ "/metrics", "GET", true, get_metrics },
@@ -249,6 +280,8 @@
 	{ "/v1/tables/pools", "PUT", false, put_pools },
 	{ "/v1/tables/routes", "GET", false, get_routes },
 	{ "/v1/tables/routes", "PUT", false, put_routes },
+	{ "/v1/test/cut", "POST", false, post_cut },
+	{ "/v1/test/heal", "POST", false, post_heal },
 };
 
 static bool
--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -462,7 +462,7 @@
 
 gboolean
 control_init(struct control *control, const struct settings *settings,
-    struct tablestore *store, GError **error)
+    struct tablestore *store, struct hook *hook, GError **error)
 {
 	struct peer_zmq_config peer_config = { settings->peer_address,
 		settings->peer_public_key, settings->peer_secret_key };
@@ -470,6 +470,9 @@
 	memset(control, 0, sizeof(*control));
 	if (!peer_init_zmq(&control->peer, &peer_config, error))
 		return FALSE;
+	control->hook = hook;
+	if (hook != NULL)
+		hook_wrap_peer(hook, &control->peer);
 	control->settings = settings;
 	control->store = store;
 	clk_init_system(&control->clk);
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -24,6 +24,7 @@
 	struct settings settings;
 	struct tablestore store;
 	struct platform platform;
+	struct hook hook;
 	struct control control;
 	struct watcher watchers[TABLE_KIND_COUNT];
 	struct front front;
@@ -63,7 +64,11 @@
 	tablestore_init(&daemon->store);
 	platform_init_http(&daemon->platform, settings->platform_url,
 	    settings->platform_timeout_ms);
-	if (!control_init(&daemon->control, settings, &daemon->store, error))
+	hook_init(&daemon->hook);
+	if (settings->test_hooks)
+		hook_wrap_platform(&daemon->hook, &daemon->platform);
+	if (!control_init(&daemon->control, settings, &daemon->store,
+		settings->test_hooks ? &daemon->hook : NULL, error))
 		return FALSE;
 	daemon->store.on_change = control_tables_changed;
 	daemon->store.on_change_context = &daemon->control;
@@ -107,6 +112,7 @@
 		watcher_finish(&daemon->watchers[kind]);
 	control_stop(&daemon->control);
 	control_finish(&daemon->control);
+	hook_finish(&daemon->hook);
 	platform_finish(&daemon->platform);
 	tablestore_finish(&daemon->store);
 	log_event(LOG_LEVEL_INFO, "stopped", NULL);
--- a/bamboorudderd/settings.c
+++ b/bamboorudderd/settings.c
@@ -25,6 +25,11 @@
 		name, SETTINGS_UINT32, offsetof(struct settings, member),      \
 		    unit, low, high, preset, "", NULL, NULL, false, false      \
 	}
+#define SWITCH(name, member)                                                   \
+	{                                                                      \
+		name, SETTINGS_BOOL, offsetof(struct settings, member), "", 0, \
+		    0, 0, "", NULL, NULL, false, false                         \
+	}
 #define LIST(name, member, variable, secret, reload)                           \
 	{                                                                      \
 		name, SETTINGS_LIST, offsetof(struct settings, member), "", 0, \
@@ -71,6 +76,7 @@
 	    600000),
 	NUMBER("shutdown.drain_timeout_ms", drain_timeout_ms, "ms", 0, 3600000,
 	    60000),
+	SWITCH("test.hooks", test_hooks),
 	WORD("log.format", log_format, "logfmt", "logfmt,json", true),
 	WORD("log.level", log_level, "info", "error,warn,info", true),
 };
@@ -150,6 +156,17 @@
 		*out = (uint32_t)value->integer;
 }
 
+static void
+read_switch(struct read_context *context, const struct settings_key *key,
+    const struct toml_value *value, bool *out)
+{
+	if (value->type != TOML_BOOLEAN || value->in_list)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s must be true or false", key->name);
+	else
+		*out = value->boolean;
+}
+
 static void
 read_list(struct read_context *context, const struct settings_key *key,
     const struct toml_value *value, struct settings_list *out)
@@ -180,6 +197,8 @@
 			read_text(context, &keys[i], value, target);
 		else if (keys[i].type == SETTINGS_UINT32)
 			read_number(context, &keys[i], value, target);
+		else if (keys[i].type == SETTINGS_BOOL)
+			read_switch(context, &keys[i], value, target);
 		else
 			read_list(context, &keys[i], value, target);
 		return;
@@ -284,6 +303,9 @@
 		if (key->type == SETTINGS_UINT32)
 			g_string_append_printf(out, "%u",
 			    *(const uint32_t *)target);
+		else if (key->type == SETTINGS_BOOL)
+			g_string_append(out,
+			    *(const bool *)target ? "true" : "false");
 		else if (key->type == SETTINGS_LIST)
 			print_list(target, key->secret, out);
 		else
--- a/common/codec.c
+++ b/common/codec.c
@@ -410,21 +410,45 @@
 	}
 }
 
+static bool
+read_head(struct reader *reader, const void *bytes, size_t length_bytes,
+    struct msg *msg)
+{
+	memset(reader, 0, sizeof(*reader));
+	memset(msg, 0, sizeof(*msg));
+	reader->bytes = bytes;
+	reader->left_bytes = length_bytes;
+	mpack_tokbuf_init(&reader->tokbuf);
+	if (length_bytes > CODEC_MESSAGE_MAX_BYTES ||
+	    read_uint(reader, UINT32_MAX) != CODEC_VERSION)
+		return false;
+	msg->type = (enum msg_type)read_uint(reader, MSG_TYPE_COUNT - 1);
+	msg->from_node_id = read_uint(reader, UINT64_MAX);
+	msg->from_incarnation = read_uint(reader, UINT64_MAX);
+	return !reader->failed;
+}
+
+bool
+codec_read_sender(const void *bytes, size_t length_bytes,
+    uint64_t *from_node_id)
+{
+	struct reader reader;
+	struct msg msg;
+
+	if (!read_head(&reader, bytes, length_bytes, &msg))
+		return false;
+	*from_node_id = msg.from_node_id;
+	return true;
+}
+
 bool
 codec_decode(const void *bytes, size_t length_bytes, struct msg *msg)
 {
-	struct reader reader = { .bytes = bytes, .left_bytes = length_bytes };
+	struct reader reader;
 
-	memset(msg, 0, sizeof(*msg));
-	mpack_tokbuf_init(&reader.tokbuf);
-	if (length_bytes > CODEC_MESSAGE_MAX_BYTES ||
-	    read_uint(&reader, UINT32_MAX) != CODEC_VERSION)
+	if (!read_head(&reader, bytes, length_bytes, msg))
 		return false;
-	msg->type = (enum msg_type)read_uint(&reader, MSG_TYPE_COUNT - 1);
-	msg->from_node_id = read_uint(&reader, UINT64_MAX);
-	msg->from_incarnation = read_uint(&reader, UINT64_MAX);
-	if (!reader.failed)
-		read_body(&reader, msg);
+	read_body(&reader, msg);
 	if (!reader.failed && reader.left_bytes == 0)
 		return true;
 	codec_release(msg);
--- a/include/bamboorudderd/control.h
+++ b/include/bamboorudderd/control.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
+#include "bamboorudderd/hook.h"
 #include "bamboorudderd/peer.h"
 #include "bamboorudderd/settings.h"
 #include "bamboorudderd/tablestore.h"
@@ -43,6 +44,7 @@
 	struct clk clk;
 	struct peer peer;
 	struct tablestore *store;
+	struct hook *hook; /**< NULL unless test.hooks is set */
 	uint64_t incarnation;
 	pthread_t thread;
 	pthread_mutex_t mailbox_mutex;
@@ -59,9 +61,12 @@
 	GByteArray *encoded;
 };
 
-/** Initialises the cores and binds the peer transport. */
+/**
+ * Initialises the cores and binds the peer transport.
+ * @param hook the test hook, or NULL for none
+ */
 gboolean control_init(struct control *control, const struct settings *settings,
-    struct tablestore *store, GError **error);
+    struct tablestore *store, struct hook *hook, GError **error);
 
 /** Starts the control thread. */
 void control_start(struct control *control);
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -46,6 +46,7 @@
 	uint32_t heartbeat_period_ms;
 	uint32_t down_after_ms;
 	uint32_t drain_timeout_ms;
+	bool test_hooks;
 	char log_format[SETTINGS_TEXT_MAX_BYTES];
 	char log_level[SETTINGS_TEXT_MAX_BYTES];
 };
@@ -53,7 +54,12 @@
 /** Where an effective value came from. */
 enum settings_source { SETTINGS_DEFAULT, SETTINGS_FILE, SETTINGS_ENVIRONMENT };
 
-enum settings_type { SETTINGS_TEXT, SETTINGS_UINT32, SETTINGS_LIST };
+enum settings_type {
+	SETTINGS_TEXT,
+	SETTINGS_UINT32,
+	SETTINGS_BOOL,
+	SETTINGS_LIST
+};
 
 /** Describes one key; the man page lists the same. */
 struct settings_key {
--- a/include/common/platform.h
+++ b/include/common/platform.h
@@ -54,6 +54,7 @@
 	char *base_url;
 	uint32_t timeout_ms;
 	_Atomic uint32_t stopping; /**< ends waiting watches */
+	void *context; /**< of a table of functions round another one */
 };
 
 /** Initialises a client of the object API over HTTP. */
--- /dev/null
+++ b/tests/e2e/test_members.cc
@@ -0,0 +1,75 @@
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <memory>
+
+#include "fleet.h"
+
+using namespace e2e;
+
+namespace
+{
+
+class Members : public ::testing::Test
+{
+      protected:
+	/* The value of a gauge or counter, or -1. */
+	long metric(size_t index, const std::string &name)
+	{
+		std::string text =
+		    call("GET", fleet.daemons[index].admin("/metrics")).body;
+		std::string line = "\nbamboorudder_" + name + " ";
+		size_t at = text.find(line);
+
+		if (at == std::string::npos)
+			return -1;
+		return std::stol(text.substr(at + line.size()));
+	}
+
+	bool sees(size_t index, long live_count)
+	{
+		return eventually([&] {
+			return metric(index, "members_live") == live_count;
+		});
+	}
+
+	bool all_see(long live_count)
+	{
+		bool all = true;
+
+		for (size_t i = 0; i < fleet.daemons.size(); i++)
+			all = sees(i, live_count) && all;
+		return all;
+	}
+
+	void cut(size_t index, const std::string &what)
+	{
+		EXPECT_EQ(fleet
+			      .admin_call(index, "POST", "/v1/test/cut?" + what)
+			      .status,
+		    200);
+	}
+
+	void heal(size_t index)
+	{
+		EXPECT_EQ(fleet.admin_call(index, "POST", "/v1/test/heal")
+			      .status,
+		    200);
+	}
+
+	Fleet fleet{ "test.hooks = true\n" };
+};
+
+} // namespace
+
+TEST_F(Members, AHealedPartitionJoinsAgain)
+{
+	fleet.add_daemons(3);
+	ASSERT_TRUE(all_see(3));
+	cut(0, "peers=*");
+	EXPECT_TRUE(sees(0, 1));
+	EXPECT_TRUE(sees(1, 2));
+	EXPECT_TRUE(sees(2, 2));
+	heal(0);
+	EXPECT_TRUE(all_see(3));
+}
