Probe members one at a time and spread news in bounded messages

Cause: every daemon sent a heartbeat to every other one, which grows with the fleet: 370 daemons would send 370 messages a period each.

Membership in the manner of SWIM: one probe each half period, three indirect probes, suspicion before removal, refutation by a revision beside the process's incarnation, joining through seeds, probes of lost members so that partitions heal, news and confirmed versions in messages of bounded size. A member held for down by the other side of a healed partition is only suspected so that it can refute.

--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -113,7 +113,7 @@
 	const struct member *member;
 
 	msg->from_node_id = control->members.config.self.node_id;
-	msg->from_incarnation = control->incarnation;
+	msg->from_incarnation = control->members.config.self.incarnation;
 	if (to_node_id == msg->from_node_id) {
 		dispatch(control, msg, now_ms);
 		return;
@@ -149,6 +149,8 @@
 
 	log_event(LOG_LEVEL_WARN, "member_down", "address",
 	    member == NULL ? "?" : member->address, NULL);
+	if (member != NULL)
+		control->peer.ops->forget(&control->peer, member->address);
 	g_hash_table_iter_init(&iter, control->owners);
 	while (g_hash_table_iter_next(&iter, NULL, &owner))
 		owner_node_down(owner, node_id, now_ms, &control->effects);
@@ -268,14 +270,28 @@
 		owner_handle(owner, msg, now_ms, &control->effects);
 }
 
+static bool
+is_membership(enum msg_type type)
+{
+	return type <= MSG_MEMBER_LIST;
+}
+
 static void
 dispatch(struct control *control, const struct msg *msg, uint64_t now_ms)
 {
+	if (!is_membership(msg->type) &&
+	    !members_accept(&control->members, msg, now_ms, &control->effects))
+		return;
 	switch (msg->type) {
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
-		members_handle(&control->members, msg, now_ms,
-		    &control->effects);
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
+	case MSG_MEMBER_LIST:
+		if (!members_handle(&control->members, msg, now_ms,
+			&control->effects))
+			metric_add(METRIC_PEER_MALFORMED, 1);
 		break;
 	case MSG_ASK:
 		dispatch_to_owner(control, msg->u.ask.pool_id, msg, now_ms);
@@ -414,10 +430,9 @@
 
 	(void)command;
 	control->snapshot = tablestore_ref(control->store);
-	control->members.config.self.routes_version = control->snapshot->tables
-							  .routes_version;
-	control->members.config.self.pools_version = control->snapshot->tables
-							 .pools_version;
+	members_set_versions(&control->members,
+	    control->snapshot->tables.routes_version,
+	    control->snapshot->tables.pools_version);
 	entry_set_tables(&control->entry, &control->snapshot->tables, now_ms,
 	    &control->effects);
 	update_owners(control, now_ms);
@@ -500,6 +515,7 @@
 run_stop(struct control *control, struct command *command)
 {
 	(void)command;
+	members_end(&control->members, &control->effects);
 	control->stopping = true;
 }
 
@@ -578,9 +594,7 @@
 run_drain(struct control *control, struct command *command)
 {
 	(void)command;
-	control->members.config.self.leaving = true;
-	control->members.changed = true;
-	control->members.heartbeat_due_ms = 0;
+	members_leave(&control->members, &control->effects);
 	entry_drain(&control->entry, &control->effects);
 }
 
--- a/bamboorudderd/dump.c
+++ b/bamboorudderd/dump.c
@@ -6,7 +6,8 @@
 static const char *
 state_name(enum member_state state)
 {
-	static const char *const names[] = { "unknown", "live", "down" };
+	static const char *const names[] = { "unknown", "live", "suspect",
+		"down" };
 
 	return names[state];
 }
--- a/common/codec.c
+++ b/common/codec.c
@@ -73,15 +73,55 @@
 	}
 }
 
+static void
+write_news(GByteArray *out, const struct member_news *news)
+{
+	write_uint(out, news->node_id);
+	write_text(out, news->address, strlen(news->address));
+	write_text(out, news->domain, strlen(news->domain));
+	write_uint(out, news->incarnation);
+	write_uint(out, news->revision);
+	write_uint(out, news->state);
+	write_uint(out, news->flags);
+}
+
+/* Most members have the versions of the sender: one byte then. */
+static void
+write_difference(GByteArray *out, uint64_t value, uint64_t base)
+{
+	write_int(out, (int64_t)(value - base));
+}
+
 static void
 write_heartbeat(GByteArray *out, const struct msg_heartbeat *heartbeat)
 {
 	write_uint(out, heartbeat->probe_seq);
-	write_text(out, heartbeat->address, strlen(heartbeat->address));
-	write_text(out, heartbeat->domain, strlen(heartbeat->domain));
+	write_uint(out, heartbeat->target_node_id);
+	write_news(out, &heartbeat->self);
 	write_uint(out, heartbeat->routes_version);
 	write_uint(out, heartbeat->pools_version);
-	write_uint(out, heartbeat->leaving);
+	write_token(out, mpack_pack_array(heartbeat->news_count));
+	for (uint32_t i = 0; i < heartbeat->news_count; i++)
+		write_news(out, &heartbeat->news[i]);
+	write_token(out, mpack_pack_array(heartbeat->versions_count));
+	for (uint32_t i = 0; i < heartbeat->versions_count; i++) {
+		const struct member_versions *versions = &heartbeat
+							      ->versions[i];
+		write_uint(out, versions->node_id_low);
+		write_uint(out, versions->incarnation_low);
+		write_difference(out, versions->routes_version,
+		    heartbeat->routes_version);
+		write_difference(out, versions->pools_version,
+		    heartbeat->pools_version);
+	}
+}
+
+static void
+write_member_list(GByteArray *out, const struct msg_member_list *list)
+{
+	write_token(out, mpack_pack_array(list->item_count));
+	for (uint32_t i = 0; i < list->item_count; i++)
+		write_news(out, &list->items[i]);
 }
 
 static void
@@ -120,8 +160,14 @@
 	switch (msg->type) {
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
 		write_heartbeat(out, &msg->u.heartbeat);
 		break;
+	case MSG_MEMBER_LIST:
+		write_member_list(out, &msg->u.member_list);
+		break;
 	case MSG_ASK:
 		write_ask(out, &msg->u.ask);
 		break;
@@ -304,15 +350,53 @@
 	}
 }
 
+static void
+read_news(struct reader *reader, struct member_news *news)
+{
+	news->node_id = read_uint(reader, UINT64_MAX);
+	read_text(reader, news->address, sizeof(news->address));
+	read_text(reader, news->domain, sizeof(news->domain));
+	news->incarnation = read_uint(reader, UINT64_MAX);
+	news->revision = (uint32_t)read_uint(reader, UINT32_MAX);
+	news->state = (uint8_t)read_uint(reader, MEMBER_DOWN);
+	news->flags = (uint8_t)read_uint(reader, MEMBER_FLAGS_MAX);
+}
+
 static void
 read_heartbeat(struct reader *reader, struct msg_heartbeat *heartbeat)
 {
 	heartbeat->probe_seq = read_uint(reader, UINT64_MAX);
-	read_text(reader, heartbeat->address, sizeof(heartbeat->address));
-	read_text(reader, heartbeat->domain, sizeof(heartbeat->domain));
+	heartbeat->target_node_id = read_uint(reader, UINT64_MAX);
+	read_news(reader, &heartbeat->self);
 	heartbeat->routes_version = read_uint(reader, UINT64_MAX);
 	heartbeat->pools_version = read_uint(reader, UINT64_MAX);
-	heartbeat->leaving = (uint8_t)read_uint(reader, 1);
+	heartbeat->news_count = read_count(reader, GOSSIP_NEWS_MAX_COUNT);
+	for (uint32_t i = 0; i < heartbeat->news_count; i++)
+		read_news(reader, &heartbeat->news[i]);
+	heartbeat->versions_count = read_count(reader,
+	    GOSSIP_VERSIONS_MAX_COUNT);
+	for (uint32_t i = 0; i < heartbeat->versions_count; i++) {
+		struct member_versions *versions = &heartbeat->versions[i];
+		versions->node_id_low = (uint32_t)read_uint(reader, UINT32_MAX);
+		versions->incarnation_low = (uint32_t)read_uint(reader,
+		    UINT32_MAX);
+		versions->routes_version = heartbeat->routes_version +
+		    (uint64_t)read_int(reader);
+		versions->pools_version = heartbeat->pools_version +
+		    (uint64_t)read_int(reader);
+	}
+}
+
+static void
+read_member_list(struct reader *reader, struct msg_member_list *list)
+{
+	struct member_news *items;
+
+	list->item_count = read_count(reader, MEMBERS_MAX_COUNT);
+	items = g_new0(struct member_news, list->item_count);
+	list->items = items;
+	for (uint32_t i = 0; i < list->item_count && !reader->failed; i++)
+		read_news(reader, &items[i]);
 }
 
 static void
@@ -363,8 +447,14 @@
 	switch (msg->type) {
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
 		read_heartbeat(reader, &msg->u.heartbeat);
 		break;
+	case MSG_MEMBER_LIST:
+		read_member_list(reader, &msg->u.member_list);
+		break;
 	case MSG_ASK:
 		read_ask(reader, &msg->u.ask);
 		break;
@@ -463,6 +553,9 @@
 		g_free((gpointer)msg->u.report.vtimes);
 		msg->u.report.items = NULL;
 		msg->u.report.vtimes = NULL;
+	} else if (msg->type == MSG_MEMBER_LIST) {
+		g_free((gpointer)msg->u.member_list.items);
+		msg->u.member_list.items = NULL;
 	} else if (msg->type == MSG_TABLES_DATA) {
 		g_free((gpointer)msg->u.tables_data.text);
 		msg->u.tables_data.text = NULL;
--- a/core/effect.c
+++ b/core/effect.c
@@ -14,8 +14,11 @@
 {
 	for (size_t i = 0; i < effects->count; i++) {
 		const struct effect *effect = &effects->items[i];
-		if (effect->type != EFFECT_SEND ||
-		    effect->msg.type != MSG_REPORT)
+		if (effect->type != EFFECT_SEND)
+			continue;
+		if (effect->msg.type == MSG_MEMBER_LIST)
+			g_free((gpointer)effect->msg.u.member_list.items);
+		if (effect->msg.type != MSG_REPORT)
 			continue;
 		g_free((gpointer)effect->msg.u.report.items);
 		g_free((gpointer)effect->msg.u.report.vtimes);
--- a/core/members.c
+++ b/core/members.c
@@ -3,35 +3,87 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "core/gossip.h"
 #include "core/hash.h"
+#include "core/probe.h"
+
+#define GOSSIP_FANOUT 3u
+#define GOSSIPS_PER_PERIOD 3u
+#define JOIN_SEEDS_COUNT 3u
+#define JOINS_PER_PERIOD 2u
+#define LEAVE_FANOUT 16u
+#define LOST_PROBE_PERIODS 4u
+#define FORGET_AFTER_MS (30u * 60u * 1000u)
+#define WATCHERS_MIN_COUNT 2u
+
+static const char WATCH_KEY[] = "watch";
 
 void
 members_init(struct members *members, const struct members_config *config)
 {
+	struct member *self = &members->config.self;
+
 	memset(members, 0, sizeof(*members));
 	members->config = *config;
-	members->config.self.node_id = hash_name(config->self.address);
-	members->config.self.state = MEMBER_LIVE;
+	self->node_id = hash_name(config->self.address);
+	self->state = MEMBER_LIVE;
+	members->random_state = self->node_id ^ self->incarnation;
 	members->peers = g_array_new(FALSE, TRUE, sizeof(struct member));
+	members->probes = g_array_new(FALSE, TRUE, sizeof(struct member_probe));
+	members->probe_order = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	gossip_spread_state(members, self);
 }
 
 void
 members_finish(struct members *members)
 {
 	g_array_free(members->peers, TRUE);
+	g_array_free(members->probes, TRUE);
+	g_array_free(members->probe_order, TRUE);
 	memset(members, 0, sizeof(*members));
 }
 
-static struct member *
-members_peer(const struct members *members, uint64_t node_id)
+uint64_t
+members_random(struct members *members)
 {
-	for (guint i = 0; i < members->peers->len; i++) {
-		struct member *member = &g_array_index(members->peers,
-		    struct member, i);
-		if (member->node_id == node_id)
-			return member;
+	members->random_state++;
+	return hash_bytes(&members->random_state,
+	    sizeof(members->random_state));
+}
+
+bool
+member_is_up(const struct member *member)
+{
+	return member->state == MEMBER_LIVE || member->state == MEMBER_SUSPECT;
+}
+
+/* Index of the first peer whose identifier is not below node_id. */
+static guint
+peer_index(const struct members *members, uint64_t node_id)
+{
+	guint low = 0, high = members->peers->len;
+
+	while (low < high) {
+		guint middle = (low + high) / 2;
+		if (g_array_index(members->peers, struct member, middle)
+			.node_id < node_id)
+			low = middle + 1;
+		else
+			high = middle;
 	}
-	return NULL;
+	return low;
+}
+
+struct member *
+members_peer(const struct members *members, uint64_t node_id)
+{
+	guint index = peer_index(members, node_id);
+	struct member *member;
+
+	if (index == members->peers->len)
+		return NULL;
+	member = &g_array_index(members->peers, struct member, index);
+	return member->node_id == node_id ? member : NULL;
 }
 
 const struct member *
@@ -42,18 +94,19 @@
 	return members_peer(members, node_id);
 }
 
-static struct member *
+struct member *
 members_add(struct members *members, const char *address)
 {
 	uint64_t node_id = hash_name(address);
 	struct member member = { .node_id = node_id };
 
 	if (node_id == members->config.self.node_id ||
-	    members->peers->len >= MEMBERS_MAX_COUNT)
+	    members->peers->len >= MEMBERS_MAX_COUNT - 1)
 		return NULL;
 	if (members_peer(members, node_id) == NULL) {
 		snprintf(member.address, sizeof(member.address), "%s", address);
-		g_array_append_val(members->peers, member);
+		g_array_insert_val(members->peers, peer_index(members, node_id),
+		    member);
 	}
 	return members_peer(members, node_id);
 }
@@ -61,105 +114,362 @@
 void
 members_add_seed(struct members *members, const char *address)
 {
-	members_add(members, address);
-}
-
-static void
-members_fill(const struct members *members, struct msg_heartbeat *heartbeat)
-{
-	const struct member *self = &members->config.self;
+	struct member *member = members_add(members, address);
 
-	heartbeat->routes_version = self->routes_version;
-	heartbeat->pools_version = self->pools_version;
-	heartbeat->leaving = self->leaving;
-	snprintf(heartbeat->address, sizeof(heartbeat->address), "%s",
-	    self->address);
-	snprintf(heartbeat->domain, sizeof(heartbeat->domain), "%s",
-	    self->domain);
+	if (member != NULL)
+		member->seed = true;
 }
 
-static void
-member_set_state(struct members *members, struct member *member,
-    enum member_state state, struct effects *effects)
+void
+members_set_state(struct members *members, struct member *member,
+    enum member_state state, uint64_t now_ms, struct effects *effects)
 {
-	enum effect_type type = state == MEMBER_LIVE ? EFFECT_MEMBER_UP
-						     : EFFECT_MEMBER_DOWN;
+	bool was_up = member_is_up(member), is_up;
 
 	if (member->state == state)
 		return;
 	member->state = state;
+	member->state_since_ms = now_ms;
+	is_up = member_is_up(member);
+	if (was_up == is_up)
+		return;
 	members->changed = true;
-	effects_add(effects, type)->to_node_id = member->node_id;
+	effects_add(effects, is_up ? EFFECT_MEMBER_UP : EFFECT_MEMBER_DOWN)
+	    ->to_node_id = member->node_id;
 }
 
-void
-members_handle(struct members *members, const struct msg *msg, uint64_t now_ms,
+/* Picks by a rule at random. @return NULL if no member fits */
+static struct member *
+pick(struct members *members, bool (*fits)(const struct member *),
+    uint64_t except_node_id)
+{
+	guint count = members->peers->len;
+	guint first = count == 0 ? 0 : (guint)(members_random(members) % count);
+
+	for (guint i = 0; i < count; i++) {
+		struct member *member = &g_array_index(members->peers,
+		    struct member, (first + i) % count);
+		if (member->node_id != except_node_id && fits(member))
+			return member;
+	}
+	return NULL;
+}
+
+struct member *
+members_pick(struct members *members, uint64_t except_node_id)
+{
+	return pick(members, member_is_up, except_node_id);
+}
+
+static bool
+member_is_lost(const struct member *member)
+{
+	return !member_is_up(member);
+}
+
+static bool
+member_is_seed(const struct member *member)
+{
+	return member->seed;
+}
+
+static bool
+handle_list(struct members *members, const struct msg *msg, uint64_t now_ms,
+    struct effects *effects)
+{
+	const struct msg_member_list *list = &msg->u.member_list;
+
+	if (members_peer(members, msg->from_node_id) == NULL)
+		return false;
+	members->joined = true;
+	for (uint32_t i = 0; i < list->item_count; i++)
+		gossip_apply(members, &list->items[i], now_ms, effects);
+	return true;
+}
+
+/* Takes what the sender says of itself. @return the sender, or NULL */
+static struct member *
+handle_sender(struct members *members, const struct msg *msg, uint64_t now_ms,
     struct effects *effects)
 {
 	const struct msg_heartbeat *heartbeat = &msg->u.heartbeat;
 	struct member *member;
-	struct msg *answer;
 
-	if (msg->type != MSG_HEARTBEAT && msg->type != MSG_HEARTBEAT_ACK)
+	gossip_apply(members, &heartbeat->self, now_ms, effects);
+	member = members_peer(members, msg->from_node_id);
+	if (member == NULL ||
+	    member->incarnation != heartbeat->self.incarnation)
+		return member;
+	member->heard_ms = now_ms;
+	gossip_apply_versions(members, member, heartbeat->routes_version,
+	    heartbeat->pools_version);
+	return member;
+}
+
+/* Answers others' doubts about this daemon, and tells the news at once. */
+static void
+handle_news(struct members *members, const struct msg *msg, uint64_t now_ms,
+    struct effects *effects)
+{
+	const struct msg_heartbeat *heartbeat = &msg->u.heartbeat;
+	uint32_t revision = members->config.self.revision;
+	uint64_t incarnation = members->config.self.incarnation;
+
+	for (uint32_t i = 0; i < heartbeat->news_count; i++)
+		gossip_apply(members, &heartbeat->news[i], now_ms, effects);
+	for (uint32_t i = 0; i < heartbeat->versions_count; i++)
+		gossip_apply_record(members, &heartbeat->versions[i]);
+	if (revision != members->config.self.revision ||
+	    incarnation != members->config.self.incarnation)
+		gossip_send(members, msg->from_node_id, MSG_GOSSIP, effects);
+}
+
+static bool
+is_consistent(const struct msg *msg)
+{
+	const struct msg_heartbeat *heartbeat = &msg->u.heartbeat;
+
+	return heartbeat->self.node_id == msg->from_node_id &&
+	    hash_name(heartbeat->self.address) == msg->from_node_id &&
+	    heartbeat->self.incarnation == msg->from_incarnation;
+}
+
+bool
+members_handle(struct members *members, const struct msg *msg, uint64_t now_ms,
+    struct effects *effects)
+{
+	const struct msg_heartbeat *heartbeat = &msg->u.heartbeat;
+	uint64_t sender_id = msg->from_node_id;
+
+	if (msg->type == MSG_MEMBER_LIST)
+		return handle_list(members, msg, now_ms, effects);
+	if (!is_consistent(msg))
+		return false;
+	if (handle_sender(members, msg, now_ms, effects) == NULL)
+		return true;
+	handle_news(members, msg, now_ms, effects);
+	if (msg->type == MSG_HEARTBEAT)
+		gossip_send(members, sender_id, MSG_HEARTBEAT_ACK, effects)
+		    ->probe_seq = heartbeat->probe_seq;
+	else if (msg->type == MSG_HEARTBEAT_ACK)
+		probe_answered(members, heartbeat->probe_seq, effects);
+	else if (msg->type == MSG_PROBE_REQUEST)
+		probe_for(members, heartbeat->target_node_id, sender_id,
+		    heartbeat->probe_seq, now_ms, effects);
+	else if (msg->type == MSG_JOIN)
+		gossip_send_list(members, sender_id, effects);
+	return true;
+}
+
+bool
+members_accept(struct members *members, const struct msg *msg, uint64_t now_ms,
+    struct effects *effects)
+{
+	struct member *member = members_peer(members, msg->from_node_id);
+	struct member_news news;
+
+	if (msg->from_node_id == members->config.self.node_id)
+		return true;
+	if (member == NULL || member->state == MEMBER_UNKNOWN)
+		return false;
+	if (msg->from_incarnation > member->incarnation) {
+		gossip_describe(member, &news);
+		snprintf(news.address, sizeof(news.address), "%s",
+		    member->address);
+		snprintf(news.domain, sizeof(news.domain), "%s",
+		    member->domain);
+		news.incarnation = msg->from_incarnation;
+		news.revision = 0;
+		news.state = MEMBER_LIVE;
+		news.flags = 0;
+		gossip_apply(members, &news, now_ms, effects);
+	}
+	if (msg->from_incarnation < member->incarnation)
+		return false;
+	member->heard_ms = now_ms;
+	return member_is_up(member);
+}
+
+/* Asks seeds for their lists until one has answered. */
+static void
+join(struct members *members, uint64_t now_ms, struct effects *effects)
+{
+	if (members->joined || now_ms < members->join_due_ms)
 		return;
-	member = members_add(members, heartbeat->address);
-	if (member == NULL || msg->from_incarnation < member->incarnation)
+	members->join_due_ms = now_ms +
+	    members->config.heartbeat_period_ms / JOINS_PER_PERIOD;
+	for (uint32_t i = 0; i < JOIN_SEEDS_COUNT; i++) {
+		const struct member *seed = pick(members, member_is_seed, 0);
+		if (seed != NULL)
+			gossip_send(members, seed->node_id, MSG_JOIN, effects);
+	}
+}
+
+/* Looks whether a lost member is back, so that partitions heal. */
+static void
+probe_lost(struct members *members, uint64_t now_ms, struct effects *effects)
+{
+	const struct member *lost;
+
+	if (now_ms < members->lost_probe_due_ms)
 		return;
-	if (msg->from_incarnation > member->incarnation)
-		member_set_state(members, member, MEMBER_DOWN, effects);
-	member->incarnation = msg->from_incarnation;
-	member->heard_ms = now_ms;
-	member->routes_version = heartbeat->routes_version;
-	member->pools_version = heartbeat->pools_version;
-	if (member->leaving != heartbeat->leaving)
-		members->changed = true;
-	member->leaving = heartbeat->leaving;
-	snprintf(member->domain, sizeof(member->domain), "%s",
-	    heartbeat->domain);
-	member_set_state(members, member, MEMBER_LIVE, effects);
-	if (msg->type == MSG_HEARTBEAT_ACK)
+	members->lost_probe_due_ms = now_ms +
+	    LOST_PROBE_PERIODS * members->config.heartbeat_period_ms;
+	lost = pick(members, member_is_lost, 0);
+	if (lost != NULL)
+		gossip_send(members, lost->node_id, MSG_HEARTBEAT, effects);
+}
+
+static void
+spread_news(struct members *members, uint64_t now_ms, struct effects *effects)
+{
+	if (now_ms < members->gossip_due_ms)
 		return;
-	answer = effects_send(effects, member->node_id, MSG_HEARTBEAT_ACK);
-	members_fill(members, &answer->u.heartbeat);
-	answer->u.heartbeat.probe_seq = heartbeat->probe_seq;
+	members->gossip_due_ms = now_ms +
+	    members->config.heartbeat_period_ms / GOSSIPS_PER_PERIOD;
+	for (uint32_t i = 0; i < GOSSIP_FANOUT && gossip_has_news(members);
+	     i++) {
+		const struct member *member = members_pick(members, 0);
+		if (member == NULL)
+			return;
+		gossip_send(members, member->node_id, MSG_GOSSIP, effects);
+	}
+}
+
+static void
+forget_lost(struct members *members, uint64_t now_ms)
+{
+	for (guint i = members->peers->len; i > 0; i--) {
+		const struct member *member = &g_array_index(members->peers,
+		    struct member, i - 1);
+		if (member->state == MEMBER_DOWN && !member->seed &&
+		    now_ms >= member->state_since_ms + FORGET_AFTER_MS)
+			g_array_remove_index(members->peers, i - 1);
+	}
 }
 
 void
 members_tick(struct members *members, uint64_t now_ms, struct effects *effects)
 {
-	bool due = now_ms >= members->heartbeat_due_ms;
+	join(members, now_ms, effects);
+	probe_tick(members, now_ms, effects);
+	probe_lost(members, now_ms, effects);
+	spread_news(members, now_ms, effects);
+	forget_lost(members, now_ms);
+}
 
-	if (due)
-		members->heartbeat_due_ms = now_ms +
-		    members->config.heartbeat_period_ms;
-	for (guint i = 0; i < members->peers->len; i++) {
-		struct member *member = &g_array_index(members->peers,
-		    struct member, i);
-		if (member->state == MEMBER_LIVE &&
-		    now_ms > member->heard_ms + members->config.down_after_ms)
-			member_set_state(members, member, MEMBER_DOWN, effects);
-		if (due) {
-			struct msg *msg = effects_send(effects, member->node_id,
-			    MSG_HEARTBEAT);
-			members_fill(members, &msg->u.heartbeat);
-			msg->u.heartbeat.probe_seq = ++members->probe_seq;
-		}
+void
+members_set_versions(struct members *members, uint64_t routes_version,
+    uint64_t pools_version)
+{
+	struct member *self = &members->config.self;
+
+	self->routes_version = routes_version;
+	self->pools_version = pools_version;
+	gossip_spread_versions(members, self);
+}
+
+void
+members_set_platform_lost(struct members *members, bool platform_lost)
+{
+	struct member *self = &members->config.self;
+
+	if (self->platform_lost == platform_lost)
+		return;
+	self->platform_lost = platform_lost;
+	self->revision++;
+	gossip_spread_state(members, self);
+}
+
+/* Tells some members at once; gossip reaches the rest. */
+static void
+announce(struct members *members, struct effects *effects)
+{
+	guint count = members->peers->len, sent_count = 0;
+	guint first = count == 0 ? 0 : (guint)(members_random(members) % count);
+
+	for (guint i = 0; i < count && sent_count < LEAVE_FANOUT; i++) {
+		const struct member *member = &g_array_index(members->peers,
+		    struct member, (first + i) % count);
+		if (!member_is_up(member))
+			continue;
+		gossip_send(members, member->node_id, MSG_GOSSIP, effects);
+		sent_count++;
 	}
 }
 
+void
+members_leave(struct members *members, struct effects *effects)
+{
+	struct member *self = &members->config.self;
+
+	if (self->leaving)
+		return;
+	self->leaving = true;
+	self->revision++;
+	members->changed = true;
+	gossip_spread_state(members, self);
+	announce(members, effects);
+}
+
+void
+members_end(struct members *members, struct effects *effects)
+{
+	struct member *self = &members->config.self;
+
+	self->leaving = true;
+	self->revision++;
+	self->state = MEMBER_DOWN;
+	announce(members, effects);
+}
+
 size_t
 members_live(const struct members *members, uint64_t *node_ids,
     size_t max_count)
 {
+	const struct member *self = &members->config.self;
+	guint self_index = peer_index(members, self->node_id);
 	size_t count = 0;
 
-	if (!members->config.self.leaving && count < max_count)
-		node_ids[count++] = members->config.self.node_id;
-	for (guint i = 0; i < members->peers->len && count < max_count; i++) {
-		const struct member *member = &g_array_index(members->peers,
-		    struct member, i);
-		if (member->state == MEMBER_LIVE && !member->leaving)
+	for (guint i = 0; i <= members->peers->len && count < max_count; i++) {
+		const struct member *member;
+
+		if (i == self_index && !self->leaving)
+			node_ids[count++] = self->node_id;
+		if (i == members->peers->len || count == max_count)
+			break;
+		member = &g_array_index(members->peers, struct member, i);
+		if (member_is_up(member) && !member->leaving)
 			node_ids[count++] = member->node_id;
 	}
 	return count;
 }
+
+static bool
+watches_better(const struct member *a, const struct member *b)
+{
+	const uint64_t pair[] = { a->node_id, b->node_id };
+
+	if (a->platform_lost != b->platform_lost)
+		return b->platform_lost;
+	return hash_rendezvous(hash_name(WATCH_KEY), pair, 2) == a->node_id;
+}
+
+bool
+members_is_watcher(const struct members *members)
+{
+	const struct member *self = &members->config.self;
+	uint32_t better_count = 0, better_in_domain_count = 0;
+
+	for (guint i = 0; i < members->peers->len; i++) {
+		const struct member *member = &g_array_index(members->peers,
+		    struct member, i);
+		if (!member_is_up(member) || member->leaving ||
+		    !watches_better(member, self))
+			continue;
+		better_count++;
+		if (strcmp(member->domain, self->domain) == 0)
+			better_in_domain_count++;
+	}
+	return better_in_domain_count == 0 || better_count < WATCHERS_MIN_COUNT;
+}
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -12,6 +12,10 @@
 enum msg_type {
 	MSG_HEARTBEAT,
 	MSG_HEARTBEAT_ACK,
+	MSG_PROBE_REQUEST,
+	MSG_GOSSIP,
+	MSG_JOIN,
+	MSG_MEMBER_LIST,
 	MSG_ASK,
 	MSG_CANCEL,
 	MSG_DONE,
@@ -36,14 +40,57 @@
 	REFUSE_REASON_COUNT
 };
 
-/** Liveness probe; carries the table versions that the sender holds. */
-struct msg_heartbeat {
-	uint64_t probe_seq;
+enum member_state { MEMBER_UNKNOWN, MEMBER_LIVE, MEMBER_SUSPECT, MEMBER_DOWN };
+
+#define MEMBER_FLAG_LEAVING 1u /**< takes no new work */
+#define MEMBER_FLAG_PLATFORM_LOST 2u /**< can't reach the platform */
+#define MEMBER_FLAGS_MAX 3u
+
+/**
+ * What the sender believes of one member. Address and domain are empty unless
+ * the member is live: what is told of others concerns those who know them.
+ */
+struct member_news {
+	uint64_t node_id;
 	char address[ADDRESS_MAX_BYTES];
 	char domain[NAME_MAX_BYTES];
+	uint64_t incarnation; /**< of the member's process */
+	uint32_t revision; /**< grows when the member refutes a suspicion or
+			     * changes its flags */
+	uint8_t state; /**< enum member_state */
+	uint8_t flags; /**< MEMBER_FLAG_... */
+};
+
+/** Versions of the tables that a member has in force. */
+struct member_versions {
+	uint32_t node_id_low; /**< low half of its node_id */
+	uint32_t incarnation_low; /**< low half of its incarnation */
 	uint64_t routes_version;
 	uint64_t pools_version;
-	uint8_t leaving;
+};
+
+/**
+ * Membership message: what the sender says of itself and, of bounded size,
+ * what it believes of others. Also the body of MSG_HEARTBEAT_ACK, MSG_GOSSIP
+ * (wants no answer), MSG_JOIN (wants MSG_MEMBER_LIST) and MSG_PROBE_REQUEST
+ * (asks the receiver to probe target_node_id).
+ */
+struct msg_heartbeat {
+	uint64_t probe_seq;
+	uint64_t target_node_id;
+	struct member_news self;
+	uint64_t routes_version;
+	uint64_t pools_version;
+	struct member_news news[GOSSIP_NEWS_MAX_COUNT];
+	struct member_versions versions[GOSSIP_VERSIONS_MAX_COUNT];
+	uint32_t news_count;
+	uint32_t versions_count;
+};
+
+/** All members that the sender knows; owned as the arrays of a report. */
+struct msg_member_list {
+	const struct member_news *items;
+	uint32_t item_count;
 };
 
 /** An entry daemon asks the queue owner for a slot. */
@@ -161,6 +208,7 @@
 	uint64_t from_incarnation;
 	union {
 		struct msg_heartbeat heartbeat;
+		struct msg_member_list member_list;
 		struct msg_ask ask;
 		struct msg_cancel cancel;
 		struct msg_done done;
--- a/tests/e2e/test_members.cc
+++ b/tests/e2e/test_members.cc
@@ -73,3 +73,49 @@
 	heal(0);
 	EXPECT_TRUE(all_see(3));
 }
+
+TEST_F(Members, AKilledDaemonIsRemovedAndItsRestartIsTakenIn)
+{
+	fleet.add_daemons(4);
+	ASSERT_TRUE(all_see(4));
+	fleet.daemons[1].process->signal(SIGKILL);
+	fleet.daemons[1].process->wait();
+	EXPECT_TRUE(sees(0, 3));
+	EXPECT_TRUE(sees(2, 3));
+	fleet.start(1);
+	EXPECT_TRUE(all_see(4));
+}
+
+TEST_F(Members, APauseDuringACutEndsWithAllLive)
+{
+	fleet.add_daemons(4);
+	ASSERT_TRUE(all_see(4));
+	cut(0, "peers=" + fleet.daemons[1].peer());
+	fleet.daemons[2].process->signal(SIGSTOP);
+	EXPECT_TRUE(sees(3, 3));
+	EXPECT_TRUE(sees(0, 3));
+	fleet.daemons[2].process->signal(SIGCONT);
+	EXPECT_TRUE(all_see(4));
+	heal(0);
+	EXPECT_TRUE(all_see(4));
+}
+
+TEST_F(Members, AnEndIsToldAtOnce)
+{
+	fleet.add_daemons(3);
+	ASSERT_TRUE(all_see(3));
+	fleet.daemons[2].process->signal(SIGTERM);
+	EXPECT_EQ(fleet.daemons[2].process->wait_for_ms(20000), 0);
+	EXPECT_TRUE(sees(0, 2));
+	std::string dump = fleet.admin_call(0, "GET", "/v1/dump").body;
+	EXPECT_NE(dump.find("\"down\""), std::string::npos) << dump;
+}
+
+TEST(MembersOff, TheHookIsOutOfReachWithoutItsSetting)
+{
+	Fleet fleet;
+
+	fleet.add_daemons(1);
+	EXPECT_EQ(fleet.admin_call(0, "POST", "/v1/test/cut?peers=*").status,
+	    404);
+}
--- /dev/null
+++ b/tests/unit/members_net.h
@@ -0,0 +1,249 @@
+/**
+ * @file
+ * Member cores joined by an in-memory list under a virtual clock.
+ */
+#ifndef TESTS_UNIT_MEMBERS_NET_H
+#define TESTS_UNIT_MEMBERS_NET_H
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <cstring>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "common/codec.h"
+#include "core/gossip.h"
+#include "core/members.h"
+}
+
+constexpr uint64_t STEP_MS = 10;
+
+struct Node {
+	members core;
+	bool running = false; /* exists and is not paused */
+	bool dead = false;
+	uint64_t up_count = 0, down_count = 0, sent_bytes = 0;
+	std::deque<msg> inbox;
+};
+
+class MembersNet
+{
+      public:
+	explicit MembersNet(size_t count, size_t domains = 4)
+	    : domains_(domains), nodes(count)
+	{
+		bytes_ = g_byte_array_new();
+		effects_init(&effects_);
+		for (size_t i = 0; i < count; i++)
+			start(i, 1000 + i);
+	}
+	~MembersNet()
+	{
+		for (auto &node : nodes) {
+			drop_inbox(node);
+			members_finish(&node.core);
+		}
+		effects_finish(&effects_);
+		g_byte_array_free(bytes_, TRUE);
+	}
+	MembersNet(const MembersNet &) = delete;
+	MembersNet &operator=(const MembersNet &) = delete;
+
+	/* Starts a node that knows the first three as seeds. */
+	void start(size_t index, uint64_t incarnation)
+	{
+		members_config config = {};
+		Node &node = nodes[index];
+
+		if (node.core.peers != nullptr)
+			members_finish(&node.core);
+		snprintf(config.self.address, sizeof(config.self.address),
+		    "10.0.%zu.%zu:7000", index / 250, index % 250);
+		snprintf(config.self.domain, sizeof(config.self.domain), "d%zu",
+		    index % domains_);
+		config.self.incarnation = incarnation;
+		config.heartbeat_period_ms = 500;
+		config.down_after_ms = 2000;
+		members_init(&node.core, &config);
+		index_of_[node.core.config.self.node_id] = index;
+		for (size_t i = 0; i < 3; i++)
+			members_add_seed(&node.core,
+			    ("10.0.0." + std::to_string(i) + ":7000").c_str());
+		node.running = true;
+		node.dead = false;
+		drop_inbox(node);
+	}
+
+	/* Makes all nodes known to each other, with no news left to spread. */
+	void introduce_all()
+	{
+		for (auto &node : nodes) {
+			for (const auto &other : nodes) {
+				member_news news;
+				gossip_describe(&other.core.config.self, &news);
+				gossip_apply(&node.core, &news, now_ms,
+				    &effects_);
+			}
+			effects_clear(&effects_);
+			node.core.joined = true;
+			node.core.config.self.news_sends_left = 0;
+			for (guint i = 0; i < node.core.peers->len; i++)
+				g_array_index(node.core.peers, member, i)
+				    .news_sends_left = 0;
+		}
+	}
+
+	void kill(size_t index)
+	{
+		nodes[index].running = false;
+		nodes[index].dead = true;
+	}
+
+	void pause(size_t index, bool paused)
+	{
+		nodes[index].running = !paused;
+	}
+
+	void run_ms(uint64_t duration_ms)
+	{
+		for (uint64_t end = now_ms + duration_ms; now_ms < end;)
+			step();
+	}
+
+	/* Runs until a condition holds. @return the time it took, or -1 */
+	int64_t until(const std::function<bool()> &condition, uint64_t limit_ms)
+	{
+		uint64_t begin_ms = now_ms;
+
+		while (!condition()) {
+			if (now_ms - begin_ms >= limit_ms)
+				return -1;
+			step();
+		}
+		return (int64_t)(now_ms - begin_ms);
+	}
+
+	size_t live_count(size_t index) const
+	{
+		uint64_t ids[MEMBERS_MAX_COUNT];
+
+		return members_live(&nodes[index].core, ids, MEMBERS_MAX_COUNT);
+	}
+
+	/* Whether all running nodes see that many live ones. */
+	bool all_see(size_t count) const
+	{
+		for (size_t i = 0; i < nodes.size(); i++)
+			if (nodes[i].running && live_count(i) != count)
+				return false;
+		return true;
+	}
+
+	uint64_t id(size_t index) const
+	{
+		return nodes[index].core.config.self.node_id;
+	}
+
+	const member *seen(size_t by, size_t index) const
+	{
+		return members_find(&nodes[by].core, id(index));
+	}
+
+	uint64_t sent_bytes() const
+	{
+		uint64_t total_bytes = 0;
+
+		for (const auto &node : nodes)
+			total_bytes += node.sent_bytes;
+		return total_bytes;
+	}
+
+	void carry_out(size_t from)
+	{
+		for (size_t i = 0; i < effects_.count; i++)
+			carry_out_one(from, effects_.items[i]);
+		effects_clear(&effects_);
+	}
+
+	effects *list()
+	{
+		return &effects_;
+	}
+
+      private:
+	size_t domains_;
+
+      public:
+	std::vector<Node> nodes;
+	/* tells whether a message from the first to the second is lost */
+	std::function<bool(size_t, size_t)> cut = [](size_t, size_t) {
+		return false;
+	};
+	uint64_t now_ms = 1;
+
+      private:
+	static void drop_inbox(Node &node)
+	{
+		for (auto &message : node.inbox)
+			codec_release(&message);
+		node.inbox.clear();
+	}
+
+	void carry_out_one(size_t from, const effect &item)
+	{
+		Node &node = nodes[from];
+
+		if (item.type == EFFECT_MEMBER_UP)
+			node.up_count++;
+		if (item.type == EFFECT_MEMBER_DOWN)
+			node.down_count++;
+		if (item.type != EFFECT_SEND)
+			return;
+		msg message = item.msg, copy;
+		message.from_node_id = id(from);
+		message.from_incarnation = node.core.config.self.incarnation;
+		g_byte_array_set_size(bytes_, 0);
+		codec_encode(&message, bytes_);
+		node.sent_bytes += bytes_->len;
+		auto to = index_of_.find(item.to_node_id);
+		if (to == index_of_.end() || nodes[to->second].dead ||
+		    cut(from, to->second))
+			return;
+		if (codec_decode(bytes_->data, bytes_->len, &copy))
+			nodes[to->second].inbox.push_back(copy);
+	}
+
+	void step()
+	{
+		now_ms += STEP_MS;
+		for (size_t i = 0; i < nodes.size(); i++) {
+			Node &node = nodes[i];
+			size_t count = node.inbox.size();
+			if (!node.running)
+				continue;
+			for (; count > 0; count--) {
+				msg message = node.inbox.front();
+				node.inbox.pop_front();
+				members_handle(&node.core, &message, now_ms,
+				    &effects_);
+				codec_release(&message);
+				carry_out(i);
+			}
+			if ((now_ms / STEP_MS + i) % 5 == 0) {
+				members_tick(&node.core, now_ms, &effects_);
+				carry_out(i);
+			}
+		}
+	}
+
+	std::map<uint64_t, size_t> index_of_;
+	effects effects_;
+	GByteArray *bytes_;
+};
+
+#endif
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -48,14 +48,14 @@
 	msg message = {}, decoded;
 
 	message.type = MSG_HEARTBEAT;
-	strcpy(message.u.heartbeat.address, "127.0.0.1:7001");
-	strcpy(message.u.heartbeat.domain, "d1");
-	message.u.heartbeat.leaving = 1;
+	strcpy(message.u.heartbeat.self.address, "127.0.0.1:7001");
+	strcpy(message.u.heartbeat.self.domain, "d1");
+	message.u.heartbeat.self.flags = MEMBER_FLAG_LEAVING;
 	codec_encode(&message, bytes);
 	ASSERT_TRUE(codec_decode(bytes->data, bytes->len, &decoded));
-	EXPECT_STREQ(decoded.u.heartbeat.address, "127.0.0.1:7001");
-	EXPECT_STREQ(decoded.u.heartbeat.domain, "d1");
-	EXPECT_EQ(decoded.u.heartbeat.leaving, 1);
+	EXPECT_STREQ(decoded.u.heartbeat.self.address, "127.0.0.1:7001");
+	EXPECT_STREQ(decoded.u.heartbeat.self.domain, "d1");
+	EXPECT_EQ(decoded.u.heartbeat.self.flags, MEMBER_FLAG_LEAVING);
 	g_byte_array_free(bytes, TRUE);
 }
 
