--- a/common/codec.c
+++ b/common/codec.c
@@ -89,15 +89,55 @@
 	}
 }
 
+static void
+write_news(GByteArray *out, const struct member_news *news)
+{
+	write_uint(out, news->node_id);
+	write_text(out, news->address, strlen(news->address));
+	write_text(out, news->domain, strlen(news->domain));
+	write_uint(out, news->incarnation);
+	write_uint(out, news->revision);
+	write_uint(out, news->state);
+	write_uint(out, news->flags);
+}
+
+/* Most members have the versions of the sender: one byte then. */
+static void
+write_difference(GByteArray *out, uint64_t value, uint64_t base)
+{
+	write_int(out, (int64_t)(value - base));
+}
+
 static void
 write_heartbeat(GByteArray *out, const struct msg_heartbeat *heartbeat)
 {
 	write_uint(out, heartbeat->probe_seq);
-	write_text(out, heartbeat->address, strlen(heartbeat->address));
-	write_text(out, heartbeat->domain, strlen(heartbeat->domain));
+	write_uint(out, heartbeat->target_node_id);
+	write_news(out, &heartbeat->self);
 	write_uint(out, heartbeat->routes_version);
 	write_uint(out, heartbeat->pools_version);
-	write_uint(out, heartbeat->leaving);
+	write_token(out, mpack_pack_array(heartbeat->news_count));
+	for (uint32_t i = 0; i < heartbeat->news_count; i++)
+		write_news(out, &heartbeat->news[i]);
+	write_token(out, mpack_pack_array(heartbeat->versions_count));
+	for (uint32_t i = 0; i < heartbeat->versions_count; i++) {
+		const struct member_versions *versions = &heartbeat
+							      ->versions[i];
+		write_uint(out, versions->node_id_low);
+		write_uint(out, versions->incarnation_low);
+		write_difference(out, versions->routes_version,
+		    heartbeat->routes_version);
+		write_difference(out, versions->pools_version,
+		    heartbeat->pools_version);
+	}
+}
+
+static void
+write_member_list(GByteArray *out, const struct msg_member_list *list)
+{
+	write_token(out, mpack_pack_array(list->item_count));
+	for (uint32_t i = 0; i < list->item_count; i++)
+		write_news(out, &list->items[i]);
 }
 
 static void
@@ -130,14 +170,30 @@
 	write_uint(out, refuse->reason);
 }
 
+static void
+write_done(GByteArray *out, const struct msg_done *done)
+{
+	write_uint(out, done->pool_id);
+	write_uint(out, done->seq);
+	write_uint(out, done->tokens);
+	write_uint(out, done->send_seq);
+	write_uint(out, done->outcome);
+}
+
 static void
 write_body(GByteArray *out, const struct msg *msg)
 {
 	switch (msg->type) {
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
 		write_heartbeat(out, &msg->u.heartbeat);
 		break;
+	case MSG_MEMBER_LIST:
+		write_member_list(out, &msg->u.member_list);
+		break;
 	case MSG_ASK:
 		write_ask(out, &msg->u.ask);
 		break;
@@ -148,11 +204,7 @@
 		write_uint(out, msg->u.cancel.endpoint_id);
 		break;
 	case MSG_DONE:
-		write_uint(out, msg->u.done.pool_id);
-		write_uint(out, msg->u.done.seq);
-		write_uint(out, msg->u.done.tokens);
-		write_uint(out, msg->u.done.send_seq);
-		write_uint(out, msg->u.done.outcome);
+		write_done(out, &msg->u.done);
 		break;
 	case MSG_REPORT:
 		write_report(out, &msg->u.report);
@@ -336,15 +388,53 @@
 	}
 }
 
+static void
+read_news(struct reader *reader, struct member_news *news)
+{
+	news->node_id = read_uint(reader, UINT64_MAX);
+	read_text(reader, news->address, sizeof(news->address));
+	read_text(reader, news->domain, sizeof(news->domain));
+	news->incarnation = read_uint(reader, UINT64_MAX);
+	news->revision = (uint32_t)read_uint(reader, UINT32_MAX);
+	news->state = (uint8_t)read_uint(reader, MEMBER_DOWN);
+	news->flags = (uint8_t)read_uint(reader, MEMBER_FLAGS_MAX);
+}
+
 static void
 read_heartbeat(struct reader *reader, struct msg_heartbeat *heartbeat)
 {
 	heartbeat->probe_seq = read_uint(reader, UINT64_MAX);
-	read_text(reader, heartbeat->address, sizeof(heartbeat->address));
-	read_text(reader, heartbeat->domain, sizeof(heartbeat->domain));
+	heartbeat->target_node_id = read_uint(reader, UINT64_MAX);
+	read_news(reader, &heartbeat->self);
 	heartbeat->routes_version = read_uint(reader, UINT64_MAX);
 	heartbeat->pools_version = read_uint(reader, UINT64_MAX);
-	heartbeat->leaving = (uint8_t)read_uint(reader, 1);
+	heartbeat->news_count = read_count(reader, GOSSIP_NEWS_MAX_COUNT);
+	for (uint32_t i = 0; i < heartbeat->news_count; i++)
+		read_news(reader, &heartbeat->news[i]);
+	heartbeat->versions_count = read_count(reader,
+	    GOSSIP_VERSIONS_MAX_COUNT);
+	for (uint32_t i = 0; i < heartbeat->versions_count; i++) {
+		struct member_versions *versions = &heartbeat->versions[i];
+		versions->node_id_low = (uint32_t)read_uint(reader, UINT32_MAX);
+		versions->incarnation_low = (uint32_t)read_uint(reader,
+		    UINT32_MAX);
+		versions->routes_version = heartbeat->routes_version +
+		    (uint64_t)read_int(reader);
+		versions->pools_version = heartbeat->pools_version +
+		    (uint64_t)read_int(reader);
+	}
+}
+
+static void
+read_member_list(struct reader *reader, struct msg_member_list *list)
+{
+	struct member_news *items;
+
+	list->item_count = read_count(reader, MEMBERS_MAX_COUNT);
+	items = g_new0(struct member_news, list->item_count);
+	list->items = items;
+	for (uint32_t i = 0; i < list->item_count && !reader->failed; i++)
+		read_news(reader, &items[i]);
 }
 
 static void
@@ -395,8 +485,14 @@
 	switch (msg->type) {
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
 		read_heartbeat(reader, &msg->u.heartbeat);
 		break;
+	case MSG_MEMBER_LIST:
+		read_member_list(reader, &msg->u.member_list);
+		break;
 	case MSG_ASK:
 		read_ask(reader, &msg->u.ask);
 		break;
@@ -447,21 +543,45 @@
 	}
 }
 
+static bool
+read_head(struct reader *reader, const void *bytes, size_t length_bytes,
+    struct msg *msg)
+{
+	memset(reader, 0, sizeof(*reader));
+	memset(msg, 0, sizeof(*msg));
+	reader->bytes = bytes;
+	reader->left_bytes = length_bytes;
+	mpack_tokbuf_init(&reader->tokbuf);
+	if (length_bytes > CODEC_MESSAGE_MAX_BYTES ||
+	    read_uint(reader, UINT32_MAX) != CODEC_VERSION)
+		return false;
+	msg->type = (enum msg_type)read_uint(reader, MSG_TYPE_COUNT - 1);
+	msg->from_node_id = read_uint(reader, UINT64_MAX);
+	msg->from_incarnation = read_uint(reader, UINT64_MAX);
+	return !reader->failed;
+}
+
+bool
+codec_read_sender(const void *bytes, size_t length_bytes,
+    uint64_t *from_node_id)
+{
+	struct reader reader;
+	struct msg msg;
+
+	if (!read_head(&reader, bytes, length_bytes, &msg))
+		return false;
+	*from_node_id = msg.from_node_id;
+	return true;
+}
+
 bool
 codec_decode(const void *bytes, size_t length_bytes, struct msg *msg)
 {
-	struct reader reader = { .bytes = bytes, .left_bytes = length_bytes };
+	struct reader reader;
 
-	memset(msg, 0, sizeof(*msg));
-	mpack_tokbuf_init(&reader.tokbuf);
-	if (length_bytes > CODEC_MESSAGE_MAX_BYTES ||
-	    read_uint(&reader, UINT32_MAX) != CODEC_VERSION)
+	if (!read_head(&reader, bytes, length_bytes, msg))
 		return false;
-	msg->type = (enum msg_type)read_uint(&reader, MSG_TYPE_COUNT - 1);
-	msg->from_node_id = read_uint(&reader, UINT64_MAX);
-	msg->from_incarnation = read_uint(&reader, UINT64_MAX);
-	if (!reader.failed)
-		read_body(&reader, msg);
+	read_body(&reader, msg);
 	if (!reader.failed && reader.left_bytes == 0)
 		return true;
 	codec_release(msg);
@@ -476,6 +596,9 @@
 		g_free((gpointer)msg->u.report.vtimes);
 		msg->u.report.items = NULL;
 		msg->u.report.vtimes = NULL;
+	} else if (msg->type == MSG_MEMBER_LIST) {
+		g_free((gpointer)msg->u.member_list.items);
+		msg->u.member_list.items = NULL;
 	} else if (msg->type == MSG_TABLES_DATA) {
 		g_free((gpointer)msg->u.tables_data.text);
 		msg->u.tables_data.text = NULL;
