Fuzz owners and entries; a daemon that wakes uses no old tables

tests/property: entry daemons and queue owners exchange encoded messages over an in-memory list under a virtual clock. rapidcheck generates work, cancels, endpoint changes, failures, loss, doubling, delay, crossing, crashes, pauses and partitions; an oracle that knows slots, accounts and requests checks: no request starts twice or after its end, none is forgotten, no slot idles beside waiting work for 1.5 s once faults have ended for 3 s, no new work at an endpoint 3 s after it closed, over-admission none without lost daemons and at most three times the slots otherwise, the gap within fair_gap_bound_tokens.

Cause: the paused daemon owned the pool, woke, and granted to its own entry by the tables from before its pause, before it had ticked. Ruled out: table propagation (1 s here) and the entry's endpoint check (it used the same old table). Change: an owner whose ticks were over 1 s apart syncs again before it grants; an entry that was paused takes grants as lost for 1 s.

--- a/core/entry.c
+++ b/core/entry.c
@@ -7,6 +7,8 @@
 
 #define RETRY_AFTER_MIN_MS 500u
 #define RETRY_AFTER_MAX_MS 60000u
+/* After a pause, time to hear of other tables and owners. */
+#define WAKE_SETTLE_MS 1000u
 /* Weight of one request in the moving average of waits: 1/4. */
 #define WAIT_SHIFT 2
 
@@ -378,6 +380,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (entry->ticked_ms != 0 && now_ms > entry->ticked_ms + PAUSE_MIN_MS)
+		entry->waking_until_ms = now_ms + WAKE_SETTLE_MS;
+	entry->ticked_ms = now_ms;
 	g_hash_table_iter_init(&iter, entry->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		entry_withdraw_due(entry, value, now_ms, REFUSE_DEADLINE,
--- a/core/entry_fleet.c
+++ b/core/entry_fleet.c
@@ -108,6 +108,15 @@
 	return true;
 }
 
+/* Whether the daemon was paused and may not have heard yet what changed. */
+static bool
+is_waking(const struct entry *entry, uint64_t now_ms)
+{
+	return entry->ticked_ms != 0 &&
+	    (now_ms > entry->ticked_ms + PAUSE_MIN_MS ||
+		now_ms < entry->waking_until_ms);
+}
+
 static bool
 endpoint_takes_work(const struct entry *entry, uint64_t pool_id,
     uint64_t endpoint_id)
@@ -150,6 +159,9 @@
 		entry_report_in_full(pool, now_ms);
 		return;
 	}
+	/* as if the grant were lost: the owner sends it again */
+	if (is_waking(entry, now_ms))
+		return;
 	if (!endpoint_takes_work(entry, pool->pool_id, grant->endpoint_id)) {
 		entry->unused_grants_count++;
 		send_cancel(pool, msg->from_node_id, grant->seq,
@@ -253,7 +265,7 @@
 
 	if (is_silent)
 		pool->fallback = true;
-	if (pool->fallback)
+	if (pool->fallback && !is_waking(entry, now_ms))
 		fallback_start(entry, pool, now_ms, effects);
 	if (pool->owner_id == 0 || now_ms < pool->report_due_ms)
 		return;
--- a/core/owner.c
+++ b/core/owner.c
@@ -104,6 +104,14 @@
 		    REFUSE_NO_ENDPOINT, effects);
 }
 
+/* An owner that wakes syncs at its next tick, before it grants anything. */
+static bool
+owner_was_paused(const struct owner *owner, uint64_t now_ms)
+{
+	return owner->ticked_ms != 0 &&
+	    now_ms > owner->ticked_ms + PAUSE_MIN_MS;
+}
+
 static void
 owner_dispatch(struct owner *owner, uint64_t now_ms, struct effects *effects)
 {
@@ -111,7 +119,8 @@
 	struct owner_request *request;
 	struct fair_waiter *waiter;
 
-	if (owner->syncing || owner->resync_due_ms != 0)
+	if (owner->syncing || owner->resync_due_ms != 0 ||
+	    owner_was_paused(owner, now_ms))
 		return;
 	if (!owner_endpoints_usable(owner)) {
 		owner_refuse_waiting(owner, effects);
@@ -308,8 +317,10 @@
 void
 owner_tick(struct owner *owner, uint64_t now_ms, struct effects *effects)
 {
-	if (owner->resync_due_ms != 0 && now_ms >= owner->resync_due_ms)
+	if (owner_was_paused(owner, now_ms) ||
+	    (owner->resync_due_ms != 0 && now_ms >= owner->resync_due_ms))
 		owner_resync(owner, now_ms, effects);
+	owner->ticked_ms = now_ms;
 	if (owner->syncing && now_ms >= owner->sync_deadline_ms)
 		owner_sync_end(owner);
 	if (!owner->syncing &&
--- a/include/core/entry.h
+++ b/include/core/entry.h
@@ -77,6 +77,8 @@
 	uint64_t *live_node_ids;
 	size_t live_count;
 	GHashTable *accounts; /**< account_id to its waiting count here */
+	uint64_t ticked_ms; /**< last tick, 0 before the first */
+	uint64_t waking_until_ms; /**< starts nothing until then */
 	bool draining;
 	uint64_t stale_grants_count;
 	uint64_t refused_count;
--- a/include/core/limits.h
+++ b/include/core/limits.h
@@ -13,6 +13,9 @@
 /** Requests that a daemon holds for all pools. */
 #define REPORT_ITEMS_MAX_COUNT 4096u
 
+/** A daemon whose ticks are so far apart was paused. */
+#define PAUSE_MIN_MS 1000u
+
 /** Scale of virtual time: thousandths of a token per unit of weight. */
 #define VTIME_SCALE 1000
 
--- a/include/core/owner.h
+++ b/include/core/owner.h
@@ -55,6 +55,7 @@
 	uint64_t sync_deadline_ms;
 	uint64_t resync_due_ms; /**< 0: no newer owner was heard of */
 	uint32_t resync_wait_ms;
+	uint64_t ticked_ms; /**< last tick, 0 before the first */
 	uint64_t report_mark;
 	struct fair_queue queue;
 	GHashTable *nodes; /**< node_id to struct owner_node */
--- /dev/null
+++ b/tests/property/share_world.cc
@@ -0,0 +1,700 @@
+#include "share_world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+
+namespace
+{
+
+constexpr uint64_t POOL = 21, STEP_MS = 10, TICK_MS = 50;
+constexpr uint64_t VIEW_LAG_MIN_MS = 100, VIEW_LAG_MAX_MS = 800;
+// Stated times: a slot idles beside waiting work, and a leaving endpoint gets
+// new work.
+constexpr uint64_t IDLE_MAX_MS = 1500, LEAVING_MAX_MS = 3000;
+constexpr uint64_t SETTLE_MS = 3000;
+
+uint64_t
+node_id(uint32_t index)
+{
+	return 1000 + index;
+}
+
+uint64_t
+account_id(uint32_t index)
+{
+	return 31 + index;
+}
+
+uint64_t
+endpoint_id(uint32_t index)
+{
+	return 41 + index;
+}
+
+} // namespace
+
+World::World(const WorldConfig &config) : config(config), rng(config.seed)
+{
+	served.assign(config.account_count, 0);
+	for (uint32_t i = 0; i < config.account_count; i++)
+		weights.push_back(i % 2 + 1);
+	endpoint_rows.assign(config.endpoint_count, { true, false });
+	endpoint_closed_ms.assign(config.endpoint_count, 0);
+	ejected_until_ms.assign(config.endpoint_count, 0);
+	failures.assign(config.endpoint_count, 0);
+	pairs.resize(config.account_count * config.account_count);
+	last_fault_ms = now_ms;
+	for (uint32_t i = 0; i < config.node_count; i++) {
+		nodes.push_back(std::make_unique<Node>());
+		boot(i);
+	}
+	for (uint32_t i = 0; i < config.node_count; i++)
+		take_view(i);
+	advance(SETTLE_MS);
+}
+
+World::~World()
+{
+	for (uint32_t i = 0; i < nodes.size(); i++)
+		if (nodes[i]->alive)
+			halt(i);
+}
+
+void
+World::violate(const std::string &text)
+{
+	if (fault.empty())
+		fault = text + " at " + std::to_string(now_ms) + " ms";
+}
+
+void
+World::boot(uint32_t index)
+{
+	Node &node = *nodes[index];
+	entry_config entry_settings = {};
+
+	node.incarnation = next_incarnation++;
+	entry_settings.node_id = node_id(index);
+	entry_settings.seq_first = node.incarnation << 20;
+	entry_settings.ops = config.policy;
+	entry_settings.fair = config.fair;
+	entry_settings.report_period_ms = 500;
+	entry_settings.fallback_after_ms = 1500;
+	entry_init(&node.entry, &entry_settings);
+	effects_init(&node.effects);
+	node.alive = true;
+	node.paused_until = 0;
+	node.tick_due = now_ms + random(TICK_MS);
+	take_tables(index);
+	take_view(index);
+}
+
+void
+World::halt(uint32_t index)
+{
+	Node &node = *nodes[index];
+
+	if (node.owner) {
+		owner_finish(node.owner.get());
+		node.owner.reset();
+	}
+	entry_finish(&node.entry);
+	effects_finish(&node.effects);
+	node.alive = false;
+}
+
+bool
+World::reachable(uint32_t a, uint32_t b) const
+{
+	return nodes[a]->alive && nodes[b]->alive &&
+	    nodes[a]->group == nodes[b]->group;
+}
+
+void
+World::views_changed()
+{
+	for (auto &node : nodes)
+		node->view_due = now_ms + VIEW_LAG_MIN_MS +
+		    random(VIEW_LAG_MAX_MS - VIEW_LAG_MIN_MS);
+}
+
+void
+World::take_view(uint32_t index)
+{
+	Node &node = *nodes[index];
+	std::vector<uint64_t> before = node.view;
+
+	node.view.clear();
+	for (uint32_t i = 0; i < nodes.size(); i++)
+		if (i == index ||
+		    (reachable(index, i) && nodes[i]->paused_until <= now_ms))
+			node.view.push_back(node_id(i));
+	entry_set_view(&node.entry, node.view.data(), node.view.size(), now_ms,
+	    &node.effects);
+	update_owner(node);
+	for (uint64_t id : before)
+		if (node.owner &&
+		    std::find(node.view.begin(), node.view.end(), id) ==
+			node.view.end())
+			owner_node_down(node.owner.get(), id, now_ms,
+			    &node.effects);
+	run_effects(index);
+}
+
+void
+World::update_owner(Node &node)
+{
+	bool ours = entry_owner_of(&node.entry, POOL) ==
+	    node.entry.config.node_id;
+
+	if (!ours && node.owner) {
+		owner_finish(node.owner.get());
+		node.owner.reset();
+	}
+	if (ours && !node.owner && config.policy == &entry_fleet) {
+		owner_config settings = {};
+		settings.node_id = node.entry.config.node_id;
+		settings.pool_id = POOL;
+		settings.fair = config.fair;
+		settings.sync_timeout_ms = 800;
+		settings.grant_settle_ms = 400;
+		settings.report_period_ms = 500;
+		node.owner = std::make_unique<struct owner>();
+		// epochs of equal height are frequent here on purpose
+		owner_init(node.owner.get(), &settings,
+		    std::max(now_ms / 2000,
+			entry_epoch_seen(&node.entry, POOL) + 1),
+		    now_ms, node.view.data(), node.view.size(), &node.effects);
+		owner_changes++;
+	}
+	if (node.owner)
+		owner_set_tables(node.owner.get(), &node.tables, now_ms,
+		    &node.effects);
+}
+
+void
+World::take_tables(uint32_t index)
+{
+	Node &node = *nodes[index];
+
+	node.tables_due = 0;
+	node.endpoints.clear();
+	for (uint32_t i = 0; i < config.endpoint_count; i++) {
+		struct endpoint endpoint = {};
+		endpoint.endpoint_id = endpoint_id(i);
+		endpoint.leaving = endpoint_rows[i].second;
+		if (endpoint_rows[i].first)
+			node.endpoints.push_back(endpoint);
+	}
+	node.row = {};
+	node.row.pool_id = POOL;
+	node.row.slots_per_endpoint = config.slots;
+	node.row.extra_slots_per_endpoint = config.extra_slots;
+	node.row.estimate_tokens = config.max_tokens / 3;
+	node.row.request_max_tokens = config.max_tokens;
+	node.row.endpoints = node.endpoints.data();
+	node.row.endpoint_count = (uint32_t)node.endpoints.size();
+	node.routes.assign(config.account_count, {});
+	for (uint32_t i = 0; i < config.account_count; i++) {
+		node.routes[i].account_id = account_id(i);
+		node.routes[i].pool_id = POOL;
+		node.routes[i].weight = weights[i];
+		node.routes[i].waiting_max_count = config.waiting_max;
+	}
+	node.tables = {};
+	node.tables.pools = &node.row;
+	node.tables.pool_count = 1;
+	node.tables.routes = node.routes.data();
+	node.tables.route_count = config.account_count;
+	entry_set_tables(&node.entry, &node.tables, now_ms, &node.effects);
+	if (!node.view.empty())
+		update_owner(node);
+	run_effects(index);
+}
+
+void
+World::send(uint32_t from, uint64_t to, msg &message)
+{
+	GByteArray *encoded = g_byte_array_new();
+	Packet packet = { 0, to, node_id(from), {} };
+	uint32_t copies = 1;
+
+	codec_encode(&message, encoded);
+	packet.bytes.assign(encoded->data, encoded->data + encoded->len);
+	g_byte_array_free(encoded, TRUE);
+	messages++;
+	bytes += packet.bytes.size();
+	if (random(100) < drop_pct)
+		copies = 0;
+	else if (random(100) < double_pct)
+		copies = 2;
+	for (uint32_t i = 0; i < copies; i++) {
+		packet.due_ms = now_ms + 1 + random(delay_max_ms);
+		packets.push_back(packet);
+	}
+}
+
+void
+World::dispatch(Node &node, const msg &message)
+{
+	switch (message.type) {
+	case MSG_SYNC:
+	case MSG_GRANT:
+	case MSG_REFUSE:
+		entry_handle(&node.entry, &message, now_ms, &node.effects);
+		break;
+	default:
+		if (node.owner)
+			owner_handle(node.owner.get(), &message, now_ms,
+			    &node.effects);
+		break;
+	}
+}
+
+void
+World::run_effects(uint32_t index)
+{
+	Node &node = *nodes[index];
+
+	for (size_t i = 0; i < node.effects.count; i++) {
+		struct effect effect = node.effects.items[i];
+
+		if (effect.type == EFFECT_START)
+			on_start(index, effect);
+		else if (effect.type == EFFECT_REFUSE)
+			on_refuse(index, effect);
+		if (effect.type != EFFECT_SEND)
+			continue;
+		effect.msg.from_node_id = node_id(index);
+		effect.msg.from_incarnation = node.incarnation;
+		if (effect.to_node_id == node_id(index))
+			dispatch(node, effect.msg);
+		else
+			send(index, effect.to_node_id, effect.msg);
+	}
+	effects_clear(&node.effects);
+}
+
+void
+World::deliver()
+{
+	std::vector<Packet> due;
+
+	for (size_t i = 0; i < packets.size();) {
+		uint32_t to = (uint32_t)(packets[i].to - node_id(0));
+		if (packets[i].due_ms > now_ms ||
+		    nodes[to]->paused_until > now_ms) {
+			i++;
+			continue;
+		}
+		due.push_back(std::move(packets[i]));
+		packets[i] = std::move(packets.back());
+		packets.pop_back();
+	}
+	for (const Packet &packet : due) {
+		uint32_t to = (uint32_t)(packet.to - node_id(0));
+		uint32_t from = (uint32_t)(packet.from - node_id(0));
+		msg message;
+
+		if (!nodes[to]->alive || nodes[to]->group != nodes[from]->group)
+			continue;
+		if (!codec_decode(packet.bytes.data(), packet.bytes.size(),
+			&message)) {
+			violate("a message could not be decoded");
+			continue;
+		}
+		dispatch(*nodes[to], message);
+		run_effects(to);
+		codec_release(&message);
+	}
+}
+
+Request *
+World::find(uint32_t node, uint64_t seq)
+{
+	auto found = index.find({ node, seq });
+
+	return found == index.end() ? nullptr : &requests[found->second];
+}
+
+void
+World::on_start(uint32_t index, const effect &effect)
+{
+	Request *request = find(index, effect.seq);
+	uint32_t endpoint = (uint32_t)(effect.endpoint_id - endpoint_id(0));
+
+	if (request == nullptr || request->state != WAITING) {
+		violate("a request was granted twice or after its end");
+		return;
+	}
+	if (endpoint >= config.endpoint_count) {
+		violate("a grant names no endpoint");
+		return;
+	}
+	if (endpoint_closed_ms[endpoint] != 0 &&
+	    now_ms > endpoint_closed_ms[endpoint] + LEAVING_MAX_MS)
+		violate("a leaving endpoint got new work");
+	request->state = RUNNING;
+	request->endpoint_id = effect.endpoint_id;
+	request->started_ms = now_ms;
+	start_order.push_back(request->account);
+	started++;
+}
+
+void
+World::on_refuse(uint32_t index, const effect &effect)
+{
+	Request *request = find(index, effect.seq);
+
+	if (request == nullptr || request->state != WAITING) {
+		violate("a request was refused twice or after its start");
+		return;
+	}
+	request->state = REFUSED;
+	refused++;
+}
+
+void
+World::submit(uint32_t node_index, uint32_t account, uint32_t tokens)
+{
+	Node &node = *nodes[node_index];
+	struct entry_submit wish = {};
+	Request request = { node_index, account, 0, 0, now_ms, 0, tokens, 0,
+		WAITING };
+
+	if (!node.alive || node.paused_until > now_ms)
+		return;
+	wish.pool_id = POOL;
+	wish.account_id = account_id(account);
+	wish.prefix_hash = 1 + tokens % 7;
+	wish.deadline_ms = UINT64_MAX;
+	wish.estimate_tokens = config.max_tokens / 3;
+	wish.waiting_max_count = config.waiting_max;
+	request.seq = ::entry_submit(&node.entry, &wish, now_ms, &node.effects);
+	index[{ node_index, request.seq }] = requests.size();
+	live.push_back(requests.size());
+	requests.push_back(request);
+	run_effects(node_index);
+}
+
+void
+World::cancel(uint32_t pick)
+{
+	if (live.empty())
+		return;
+	Request &request = requests[live[pick % live.size()]];
+	Node &node = *nodes[request.node];
+
+	if (request.state != WAITING || node.paused_until > now_ms)
+		return;
+	request.state = ENDED;
+	entry_cancel(&node.entry, request.seq, &node.effects);
+	run_effects(request.node);
+}
+
+// The endpoint may be ejected for some time, longer after each failure.
+void
+World::note_failure(uint64_t id)
+{
+	uint32_t i = (uint32_t)(id - endpoint_id(0));
+
+	failures[i] = std::min(failures[i] + 1, 5u);
+	ejected_until_ms[i] = now_ms + (1000u << failures[i]) + SETTLE_MS;
+}
+
+// Every running request gets a token at each step.
+void
+World::run_engines()
+{
+	for (size_t i = 0; i < live.size();) {
+		Request &request = requests[live[i]];
+		Node &node = *nodes[request.node];
+
+		if (request.state == RUNNING) {
+			if (request.tokens < request.wanted_tokens) {
+				request.tokens++;
+				served[request.account]++;
+			}
+			if (node.paused_until <= now_ms)
+				entry_progress(&node.entry, request.seq,
+				    request.tokens);
+			if (request.tokens == request.wanted_tokens &&
+			    node.paused_until <= now_ms) {
+				enum done_outcome outcome = DONE_WHOLE;
+				if (failures_left > 0) {
+					failures_left--;
+					outcome = random(2) == 0 ? DONE_FAILED
+								 : DONE_REFUSED;
+					note_failure(request.endpoint_id);
+				}
+				request.state = ENDED;
+				entry_done(&node.entry, request.seq,
+				    request.tokens, outcome, &node.effects);
+				run_effects(request.node);
+			}
+		}
+		if (requests[live[i]].state > RUNNING) {
+			live[i] = live.back();
+			live.pop_back();
+		} else
+			i++;
+	}
+}
+
+void
+World::tick(uint32_t index)
+{
+	Node &node = *nodes[index];
+
+	if (!node.alive || node.paused_until > now_ms)
+		return;
+	if (node.tables_due != 0 && now_ms >= node.tables_due)
+		take_tables(index);
+	if (node.view_due != 0 && now_ms >= node.view_due) {
+		node.view_due = 0;
+		take_view(index);
+	}
+	if (now_ms < node.tick_due)
+		return;
+	node.tick_due = now_ms + TICK_MS;
+	entry_tick(&node.entry, now_ms, &node.effects);
+	if (node.owner)
+		owner_tick(node.owner.get(), now_ms, &node.effects);
+	run_effects(index);
+}
+
+// Keeps work waiting for each account; account 0 enters at one node.
+void
+World::refill()
+{
+	for (uint32_t i = 0; i < config.account_count; i++)
+		if (waiting_count(i) < refill_to)
+			submit(i == 0 ? 0 : random(config.node_count), i,
+			    1 + random(config.max_tokens));
+}
+
+void
+World::advance(uint64_t ms)
+{
+	for (uint64_t end_ms = now_ms + ms; now_ms < end_ms;) {
+		now_ms += STEP_MS;
+		for (auto &node : nodes)
+			if (node->paused_until != 0 &&
+			    node->paused_until <= now_ms) {
+				node->paused_until = 0;
+				last_fault_ms = now_ms;
+				views_changed();
+			}
+		if (healed_at_ms != 0 && now_ms >= healed_at_ms)
+			partition(0, 0);
+		refill();
+		deliver();
+		for (uint32_t i = 0; i < nodes.size(); i++)
+			tick(i);
+		run_engines();
+		check();
+	}
+}
+
+void
+World::set_noise(uint32_t drop, uint32_t doubled, uint32_t delay_ms)
+{
+	drop_pct = drop;
+	double_pct = doubled;
+	delay_max_ms = std::max(2u, delay_ms);
+	last_fault_ms = now_ms;
+}
+
+void
+World::crash(uint32_t node_index)
+{
+	if (!nodes[node_index]->alive)
+		return;
+	for (size_t i : live)
+		if (requests[i].node == node_index &&
+		    requests[i].state <= RUNNING)
+			requests[i].state = LOST;
+	halt(node_index);
+	boot(node_index);
+	last_fault_ms = now_ms;
+	views_changed();
+}
+
+void
+World::pause(uint32_t node, uint64_t ms)
+{
+	nodes[node]->paused_until = now_ms + ms;
+	last_fault_ms = now_ms + ms;
+	views_changed();
+}
+
+void
+World::partition(uint32_t mask, uint64_t ms)
+{
+	for (uint32_t i = 0; i < nodes.size(); i++)
+		nodes[i]->group = (mask >> i) & 1;
+	healed_at_ms = mask == 0 ? 0 : now_ms + ms;
+	last_fault_ms = now_ms + ms;
+	views_changed();
+}
+
+void
+World::set_endpoint(uint32_t i, bool listed, bool leaving)
+{
+	bool closed = !listed || leaving;
+
+	endpoint_rows[i] = { listed, leaving };
+	if (!closed)
+		endpoint_closed_ms[i] = 0;
+	else if (endpoint_closed_ms[i] == 0)
+		endpoint_closed_ms[i] = now_ms;
+	for (auto &node : nodes)
+		node->tables_due = now_ms + 1 + random(1000);
+	last_fault_ms = now_ms + 1000;
+}
+
+void
+World::calm()
+{
+	set_noise(0, 0, 2);
+	failures_left = 0;
+	partition(0, 0);
+	for (auto &node : nodes)
+		if (node->paused_until > now_ms)
+			node->paused_until = now_ms;
+	for (uint32_t i = 0; i < config.endpoint_count; i++)
+		set_endpoint(i, true, false);
+}
+
+bool
+World::drains(uint64_t ms)
+{
+	for (uint64_t end_ms = now_ms + ms; now_ms < end_ms && !live.empty();)
+		advance(100);
+	return live.empty();
+}
+
+uint32_t
+World::running_count() const
+{
+	uint32_t count = 0;
+
+	for (size_t i : live)
+		count += requests[i].state == RUNNING;
+	return count;
+}
+
+uint32_t
+World::waiting_count(uint32_t account) const
+{
+	uint32_t count = 0;
+
+	for (size_t i : live)
+		count += requests[i].state == WAITING &&
+		    requests[i].account == account &&
+		    nodes[requests[i].node]->paused_until <= now_ms;
+	return count;
+}
+
+// Slots that nothing runs at, of endpoints in service.
+uint64_t
+World::free_slots() const
+{
+	std::vector<uint32_t> running(config.endpoint_count, 0);
+	uint64_t free = 0;
+
+	for (size_t i : live)
+		if (requests[i].state == RUNNING)
+			running[requests[i].endpoint_id - endpoint_id(0)]++;
+	for (uint32_t i = 0; i < config.endpoint_count; i++)
+		if (endpoint_rows[i].first && !endpoint_rows[i].second &&
+		    now_ms >= ejected_until_ms[i] && running[i] < config.slots)
+			free += config.slots - running[i];
+	return free;
+}
+
+uint64_t
+World::started_in_fallback() const
+{
+	uint64_t count = 0;
+
+	for (const auto &node : nodes)
+		count += node->alive ? node->entry.fallback_count : 0;
+	return count;
+}
+
+// With one owner and no daemon lost, no endpoint runs more than it may.
+void
+World::check_admission()
+{
+	std::vector<uint32_t> running(config.endpoint_count, 0);
+
+	for (size_t i : live)
+		if (requests[i].state == RUNNING &&
+		    ++running[requests[i].endpoint_id - endpoint_id(0)] >
+			config.slots + config.extra_slots)
+			violate("an endpoint runs more than its slots");
+}
+
+uint64_t
+World::max_slots() const
+{
+	return (uint64_t)config.endpoint_count *
+	    (config.slots + config.extra_slots);
+}
+
+void
+World::check()
+{
+	uint64_t running = running_count(), waiting = 0;
+	bool is_calm = drop_pct == 0 && delay_max_ms <= 2 &&
+	    now_ms > last_fault_ms + SETTLE_MS;
+
+	for (uint32_t i = 0; i < config.account_count; i++)
+		waiting += waiting_count(i);
+	if (running > max_slots())
+		over_admission_max = std::max(over_admission_max,
+		    running - max_slots());
+	if (is_strict && started_in_fallback() == 0)
+		check_admission();
+	if (running > 3 * max_slots() + nodes.size())
+		violate("over-admission beyond its bound");
+	if (!is_calm || waiting == 0 || free_slots() == 0)
+		idle_since_ms = now_ms;
+	else if (now_ms > idle_since_ms + IDLE_MAX_MS)
+		violate("a slot idles beside waiting work");
+	check_gap();
+}
+
+// The gap between any two accounts that are backlogged without a break.
+void
+World::check_gap()
+{
+	bool apart = healed_at_ms != 0 || now_ms < last_fault_ms + SETTLE_MS;
+
+	for (uint32_t f = 0; f < config.account_count; f++)
+		for (uint32_t g = f + 1; g < config.account_count; g++) {
+			Pair &pair = pairs[f * config.account_count + g];
+			fair_gap gap = { max_slots(), config.max_tokens,
+				std::min(weights[f], weights[g]),
+				owner_changes - pair.owner_changes };
+			double distance;
+
+			if (apart || waiting_count(f) == 0 ||
+			    waiting_count(g) == 0) {
+				pair.open = false;
+				continue;
+			}
+			if (!pair.open)
+				pair = { true, service(f), service(g),
+					owner_changes };
+			distance = std::fabs(
+			    (service(f) - pair.f) - (service(g) - pair.g));
+			gap_max = std::max(gap_max, (uint64_t)distance);
+			if (config.fair == &fair_vtc &&
+			    config.policy == &entry_fleet &&
+			    distance > (double)fair_gap_bound_tokens(&gap))
+				violate("the gap is beyond its bound");
+		}
+}
--- /dev/null
+++ b/tests/property/share_world.h
@@ -0,0 +1,161 @@
+// Entry daemons and queue owners that exchange encoded messages over an
+// in-memory list under a virtual clock, and an oracle that knows only slots,
+// accounts and requests.
+#ifndef TESTS_PROPERTY_SHARE_WORLD_H
+#define TESTS_PROPERTY_SHARE_WORLD_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+extern "C" {
+#include "common/codec.h"
+#include "core/entry.h"
+#include "core/hash.h"
+#include "core/owner.h"
+}
+
+struct WorldConfig {
+	uint64_t seed = 1;
+	uint32_t node_count = 4;
+	uint32_t account_count = 3;
+	uint32_t endpoint_count = 3;
+	uint32_t slots = 2;
+	uint32_t extra_slots = 0;
+	uint32_t max_tokens = 100;
+	uint32_t waiting_max = 64;
+	const fair_ops *fair = &fair_vtc;
+	const entry_ops *policy = &entry_fleet;
+};
+
+enum RequestState { WAITING, RUNNING, ENDED, REFUSED, LOST };
+
+struct Request {
+	uint32_t node, account;
+	uint64_t seq, endpoint_id, submitted_ms, started_ms, wanted_tokens,
+	    tokens;
+	RequestState state;
+};
+
+class World
+{
+      public:
+	explicit World(const WorldConfig &config);
+	~World();
+	World(const World &) = delete;
+	World &operator=(const World &) = delete;
+
+	void submit(uint32_t node, uint32_t account, uint32_t tokens);
+	void cancel(uint32_t pick);
+	void advance(uint64_t ms);
+	void set_noise(uint32_t drop_pct, uint32_t double_pct,
+	    uint32_t delay_max_ms);
+	void crash(uint32_t node);
+	void pause(uint32_t node, uint64_t ms);
+	void partition(uint32_t mask, uint64_t ms);
+	void set_endpoint(uint32_t index, bool listed, bool leaving);
+	void fail_next(uint32_t count)
+	{
+		failures_left += count;
+	}
+	// Ends all faults.
+	void calm();
+	// No new work: all requests must end. Returns false if some don't.
+	bool drains(uint64_t ms);
+
+	uint32_t running_count() const;
+	uint32_t waiting_count(uint32_t account) const;
+	uint64_t max_slots() const;
+	uint64_t started_in_fallback() const;
+	double service(uint32_t account) const
+	{
+		return (double)served[account] / weights[account];
+	}
+
+	uint32_t refill_to = 0; // waiting requests of each account
+	bool is_strict = false; // no over-admission at all is allowed
+	std::string fault; // first violation, empty if none
+	uint64_t now_ms = 1000000;
+	uint64_t gap_max = 0, over_admission_max = 0, messages = 0, bytes = 0;
+	uint64_t started = 0, refused = 0;
+	std::vector<Request> requests;
+	std::vector<uint64_t> served;
+	std::vector<uint32_t> weights;
+	std::vector<uint64_t> start_order; // accounts in the order of starts
+
+      private:
+	struct Node {
+		struct entry entry;
+		bool alive = false;
+		uint64_t incarnation = 0, paused_until = 0, tick_due = 0,
+			 view_due = 0, tables_due = 0;
+		uint32_t group = 0;
+		std::vector<uint64_t> view;
+		std::unique_ptr<struct owner> owner;
+		struct effects effects;
+		struct tables tables;
+		struct pool row;
+		std::vector<struct endpoint> endpoints;
+		std::vector<struct route> routes;
+	};
+	struct Packet {
+		uint64_t due_ms, to, from;
+		std::vector<uint8_t> bytes;
+	};
+
+	void violate(const std::string &text);
+	void boot(uint32_t index);
+	void halt(uint32_t index);
+	void views_changed();
+	void take_view(uint32_t index);
+	void take_tables(uint32_t index);
+	void update_owner(Node &node);
+	void run_effects(uint32_t index);
+	void dispatch(Node &node, const msg &message);
+	void send(uint32_t from, uint64_t to, msg &message);
+	void deliver();
+	void tick(uint32_t index);
+	void refill();
+	void note_failure(uint64_t id);
+	void run_engines();
+	uint64_t free_slots() const;
+	void check();
+	void check_gap();
+	void check_admission();
+	void on_start(uint32_t index, const effect &effect);
+	void on_refuse(uint32_t index, const effect &effect);
+	Request *find(uint32_t node, uint64_t seq);
+	bool reachable(uint32_t a, uint32_t b) const;
+	uint32_t random(uint32_t below)
+	{
+		return below == 0 ? 0 : (uint32_t)(rng() % below);
+	}
+
+	WorldConfig config;
+	std::mt19937_64 rng;
+	std::vector<std::unique_ptr<Node>> nodes;
+	std::vector<Packet> packets;
+	std::vector<std::pair<bool, bool>> endpoint_rows; // listed, leaving
+	std::vector<uint64_t> endpoint_closed_ms, ejected_until_ms;
+	std::vector<uint32_t> failures;
+	std::map<std::pair<uint32_t, uint64_t>, size_t> index;
+	std::vector<size_t> live; // waiting or running
+	uint32_t drop_pct = 0, double_pct = 0, delay_max_ms = 2;
+	uint32_t failures_left = 0;
+	uint64_t healed_at_ms = 0, last_fault_ms = 0, idle_since_ms = 0,
+		 next_incarnation = 1;
+	bool disturbed = false; // owners or views may differ
+	uint32_t owner_changes = 0;
+	struct Pair {
+		bool open = false;
+		double f = 0, g = 0;
+		uint32_t owner_changes = 0;
+	};
+	std::vector<Pair> pairs;
+};
+
+#endif
