--- a/core/fair.c
+++ b/core/fair.c
@@ -95,7 +95,7 @@
 uint64_t
 fair_gap_bound_tokens(const struct fair_gap *gap)
 {
-	uint64_t held_tokens = gap->slots_count * gap->request_max_tokens;
+	uint64_t held_tokens = (gap->slots_count + 1) * gap->request_max_tokens;
 
 	return (2 + (uint64_t)gap->owner_changes_count) * held_tokens /
 	    gap->weight_min;
--- a/core/fair_queue.c
+++ b/core/fair_queue.c
@@ -121,22 +121,26 @@
 	update_head(queue, waiter->account_index);
 }
 
-struct fair_waiter *
-fair_queue_next(const struct fair_queue *queue)
+static struct fair_waiter *
+head_of(const struct fair_queue *queue, size_t index)
 {
-	size_t index;
-	GQueue *list;
+	const GQueue *list;
 
-	if (queue->waiting_count == 0)
-		return NULL;
-	index = queue->ops->pick(fair_queue_accounts(queue),
-	    queue->accounts->len);
 	if (index == FAIR_NONE)
 		return NULL;
 	list = g_ptr_array_index(queue->lists, index);
 	return (struct fair_waiter *)(void *)list->head;
 }
 
+struct fair_waiter *
+fair_queue_next(const struct fair_queue *queue)
+{
+	if (queue->waiting_count == 0)
+		return NULL;
+	return head_of(queue,
+	    queue->ops->pick(fair_queue_accounts(queue), queue->accounts->len));
+}
+
 uint64_t
 fair_queue_active_weight(const struct fair_queue *queue)
 {
@@ -149,6 +153,44 @@
 	return weight;
 }
 
+static int64_t
+smallest_waiting_vtime(const struct fair_queue *queue)
+{
+	const struct fair_account *accounts = fair_queue_accounts(queue);
+	int64_t vtime = INT64_MAX;
+
+	for (guint i = 0; i < queue->accounts->len; i++)
+		if (accounts[i].waiting_count > 0)
+			vtime = MIN(vtime, accounts[i].vtime);
+	return vtime;
+}
+
+struct fair_waiter *
+fair_queue_next_below_share(const struct fair_queue *queue,
+    uint64_t slots_count, int64_t ahead_max_tokens)
+{
+	guint count = queue->accounts->len;
+	uint64_t weight_sum = fair_queue_active_weight(queue);
+	struct fair_account *eligible;
+	int64_t floor_vtime;
+	size_t index;
+
+	if (queue->waiting_count == 0)
+		return NULL;
+	floor_vtime = smallest_waiting_vtime(queue);
+	eligible = g_memdup2(queue->accounts->data, count * sizeof(*eligible));
+	for (guint i = 0; i < count; i++) {
+		int64_t ahead = fair_vtime_of(&eligible[i], ahead_max_tokens);
+		if (eligible[i].running_count * weight_sum >=
+			slots_count * eligible[i].weight ||
+		    eligible[i].vtime > floor_vtime + ahead)
+			eligible[i].waiting_count = 0;
+	}
+	index = queue->ops->pick(eligible, count);
+	g_free(eligible);
+	return head_of(queue, index);
+}
+
 void
 fair_queue_limit_debt(struct fair_queue *queue, int64_t debt_max_tokens)
 {
--- a/core/owner.c
+++ b/core/owner.c
@@ -113,12 +113,61 @@
 }
 
 static void
-owner_dispatch(struct owner *owner, uint64_t now_ms, struct effects *effects)
+owner_grant(struct owner *owner, struct owner_request *request,
+    const struct owner_endpoint *endpoint, uint64_t now_ms,
+    struct effects *effects)
+{
+	owner_request_place(owner, request, endpoint->endpoint_id, now_ms);
+	owner_request_charge(owner, request, request->estimate_tokens);
+	owner->grants_count++;
+	owner_send_grant(owner, request, effects);
+}
+
+/* Fills the slots in the order of the accounts. */
+static void
+owner_fill_slots(struct owner *owner, uint64_t now_ms, struct effects *effects)
+{
+	const struct owner_endpoint *endpoint;
+	struct fair_waiter *waiter;
+
+	while ((waiter = fair_queue_next(&owner->queue)) != NULL) {
+		endpoint = owner_endpoint_choose(owner, waiter->link.data,
+		    now_ms);
+		if (endpoint == NULL)
+			return;
+		owner_grant(owner, waiter->link.data, endpoint, now_ms,
+		    effects);
+	}
+}
+
+/* Fills extra slots for accounts below their share, so that their short
+ * requests don't wait until a long one ends. */
+static void
+owner_fill_extra_slots(struct owner *owner, uint64_t now_ms,
+    struct effects *effects)
 {
+	uint64_t slots_count = owner_slots_count(owner);
 	const struct owner_endpoint *endpoint;
-	struct owner_request *request;
 	struct fair_waiter *waiter;
 
+	while ((waiter = fair_queue_next(&owner->queue)) != NULL) {
+		if (owner_endpoint_choose_extra(owner, waiter->link.data,
+			now_ms) == NULL)
+			return;
+		waiter = fair_queue_next_below_share(&owner->queue, slots_count,
+		    owner->request_max_tokens);
+		if (waiter == NULL)
+			return;
+		endpoint = owner_endpoint_choose_extra(owner, waiter->link.data,
+		    now_ms);
+		owner_grant(owner, waiter->link.data, endpoint, now_ms,
+		    effects);
+	}
+}
+
+static void
+owner_dispatch(struct owner *owner, uint64_t now_ms, struct effects *effects)
+{
 	if (owner->syncing || owner->resync_due_ms != 0 ||
 	    owner_was_paused(owner, now_ms))
 		return;
@@ -126,17 +175,8 @@
 		owner_refuse_waiting(owner, effects);
 		return;
 	}
-	while ((waiter = fair_queue_next(&owner->queue)) != NULL) {
-		request = waiter->link.data;
-		endpoint = owner_endpoint_choose(owner, request, now_ms);
-		if (endpoint == NULL)
-			return;
-		owner_request_place(owner, request, endpoint->endpoint_id,
-		    now_ms);
-		owner_request_charge(owner, request, request->estimate_tokens);
-		owner->grants_count++;
-		owner_send_grant(owner, request, effects);
-	}
+	owner_fill_slots(owner, now_ms, effects);
+	owner_fill_extra_slots(owner, now_ms, effects);
 }
 
 static void
--- a/core/owner_endpoint.c
+++ b/core/owner_endpoint.c
@@ -92,12 +92,23 @@
 	return best;
 }
 
-/* Whether the request's account runs less than its share of the slots. */
-static bool
-below_share(const struct owner *owner, const struct owner_request *request)
+struct owner_endpoint *
+owner_endpoint_choose(const struct owner *owner,
+    const struct owner_request *request, uint64_t now_ms)
+{
+	return choose_below_limit(owner, request, false, now_ms);
+}
+
+struct owner_endpoint *
+owner_endpoint_choose_extra(const struct owner *owner,
+    const struct owner_request *request, uint64_t now_ms)
+{
+	return choose_below_limit(owner, request, true, now_ms);
+}
+
+uint64_t
+owner_slots_count(const struct owner *owner)
 {
-	const struct fair_account *account = fair_queue_account(&owner->queue,
-	    request->waiter.account_index);
 	uint64_t slots_count = 0;
 
 	for (guint i = 0; i < owner->endpoints->len; i++) {
@@ -106,24 +117,7 @@
 		if (endpoint->listed && !endpoint->leaving)
 			slots_count += endpoint->slots;
 	}
-	return account->running_count *
-	    fair_queue_active_weight(&owner->queue) <
-	    slots_count * account->weight;
-}
-
-struct owner_endpoint *
-owner_endpoint_choose(const struct owner *owner,
-    const struct owner_request *request, uint64_t now_ms)
-{
-	struct owner_endpoint *endpoint = choose_below_limit(owner, request,
-	    false, now_ms);
-
-	if (endpoint != NULL)
-		return endpoint;
-	endpoint = choose_below_limit(owner, request, true, now_ms);
-	if (endpoint != NULL && below_share(owner, request))
-		return endpoint;
-	return NULL;
+	return slots_count;
 }
 
 static void
--- a/include/core/fair_queue.h
+++ b/include/core/fair_queue.h
@@ -60,6 +60,14 @@
 /** @return the waiter that is next in the order, or NULL */
 struct fair_waiter *fair_queue_next(const struct fair_queue *queue);
 
+/**
+ * The same among accounts that run less than their share of slots_count and
+ * are at most ahead_max_tokens, divided by their weight, beyond the smallest
+ * virtual time that waits.
+ */
+struct fair_waiter *fair_queue_next_below_share(const struct fair_queue *queue,
+    uint64_t slots_count, int64_t ahead_max_tokens);
+
 /** Sum of the weights of accounts with waiting or running requests. */
 uint64_t fair_queue_active_weight(const struct fair_queue *queue);
 
--- a/include/core/owner_private.h
+++ b/include/core/owner_private.h
@@ -69,9 +69,14 @@
 /* owner_endpoint.c */
 struct owner_endpoint *owner_endpoint_find(const struct owner *owner,
     uint64_t endpoint_id);
-/** @return where the request may run, or NULL if no slot is free for it */
+/** @return where the request may run, or NULL if no slot is free */
 struct owner_endpoint *owner_endpoint_choose(const struct owner *owner,
     const struct owner_request *request, uint64_t now_ms);
+/** The same, with the extra slots. */
+struct owner_endpoint *owner_endpoint_choose_extra(const struct owner *owner,
+    const struct owner_request *request, uint64_t now_ms);
+/** Slots of endpoints that take new work, without the extra ones. */
+uint64_t owner_slots_count(const struct owner *owner);
 void owner_endpoint_started(struct owner *owner, struct owner_request *request);
 void owner_endpoint_ended(struct owner *owner,
     const struct owner_request *request, enum done_outcome outcome,
