--- a/core/owner.c
+++ b/core/owner.c
@@ -104,30 +104,79 @@
 		    REFUSE_NO_ENDPOINT, effects);
 }
 
+/* An owner that wakes syncs at its next tick, before it grants anything. */
+static bool
+owner_was_paused(const struct owner *owner, uint64_t now_ms)
+{
+	return owner->ticked_ms != 0 &&
+	    now_ms > owner->ticked_ms + PAUSE_MIN_MS;
+}
+
 static void
-owner_dispatch(struct owner *owner, uint64_t now_ms, struct effects *effects)
+owner_grant(struct owner *owner, struct owner_request *request,
+    const struct owner_endpoint *endpoint, uint64_t now_ms,
+    struct effects *effects)
+{
+	owner_request_place(owner, request, endpoint->endpoint_id, now_ms);
+	owner_request_charge(owner, request, request->estimate_tokens);
+	owner->grants_count++;
+	owner_send_grant(owner, request, effects);
+}
+
+/* Fills the slots in the order of the accounts. */
+static void
+owner_fill_slots(struct owner *owner, uint64_t now_ms, struct effects *effects)
 {
 	const struct owner_endpoint *endpoint;
-	struct owner_request *request;
 	struct fair_waiter *waiter;
 
-	if (owner->syncing || owner->resync_due_ms != 0)
-		return;
-	if (!owner_endpoints_usable(owner)) {
-		owner_refuse_waiting(owner, effects);
-		return;
-	}
 	while ((waiter = fair_queue_next(&owner->queue)) != NULL) {
-		request = waiter->link.data;
-		endpoint = owner_endpoint_choose(owner, request, now_ms);
+		endpoint = owner_endpoint_choose(owner, waiter->link.data,
+		    now_ms);
 		if (endpoint == NULL)
 			return;
-		owner_request_place(owner, request, endpoint->endpoint_id,
+		owner_grant(owner, waiter->link.data, endpoint, now_ms,
+		    effects);
+	}
+}
+
+/* Fills extra slots for accounts below their share, so that their short
+ * requests don't wait until a long one ends. */
+static void
+owner_fill_extra_slots(struct owner *owner, uint64_t now_ms,
+    struct effects *effects)
+{
+	uint64_t slots_count = owner_slots_count(owner);
+	const struct owner_endpoint *endpoint;
+	struct fair_waiter *waiter;
+
+	while ((waiter = fair_queue_next(&owner->queue)) != NULL) {
+		if (owner_endpoint_choose_extra(owner, waiter->link.data,
+			now_ms) == NULL)
+			return;
+		waiter = fair_queue_next_below_share(&owner->queue, slots_count,
+		    owner->request_max_tokens);
+		if (waiter == NULL)
+			return;
+		endpoint = owner_endpoint_choose_extra(owner, waiter->link.data,
 		    now_ms);
-		owner_request_charge(owner, request, request->estimate_tokens);
-		owner->grants_count++;
-		owner_send_grant(owner, request, effects);
+		owner_grant(owner, waiter->link.data, endpoint, now_ms,
+		    effects);
+	}
+}
+
+static void
+owner_dispatch(struct owner *owner, uint64_t now_ms, struct effects *effects)
+{
+	if (owner->syncing || owner->resync_due_ms != 0 ||
+	    owner_was_paused(owner, now_ms))
+		return;
+	if (!owner_endpoints_usable(owner)) {
+		owner_refuse_waiting(owner, effects);
+		return;
 	}
+	owner_fill_slots(owner, now_ms, effects);
+	owner_fill_extra_slots(owner, now_ms, effects);
 }
 
 static void
@@ -203,7 +252,7 @@
 		owner_request_remove(owner, request);
 	} else if (cancel->endpoint_id == request->endpoint_id) {
 		owner_request_requeue(owner, request);
-		owner_endpoint_eject(owner, cancel->endpoint_id, now_ms);
+		owner_endpoint_hold(owner, cancel->endpoint_id, now_ms);
 	}
 }
 
@@ -308,8 +357,10 @@
 void
 owner_tick(struct owner *owner, uint64_t now_ms, struct effects *effects)
 {
-	if (owner->resync_due_ms != 0 && now_ms >= owner->resync_due_ms)
+	if (owner_was_paused(owner, now_ms) ||
+	    (owner->resync_due_ms != 0 && now_ms >= owner->resync_due_ms))
 		owner_resync(owner, now_ms, effects);
+	owner->ticked_ms = now_ms;
 	if (owner->syncing && now_ms >= owner->sync_deadline_ms)
 		owner_sync_end(owner);
 	if (!owner->syncing &&
