Spread the tables between daemons; let few watch the platform

Cause: every daemon watched both tables, so the platform's calls grew with the fleet, and a daemon that restarted empty in an outage stayed without tables.

A newer version in force is told to four random members at once and goes with every membership message; whoever lacks it pulls it. Only versions in force are offered. The first of each failure domain by rendezvous hashing, two at least, watch; the rest read with a jittered period that grows with the fleet (at most five reads of a table a second). Daemons that lose the platform tell so and others take the watch over. A daemon that saw a newer invalid version takes an older good one from a peer, and an invalid table no longer holds up the other one.

--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -270,6 +270,41 @@
 		owner_handle(owner, msg, now_ms, &control->effects);
 }
 
+static void
+handle_membership(struct control *control, const struct msg *msg,
+    uint64_t now_ms)
+{
+	const struct msg_heartbeat *heartbeat = &msg->u.heartbeat;
+
+	if (!members_handle(&control->members, msg, now_ms, &control->effects))
+		metric_add(METRIC_PEER_MALFORMED, 1);
+	else if (msg->type != MSG_MEMBER_LIST)
+		tablesync_learn(&control->tablesync, msg->from_node_id,
+		    heartbeat->routes_version, heartbeat->pools_version, now_ms,
+		    &control->effects);
+}
+
+static void
+handle_tables(struct control *control, const struct msg *msg, uint64_t now_ms)
+{
+	const struct msg_tables_data *data = &msg->u.tables_data;
+	struct tablesync_texts texts = {
+		{ control->snapshot->texts[TABLE_ROUTES],
+		    control->snapshot->texts[TABLE_POOLS] }
+	};
+
+	if (msg->type == MSG_TABLES_NEWS)
+		tablesync_learn(&control->tablesync, msg->from_node_id,
+		    msg->u.tables.routes_version, msg->u.tables.pools_version,
+		    now_ms, &control->effects);
+	else if (msg->type == MSG_TABLES_PULL)
+		tablesync_answer(&control->tablesync, msg, &texts,
+		    &control->effects);
+	else
+		tablestore_offer(control->store, (enum table_kind)data->kind,
+		    data->version, data->text);
+}
+
 static bool
 is_membership(enum msg_type type)
 {
@@ -289,9 +324,12 @@
 	case MSG_GOSSIP:
 	case MSG_JOIN:
 	case MSG_MEMBER_LIST:
-		if (!members_handle(&control->members, msg, now_ms,
-			&control->effects))
-			metric_add(METRIC_PEER_MALFORMED, 1);
+		handle_membership(control, msg, now_ms);
+		break;
+	case MSG_TABLES_NEWS:
+	case MSG_TABLES_PULL:
+	case MSG_TABLES_DATA:
+		handle_tables(control, msg, now_ms);
 		break;
 	case MSG_ASK:
 		dispatch_to_owner(control, msg->u.ask.pool_id, msg, now_ms);
@@ -362,6 +400,23 @@
 	    (uint64_t)cpu.tv_sec * 1000000 + (uint64_t)cpu.tv_nsec / 1000);
 }
 
+/* Watches the tables, or leaves it to other daemons. */
+static void
+update_watchers(struct control *control)
+{
+	uint32_t period_ms = 0, lost = 0;
+
+	if (!members_is_watcher(&control->members))
+		period_ms =
+		    tablesync_poll_period_ms(control->members.peers->len + 1,
+			control->settings->watch_wait_ms);
+	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++) {
+		watcher_set_period(&control->watchers[kind], period_ms);
+		lost |= atomic_load(&control->watchers[kind].platform_lost);
+	}
+	members_set_platform_lost(&control->members, lost != 0);
+}
+
 static void
 tick(struct control *control)
 {
@@ -372,6 +427,7 @@
 	members_tick(&control->members, now_ms, &control->effects);
 	if (control->members.changed)
 		update_view(control, now_ms);
+	update_watchers(control);
 	read_progress(control);
 	entry_tick(&control->entry, now_ms, &control->effects);
 	g_hash_table_iter_init(&iter, control->owners);
@@ -427,12 +483,16 @@
 {
 	uint64_t now_ms = clk_monotonic_ms(&control->clk);
 	struct snapshot *old = control->snapshot;
+	uint64_t versions[TABLE_KIND_COUNT];
 
 	(void)command;
 	control->snapshot = tablestore_ref(control->store);
-	members_set_versions(&control->members,
-	    control->snapshot->tables.routes_version,
-	    control->snapshot->tables.pools_version);
+	versions[TABLE_ROUTES] = control->snapshot->tables.routes_version;
+	versions[TABLE_POOLS] = control->snapshot->tables.pools_version;
+	members_set_versions(&control->members, versions[TABLE_ROUTES],
+	    versions[TABLE_POOLS]);
+	tablesync_set_held(&control->tablesync, versions, &control->members,
+	    &control->effects);
 	entry_set_tables(&control->entry, &control->snapshot->tables, now_ms,
 	    &control->effects);
 	update_owners(control, now_ms);
@@ -467,6 +527,7 @@
 	g_strlcpy(members_config.self.domain, settings->failure_domain,
 	    NAME_MAX_BYTES);
 	members_init(&control->members, &members_config);
+	tablesync_init(&control->tablesync);
 	for (uint32_t i = 0; i < settings->peer_seeds.count; i++)
 		members_add_seed(&control->members,
 		    settings->peer_seeds.items[i]);
@@ -506,8 +567,9 @@
 }
 
 void
-control_start(struct control *control)
+control_start(struct control *control, struct watcher *watchers)
 {
+	control->watchers = watchers;
 	pthread_create(&control->thread, NULL, control_main, control);
 }
 
@@ -529,6 +591,11 @@
 void
 control_finish(struct control *control)
 {
+	struct command *command;
+
+	/* posted after the thread ended */
+	while ((command = mailbox_pop(control)) != NULL)
+		g_free(command);
 	control->peer.ops->finish(&control->peer);
 	g_hash_table_destroy(control->owners);
 	g_hash_table_destroy(control->tickets);
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -72,11 +72,11 @@
 		return FALSE;
 	daemon->store.on_change = control_tables_changed;
 	daemon->store.on_change_context = &daemon->control;
-	control_start(&daemon->control);
 	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++)
 		watcher_init(&daemon->watchers[kind], &daemon->platform,
 		    &daemon->store, (enum table_kind)kind,
 		    settings->watch_wait_ms);
+	control_start(&daemon->control, daemon->watchers);
 	return front_init(&daemon->front, settings, &daemon->control,
 		   &daemon->store, error) &&
 	    admin_init(&daemon->admin, settings, &daemon->control,
@@ -108,9 +108,9 @@
 	platform_stop(&daemon->platform);
 	front_finish(&daemon->front);
 	admin_finish(&daemon->admin);
+	control_stop(&daemon->control);
 	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++)
 		watcher_finish(&daemon->watchers[kind]);
-	control_stop(&daemon->control);
 	control_finish(&daemon->control);
 	hook_finish(&daemon->hook);
 	platform_finish(&daemon->platform);
--- a/bamboorudderd/tablestore.c
+++ b/bamboorudderd/tablestore.c
@@ -20,7 +20,7 @@
 {
 	struct snapshot *snapshot = g_new0(struct snapshot, 1);
 
-	atomic_init(&snapshot->reference_count, 1);
+	snapshot->reference_count = 1;
 	return snapshot;
 }
 
@@ -46,14 +46,14 @@
 struct snapshot *
 snapshot_ref(struct snapshot *snapshot)
 {
-	atomic_fetch_add(&snapshot->reference_count, 1);
+	g_atomic_int_inc(&snapshot->reference_count);
 	return snapshot;
 }
 
 void
 snapshot_unref(struct snapshot *snapshot)
 {
-	if (atomic_fetch_sub(&snapshot->reference_count, 1) != 1)
+	if (!g_atomic_int_dec_and_test(&snapshot->reference_count))
 		return;
 	tables_finish(&snapshot->tables);
 	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++)
@@ -84,50 +84,105 @@
 	}
 }
 
-/* Called with the mutex held. */
+/* Called with the mutex held. @return the version in force */
+static uint64_t
+version_in_force(const struct tablestore *store, enum table_kind kind)
+{
+	const struct tables *tables = &store->in_force->tables;
+
+	return kind == TABLE_ROUTES ? tables->routes_version
+				    : tables->pools_version;
+}
+
+/* A text of one table at a version. */
+struct candidate {
+	const char *text;
+	uint64_t version;
+};
+
+/*
+ * Puts a pair of tables in force if it is valid. Called with the mutex held.
+ * @param findings receives what is wrong with it
+ */
 static bool
-adopt_newest(struct tablestore *store)
+adopt_pair(struct tablestore *store, const struct candidate *routes,
+    const struct candidate *pools, struct findings *findings)
 {
-	struct findings *findings = g_new(struct findings, 1);
 	struct snapshot *next = snapshot_new();
 	bool valid;
 
 	findings_init(findings);
-	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++)
-		next->texts[kind] = g_strdup(store->texts[kind] == NULL
-			? EMPTY_TABLE
-			: store->texts[kind]);
-	valid = table_json_read(next->texts[TABLE_ROUTES],
-	    next->texts[TABLE_POOLS], &next->tables, findings);
-	next->tables.routes_version = store->versions[TABLE_ROUTES];
-	next->tables.pools_version = store->versions[TABLE_POOLS];
-	if (valid) {
-		snapshot_unref(store->in_force);
-		store->in_force = next;
-		metric_add(METRIC_TABLES_ADOPTED, 1);
-	} else {
-		log_findings(findings);
+	next->texts[TABLE_ROUTES] = g_strdup(routes->text);
+	next->texts[TABLE_POOLS] = g_strdup(pools->text);
+	valid = table_json_read(routes->text, pools->text, &next->tables,
+	    findings);
+	next->tables.routes_version = routes->version;
+	next->tables.pools_version = pools->version;
+	if (!valid) {
 		snapshot_unref(next);
-		metric_add(METRIC_TABLES_INVALID, 1);
+		return false;
 	}
-	g_free(findings);
-	return valid;
+	snapshot_unref(store->in_force);
+	store->in_force = next;
+	metric_add(METRIC_TABLES_ADOPTED, 1);
+	return true;
+}
+
+static bool
+adopt_with(struct tablestore *store, enum table_kind kind,
+    const struct candidate *offered, const struct candidate *other,
+    struct findings *findings)
+{
+	return kind == TABLE_ROUTES
+	    ? adopt_pair(store, offered, other, findings)
+	    : adopt_pair(store, other, offered, findings);
+}
+
+/* Tries the offered table with the newest other one, then with the one in
+ * force. Called with the mutex held. */
+static bool
+adopt(struct tablestore *store, enum table_kind kind,
+    const struct candidate *offered, struct findings *findings)
+{
+	enum table_kind other_kind = kind == TABLE_ROUTES ? TABLE_POOLS
+							  : TABLE_ROUTES;
+	struct candidate in_force = { store->in_force->texts[other_kind],
+		version_in_force(store, other_kind) };
+	struct candidate newest = { store->texts[other_kind],
+		store->versions[other_kind] };
+
+	if (newest.version > in_force.version &&
+	    adopt_with(store, kind, offered, &newest, findings))
+		return true;
+	return adopt_with(store, kind, offered, &in_force, findings);
 }
 
 void
 tablestore_offer(struct tablestore *store, enum table_kind kind,
     uint64_t version, const char *text)
 {
-	bool changed = false;
+	struct candidate offered = { text, version };
+	struct findings *findings = g_new(struct findings, 1);
+	bool is_newest, adopted = false;
 
 	pthread_mutex_lock(&store->mutex);
-	if (version > store->versions[kind]) {
+	is_newest = version > store->versions[kind];
+	if (is_newest) {
 		g_free(store->texts[kind]);
 		store->texts[kind] = g_strdup(text);
 		store->versions[kind] = version;
-		changed = adopt_newest(store);
+	}
+	/* below the newest, the last good version of another daemon: it
+	 * serves as long as the newest is invalid */
+	if (version > version_in_force(store, kind)) {
+		adopted = adopt(store, kind, &offered, findings);
+		if (!adopted && is_newest) {
+			log_findings(findings);
+			metric_add(METRIC_TABLES_INVALID, 1);
+		}
 	}
 	pthread_mutex_unlock(&store->mutex);
-	if (changed && store->on_change != NULL)
+	g_free(findings);
+	if (adopted && store->on_change != NULL)
 		store->on_change(store->on_change_context);
 }
--- a/bamboorudderd/watcher.c
+++ b/bamboorudderd/watcher.c
@@ -8,13 +8,16 @@
 
 #define RETRY_MIN_MS 100u
 #define RETRY_MAX_MS 2000u
+#define POLL_WAIT_MS 1u
 #define MS_PER_S 1000u
 #define NS_PER_MS 1000000L
 #define NS_PER_S 1000000000L
 
+/* Pauses; ends early when the watcher stops or its period changes. */
 static void
 pause_ms(struct watcher *watcher, uint32_t wait_ms)
 {
+	uint32_t period_ms = atomic_load(&watcher->poll_period_ms);
 	struct timespec end;
 
 	clock_gettime(CLOCK_MONOTONIC, &end);
@@ -26,6 +29,7 @@
 	}
 	pthread_mutex_lock(&watcher->mutex);
 	while (!atomic_load(&watcher->stopping) &&
+	    atomic_load(&watcher->poll_period_ms) == period_ms &&
 	    pthread_cond_clockwait(&watcher->stop_changed, &watcher->mutex,
 		CLOCK_MONOTONIC, &end) == 0)
 		continue;
@@ -34,50 +38,89 @@
 
 /* Logs only when the platform comes in or out of reach. */
 static void
-note_reach(const struct watcher *watcher, bool *reached, bool now_reached,
-    const char *message)
+note_reach(struct watcher *watcher, bool lost, const char *message)
 {
-	if (*reached == now_reached)
+	if (atomic_exchange(&watcher->platform_lost, lost) == lost)
 		return;
-	*reached = now_reached;
-	log_event(now_reached ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
-	    now_reached ? "platform_reached" : "platform_lost", "table",
+	log_event(lost ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
+	    lost ? "platform_lost" : "platform_reached", "table",
 	    table_kind_name(watcher->kind), "reason", message, NULL);
 }
 
+/* Waits for a newer version, or looks for one. */
+static bool
+read_newer(struct watcher *watcher, uint64_t *version)
+{
+	struct platform *platform = watcher->platform;
+	bool polls = atomic_load(&watcher->poll_period_ms) != 0;
+	struct platform_object object;
+	GError *error = NULL;
+
+	if (!platform->ops->watch(platform, table_kind_name(watcher->kind),
+		*version, polls ? POLL_WAIT_MS : watcher->wait_ms, &object,
+		&error)) {
+		note_reach(watcher, true, error->message);
+		g_error_free(error);
+		return false;
+	}
+	note_reach(watcher, false, "");
+	if (object.text == NULL)
+		return true;
+	*version = object.version;
+	tablestore_offer(watcher->store, watcher->kind, object.version,
+	    object.text);
+	g_free(object.text);
+	return true;
+}
+
+/* A time about the period, so that the fleet's reads spread. */
+static uint32_t
+jitter_ms(uint32_t period_ms)
+{
+	return period_ms / 2 +
+	    (uint32_t)g_random_int_range(0, (gint32)period_ms + 1);
+}
+
 static void *
 watcher_main(void *pointer)
 {
 	struct watcher *watcher = pointer;
-	struct platform *platform = watcher->platform;
-	uint32_t retry_ms = RETRY_MIN_MS;
-	struct platform_object object;
+	uint32_t retry_ms = RETRY_MIN_MS, period_ms;
 	uint64_t version = 0;
-	bool reached = true;
-	GError *error = NULL;
 
 	while (!atomic_load(&watcher->stopping)) {
-		if (!platform->ops->watch(platform,
-			table_kind_name(watcher->kind), version,
-			watcher->wait_ms, &object, &error)) {
-			note_reach(watcher, &reached, false, error->message);
-			g_clear_error(&error);
-			pause_ms(watcher, retry_ms);
+		bool done = read_newer(watcher, &version);
+
+		period_ms = atomic_load(&watcher->poll_period_ms);
+		if (period_ms != 0)
+			pause_ms(watcher, jitter_ms(period_ms));
+		else if (!done) {
+			pause_ms(watcher, jitter_ms(retry_ms));
 			retry_ms = MIN(2 * retry_ms, RETRY_MAX_MS);
-			continue;
 		}
-		note_reach(watcher, &reached, true, "");
-		retry_ms = RETRY_MIN_MS;
-		if (object.text == NULL)
-			continue;
-		version = object.version;
-		tablestore_offer(watcher->store, watcher->kind, version,
-		    object.text);
-		g_free(object.text);
+		if (done)
+			retry_ms = RETRY_MIN_MS;
 	}
 	return NULL;
 }
 
+void
+watcher_set_period(struct watcher *watcher, uint32_t poll_period_ms)
+{
+	uint32_t before_ms = atomic_load(&watcher->poll_period_ms);
+
+	/* small changes of the fleet must not end a pause */
+	if (before_ms == poll_period_ms ||
+	    (before_ms != 0 && poll_period_ms != 0 &&
+		poll_period_ms < 2 * before_ms &&
+		before_ms < 2 * poll_period_ms))
+		return;
+	pthread_mutex_lock(&watcher->mutex);
+	atomic_store(&watcher->poll_period_ms, poll_period_ms);
+	pthread_cond_signal(&watcher->stop_changed);
+	pthread_mutex_unlock(&watcher->mutex);
+}
+
 void
 watcher_init(struct watcher *watcher, struct platform *platform,
     struct tablestore *store, enum table_kind kind, uint32_t wait_ms)
--- a/include/bamboorudderd/control.h
+++ b/include/bamboorudderd/control.h
@@ -18,9 +18,11 @@
 #include "bamboorudderd/peer.h"
 #include "bamboorudderd/settings.h"
 #include "bamboorudderd/tablestore.h"
+#include "bamboorudderd/watcher.h"
 #include "common/clk.h"
 #include "core/entry.h"
 #include "core/members.h"
+#include "core/tablesync.h"
 
 enum ticket_state { TICKET_WAITING, TICKET_GRANTED, TICKET_REFUSED };
 
@@ -45,6 +47,7 @@
 	struct peer peer;
 	struct tablestore *store;
 	struct hook *hook; /**< NULL unless test.hooks is set */
+	struct watcher *watchers; /**< TABLE_KIND_COUNT of them, or NULL */
 	uint64_t incarnation;
 	pthread_t thread;
 	pthread_mutex_t mailbox_mutex;
@@ -54,6 +57,7 @@
 	/* the rest belongs to the control thread */
 	struct snapshot *snapshot;
 	struct members members;
+	struct tablesync tablesync;
 	struct entry entry;
 	GHashTable *owners; /**< pool_id to struct owner */
 	GHashTable *tickets; /**< seq to struct ticket */
@@ -68,8 +72,11 @@
 gboolean control_init(struct control *control, const struct settings *settings,
     struct tablestore *store, struct hook *hook, GError **error);
 
-/** Starts the control thread. */
-void control_start(struct control *control);
+/**
+ * Starts the control thread.
+ * @param watchers of both tables, already running
+ */
+void control_start(struct control *control, struct watcher *watchers);
 
 /** Stops the control thread and waits for it. */
 void control_stop(struct control *control);
--- a/include/bamboorudderd/tablestore.h
+++ b/include/bamboorudderd/tablestore.h
@@ -6,8 +6,8 @@
 #ifndef BAMBOORUDDERD_TABLESTORE_H
 #define BAMBOORUDDERD_TABLESTORE_H
 
+#include <glib.h>
 #include <pthread.h>
-#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -16,7 +16,7 @@
 
 /** Tables in force, never changed; hold by snapshot_ref. */
 struct snapshot {
-	_Atomic uint32_t reference_count;
+	gint reference_count; /**< by g_atomic_int functions */
 	struct tables tables;
 	char *texts[TABLE_KIND_COUNT];
 };
@@ -39,9 +39,10 @@
 void snapshot_unref(struct snapshot *snapshot);
 
 /**
- * Offers a version of one table. A version not newer than the newest seen is
- * ignored. Both newest tables are put in force if they are valid together;
- * else the tables in force stay and the findings are logged.
+ * Offers a version of one table. A version not newer than the one in force is
+ * ignored: a table never goes back. A newer one is put in force if it is valid
+ * with the newest other table, or else with the other one in force; if not,
+ * the tables in force stay and the findings are logged.
  */
 void tablestore_offer(struct tablestore *store, enum table_kind kind,
     uint64_t version, const char *text);
--- a/include/bamboorudderd/watcher.h
+++ b/include/bamboorudderd/watcher.h
@@ -1,6 +1,7 @@
 /**
  * @file
- * Threads that watch the tables at the platform.
+ * Threads that watch the tables at the platform, or read them now and then
+ * while other daemons watch.
  */
 #ifndef BAMBOORUDDERD_WATCHER_H
 #define BAMBOORUDDERD_WATCHER_H
@@ -19,6 +20,8 @@
 	enum table_kind kind;
 	uint32_t wait_ms;
 	_Atomic uint32_t stopping;
+	_Atomic uint32_t poll_period_ms; /**< 0: watch */
+	_Atomic uint32_t platform_lost; /**< the last call failed */
 	pthread_mutex_t mutex;
 	pthread_cond_t stop_changed;
 	pthread_t thread;
@@ -28,6 +31,9 @@
 void watcher_init(struct watcher *watcher, struct platform *platform,
     struct tablestore *store, enum table_kind kind, uint32_t wait_ms);
 
+/** Watches if poll_period_ms is 0, else reads about once in that period. */
+void watcher_set_period(struct watcher *watcher, uint32_t poll_period_ms);
+
 /** Stops the watcher; waits at most one watch of wait_ms. */
 void watcher_finish(struct watcher *watcher);
 
--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -234,6 +234,13 @@
 	char name[] = "/tmp/bamboorudder-e2e-XXXXXX";
 
 	folder = mkdtemp(name);
+	start_platform();
+}
+
+void
+Fleet::start_platform()
+{
+	platform_process.reset();
 	platform_process = start_process("STANDIN_PLATFORM",
 	    { loopback(platform_port_) }, "platform");
 	EXPECT_TRUE(eventually([&] {
--- a/tests/e2e/fleet.h
+++ b/tests/e2e/fleet.h
@@ -101,6 +101,8 @@
 	/** Waits until all running daemons have tables in force. */
 	void wait_ready();
 	std::string platform(const std::string &path) const;
+	/** Starts or restarts the platform, which is empty then. */
+	void start_platform();
 	Answer admin_call(size_t index, const std::string &method,
 	    const std::string &path, const std::string &body = "",
 	    const std::vector<std::string> &headers = {});
--- /dev/null
+++ b/tests/unit/test_tablestore.cc
@@ -0,0 +1,203 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "bamboorudderd/tablestore.h"
+#include "core/tablesync.h"
+}
+
+namespace
+{
+
+std::string
+pools(const std::string &name)
+{
+	return R"({"rows": [{"pool": ")" + name + R"(", "kind": "model",
+	    "endpoints": [{"address": "127.0.0.1:1"}]}]})";
+}
+
+std::string
+routes(const std::string &pool)
+{
+	return R"({"rows": [{"account": "a", "path": "/v1", "pool": ")" + pool +
+	    R"(", "key_sha256": [")" + std::string(64, 'a') + R"("]}]})";
+}
+
+class Tablestore : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		tablestore_init(&store);
+	}
+
+	void TearDown() override
+	{
+		tablestore_finish(&store);
+	}
+
+	void offer(table_kind kind, uint64_t version, const std::string &text)
+	{
+		tablestore_offer(&store, kind, version, text.c_str());
+	}
+
+	void expect(uint64_t routes_version, uint64_t pools_version)
+	{
+		snapshot *now = tablestore_ref(&store);
+		EXPECT_EQ(now->tables.routes_version, routes_version);
+		EXPECT_EQ(now->tables.pools_version, pools_version);
+		snapshot_unref(now);
+	}
+
+	tablestore store;
+};
+
+} // namespace
+
+TEST_F(Tablestore, RoutesWaitForTheirPools)
+{
+	offer(TABLE_ROUTES, 2, routes("p"));
+	expect(0, 0);
+	offer(TABLE_POOLS, 1, pools("p"));
+	expect(2, 1);
+}
+
+TEST_F(Tablestore, NothingGoesBack)
+{
+	offer(TABLE_POOLS, 5, pools("p"));
+	offer(TABLE_ROUTES, 6, routes("p"));
+	offer(TABLE_POOLS, 4, pools("p"));
+	offer(TABLE_ROUTES, 3, routes("p"));
+	expect(6, 5);
+}
+
+TEST_F(Tablestore, AnInvalidTableLeavesTheLastGoodOneUntilAValidOne)
+{
+	offer(TABLE_POOLS, 1, pools("p"));
+	offer(TABLE_ROUTES, 2, routes("p"));
+	offer(TABLE_ROUTES, 3, "{broken");
+	expect(2, 1);
+	offer(TABLE_ROUTES, 4, routes("p"));
+	expect(4, 1);
+}
+
+TEST_F(Tablestore, AnInvalidTableDoesNotHoldUpTheOther)
+{
+	offer(TABLE_POOLS, 1, pools("p"));
+	offer(TABLE_ROUTES, 2, routes("p"));
+	offer(TABLE_ROUTES, 3, "{broken");
+	offer(TABLE_POOLS, 4, pools("p"));
+	expect(2, 4);
+}
+
+TEST_F(Tablestore, TheLastGoodOneOfAPeerServesBesideANewerInvalidOne)
+{
+	offer(TABLE_ROUTES, 3, "{broken");
+	offer(TABLE_POOLS, 1, pools("p"));
+	offer(TABLE_ROUTES, 2, routes("p"));
+	expect(2, 1);
+	offer(TABLE_ROUTES, 4, routes("p"));
+	expect(4, 1);
+}
+
+TEST_F(Tablestore, ANewerInvalidOneIsTakenOnceItsPoolIsThere)
+{
+	offer(TABLE_POOLS, 1, pools("p"));
+	offer(TABLE_ROUTES, 2, routes("p"));
+	offer(TABLE_ROUTES, 3, routes("q"));
+	expect(2, 1);
+	offer(TABLE_POOLS, 4, pools("q"));
+	expect(3, 4);
+}
+
+namespace
+{
+
+class Tablesync : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		effects_init(&list);
+		tablesync_init(&sync);
+	}
+
+	void TearDown() override
+	{
+		effects_finish(&list);
+	}
+
+	void learn(uint64_t routes_version, uint64_t pools_version,
+	    uint64_t now_ms)
+	{
+		effects_clear(&list);
+		tablesync_learn(&sync, 9, routes_version, pools_version, now_ms,
+		    &list);
+	}
+
+	tablesync sync;
+	effects list;
+};
+
+} // namespace
+
+TEST_F(Tablesync, ANewerVersionIsPulledOnceAndAgainAfterALoss)
+{
+	learn(5, 0, 1000);
+	ASSERT_EQ(list.count, 1u);
+	EXPECT_EQ(list.items[0].msg.type, MSG_TABLES_PULL);
+	EXPECT_EQ(list.items[0].to_node_id, 9u);
+	learn(5, 0, 1100);
+	EXPECT_EQ(list.count, 0u);
+	learn(6, 0, 1200);
+	EXPECT_EQ(list.count, 1u);
+	learn(5, 0, 60000);
+	EXPECT_EQ(list.count, 1u);
+}
+
+TEST_F(Tablesync, HeldVersionsAreNeitherPulledNorGoBack)
+{
+	const uint64_t newer[] = { 5, 4 }, older[] = { 3, 3 };
+	members none = {};
+	members_config config = {};
+
+	members_init(&none, &config);
+	tablesync_set_held(&sync, newer, &none, &list);
+	tablesync_set_held(&sync, older, &none, &list);
+	EXPECT_EQ(sync.held[TABLE_ROUTES], 5u);
+	learn(5, 4, 1000);
+	EXPECT_EQ(list.count, 0u);
+	members_finish(&none);
+}
+
+TEST_F(Tablesync, APullIsAnsweredWithWhatIsNewerPoolsFirst)
+{
+	const uint64_t held[] = { 5, 4 };
+	const tablesync_texts texts = { { "r", "p" } };
+	members none = {};
+	members_config config = {};
+	msg pull = {};
+
+	members_init(&none, &config);
+	tablesync_set_held(&sync, held, &none, &list);
+	pull.type = MSG_TABLES_PULL;
+	pull.from_node_id = 9;
+	tablesync_answer(&sync, &pull, &texts, &list);
+	ASSERT_EQ(list.count, 2u);
+	EXPECT_EQ(list.items[0].msg.u.tables_data.kind, TABLE_POOLS);
+	EXPECT_EQ(list.items[1].msg.u.tables_data.kind, TABLE_ROUTES);
+	effects_clear(&list);
+	pull.u.tables.pools_version = 4;
+	tablesync_answer(&sync, &pull, &texts, &list);
+	EXPECT_EQ(list.count, 1u);
+	members_finish(&none);
+}
+
+TEST_F(Tablesync, ReadsOfTheWholeFleetDoNotGrow)
+{
+	for (size_t count : { 8u, 64u, 370u, 1000u })
+		EXPECT_LE((double)count * 1000 /
+			tablesync_poll_period_ms(count, 10000),
+		    5.0);
+}
