Run keyed requests at most once and tell true refusals

Cause: an Idempotency-Key was only passed on, so a duplicate ran again on any daemon; a retry that ended in a refusal was told as "not run" although an earlier attempt may have run; a failed connect that timed out was told as unknown.

Paths that an endpoint could read in another way are refused.

Ruled out: claiming after the slot is granted (a slot would idle through two store calls). The check of schedules with lapsed leases is unit-claim's.

--- /dev/null
+++ b/bamboorudderd/exchange.c
@@ -0,0 +1,219 @@
+#include "bamboorudderd/exchange.h"
+
+#include <string.h>
+
+#include "common/completion.h"
+#include "common/digest.h"
+#include "common/metric.h"
+#include "common/path.h"
+#include "core/hash.h"
+
+#define PREFIX_BYTES 512u
+#define IDEMPOTENCY_KEY_MAX_BYTES 255u
+
+void
+exchange_init(struct exchange *exchange, struct front *front,
+    struct mg_connection *connection)
+{
+	memset(exchange, 0, sizeof(*exchange));
+	exchange->front = front;
+	exchange->connection = connection;
+	exchange->info = mg_get_request_info(connection);
+	exchange->snapshot = tablestore_ref(front->store);
+}
+
+void
+exchange_finish(struct exchange *exchange)
+{
+	g_free(exchange->target);
+	g_free(exchange->body);
+	snapshot_unref(exchange->snapshot);
+}
+
+void
+exchange_refuse(struct exchange *exchange, uint32_t status, const char *type,
+    const char *message, enum run_state run, uint32_t retry_after_ms)
+{
+	struct reply_error error = { status, type, message, run, retry_after_ms,
+		exchange->request_id };
+
+	metric_add(run == RUN_NOT_RUN ? METRIC_REQUESTS_REFUSED
+				      : METRIC_REQUESTS_UNKNOWN,
+	    1);
+	reply_send_error(exchange->connection, &error);
+}
+
+static bool
+refuse_malformed(struct exchange *exchange, uint32_t status, const char *type,
+    const char *message)
+{
+	metric_add(METRIC_REQUESTS_MALFORMED, 1);
+	exchange_refuse(exchange, status, type, message, RUN_NOT_RUN, 0);
+	return false;
+}
+
+/* A caller's request id is kept if it is plain, else one is made. */
+static void
+set_request_id(struct exchange *exchange)
+{
+	const char *given = mg_get_header(exchange->connection,
+	    HEADER_REQUEST_ID);
+	char *made;
+
+	if (given != NULL && given[0] != '\0' &&
+	    strlen(given) <= REQUEST_ID_MAX_BYTES &&
+	    strspn(given,
+		"abcdefghijklmnopqrstuvwxyz"
+		"ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") == strlen(given)) {
+		g_strlcpy(exchange->request_id, given,
+		    sizeof(exchange->request_id));
+		return;
+	}
+	made = g_uuid_string_random();
+	g_strlcpy(exchange->request_id, made, sizeof(exchange->request_id));
+	g_free(made);
+}
+
+/* The raw path is checked, not the one that the server has cleaned. */
+static bool
+set_target(struct exchange *exchange)
+{
+	const struct mg_request_info *info = exchange->info;
+
+	if (info->request_uri == NULL || !path_is_plain(info->request_uri))
+		return refuse_malformed(exchange, 400, "bad_path",
+		    "the path must be absolute and plain");
+	if (info->query_string == NULL)
+		exchange->target = g_strdup(info->request_uri);
+	else
+		exchange->target = g_strdup_printf("%s?%s", info->request_uri,
+		    info->query_string);
+	return true;
+}
+
+static bool
+find_route(struct exchange *exchange)
+{
+	const char *key = reply_bearer_token(exchange->connection);
+	char digest[DIGEST_HEX_BYTES + 1];
+	enum route_match match = ROUTE_UNKNOWN_KEY;
+
+	if (key != NULL) {
+		digest_sha256_hex(key, digest);
+		match = tables_match_route(&exchange->snapshot->tables, digest,
+		    exchange->info->request_uri, &exchange->route);
+	}
+	if (match == ROUTE_FOUND) {
+		exchange->pool = tables_find_pool(&exchange->snapshot->tables,
+		    exchange->route->pool_id);
+		return true;
+	}
+	metric_add(METRIC_REQUESTS_UNAUTHORIZED, 1);
+	if (match == ROUTE_UNKNOWN_KEY)
+		exchange_refuse(exchange, 401, "unknown_key",
+		    "the bearer key is missing or belongs to no client account",
+		    RUN_NOT_RUN, 0);
+	else
+		exchange_refuse(exchange, 403, "no_route",
+		    "the client account has no route for this path",
+		    RUN_NOT_RUN, 0);
+	return false;
+}
+
+static bool
+key_is_valid(const char *key)
+{
+	size_t length = strlen(key);
+
+	for (size_t i = 0; i < length; i++)
+		if (!g_ascii_isgraph(key[i]))
+			return false;
+	return length > 0 && length <= IDEMPOTENCY_KEY_MAX_BYTES;
+}
+
+static bool
+read_idempotency_key(struct exchange *exchange)
+{
+	const char *key = mg_get_header(exchange->connection,
+	    "Idempotency-Key");
+
+	if (key != NULL && !key_is_valid(key))
+		return refuse_malformed(exchange, 400, "malformed",
+		    "Idempotency-Key must be 1 to 255 printable characters");
+	exchange->idempotency_key = key;
+	return true;
+}
+
+static bool
+read_body(struct exchange *exchange)
+{
+	uint32_t status;
+
+	exchange->body = reply_read_body(exchange->connection,
+	    exchange->front->settings->body_max_bytes, &exchange->body_bytes,
+	    &status);
+	if (exchange->body != NULL)
+		return true;
+	if (status == 413)
+		return refuse_malformed(exchange, 413, "too_large",
+		    "the body is too large");
+	return refuse_malformed(exchange, 400, "malformed",
+	    "the body broke off");
+}
+
+static bool
+read_completion(struct exchange *exchange)
+{
+	uint32_t hint_tokens;
+	const char *fault = completion_check(exchange->body,
+	    exchange->body_bytes, exchange->pool->request_max_tokens,
+	    &hint_tokens);
+
+	if (fault != NULL)
+		return refuse_malformed(exchange, 400, "malformed", fault);
+	exchange->submit.estimate_tokens = exchange->pool->estimate_tokens;
+	if (hint_tokens > 0 && hint_tokens < exchange->pool->estimate_tokens)
+		exchange->submit.estimate_tokens = hint_tokens;
+	return true;
+}
+
+static bool
+is_idempotent(const struct exchange *exchange)
+{
+	static const char *const methods[] = { "GET", "HEAD", "OPTIONS", "PUT",
+		"DELETE", NULL };
+
+	if (exchange->route->repeat != REPEAT_BY_METHOD)
+		return exchange->route->repeat == REPEAT_ALWAYS;
+	if (exchange->pool->kind == POOL_MODEL)
+		return true;
+	return g_strv_contains(methods, exchange->info->request_method);
+}
+
+static void
+set_submit(struct exchange *exchange)
+{
+	struct entry_submit *submit = &exchange->submit;
+
+	submit->pool_id = exchange->pool->pool_id;
+	submit->account_id = exchange->route->account_id;
+	submit->waiting_max_count = exchange->route->waiting_max_count;
+	submit->prefix_hash = hash_bytes(exchange->body,
+	    MIN(exchange->body_bytes, PREFIX_BYTES));
+	if (submit->estimate_tokens == 0)
+		submit->estimate_tokens = 1;
+	exchange->idempotent = is_idempotent(exchange);
+}
+
+bool
+exchange_read(struct exchange *exchange)
+{
+	set_request_id(exchange);
+	if (!set_target(exchange) || !find_route(exchange) ||
+	    !read_idempotency_key(exchange) || !read_body(exchange))
+		return false;
+	if (exchange->pool->kind == POOL_MODEL && !read_completion(exchange))
+		return false;
+	set_submit(exchange);
+	return true;
+}
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -73,7 +73,7 @@
 		    &daemon->store, (enum table_kind)kind,
 		    settings->watch_wait_ms);
 	return front_init(&daemon->front, settings, &daemon->control,
-		   &daemon->store, error) &&
+		   &daemon->store, &daemon->platform, error) &&
 	    admin_init(&daemon->admin, settings, &daemon->control,
 		&daemon->store, &daemon->platform, error);
 }
--- a/bamboorudderd/settings.c
+++ b/bamboorudderd/settings.c
@@ -71,6 +71,12 @@
 	    600000),
 	NUMBER("shutdown.drain_timeout_ms", drain_timeout_ms, "ms", 0, 3600000,
 	    60000),
+	NUMBER("claims.keep_ms", claim_keep_ms, "ms", 1000, 604800000,
+	    86400000),
+	NUMBER("claims.clock_margin_ms", claim_clock_margin_ms, "ms", 0, 600000,
+	    5000),
+	NUMBER("claims.sweep_round_ms", claim_sweep_round_ms, "ms", 1000,
+	    604800000, 86400000),
 	WORD("log.format", log_format, "logfmt", "logfmt,json", true),
 	WORD("log.level", log_level, "info", "error,warn,info", true),
 };
@@ -226,6 +232,11 @@
 		findings_add_line(context->findings, context->path, 1, 1,
 		    "peer.down_after_ms must be at least twice "
 		    "peer.heartbeat_period_ms");
+	if (settings->claim_keep_ms <=
+	    settings->request_timeout_ms + settings->claim_clock_margin_ms)
+		findings_add_line(context->findings, context->path, 1, 1,
+		    "claims.keep_ms must be more than request.timeout_ms and "
+		    "claims.clock_margin_ms together");
 	if ((settings->peer_public_key[0] == '\0') !=
 	    (settings->peer_secret_key[0] == '\0'))
 		findings_add_line(context->findings, context->path, 1, 1,
--- /dev/null
+++ b/common/claim_json.c
@@ -0,0 +1,145 @@
+#include "common/claim_json.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define STATUS_MIN 200
+#define STATUS_MAX 599
+
+static const char *const state_names[CLAIM_STATE_COUNT] = { "claimed", "sent",
+	"done", "unknown" };
+
+void
+claim_record_init(struct claim_record *record)
+{
+	memset(record, 0, sizeof(*record));
+	record->answer.headers = g_string_new(NULL);
+	record->answer.body = g_string_new(NULL);
+}
+
+void
+claim_record_finish(struct claim_record *record)
+{
+	g_string_free(record->answer.headers, TRUE);
+	g_string_free(record->answer.body, TRUE);
+	memset(record, 0, sizeof(*record));
+}
+
+static json_t *
+answer_write(const struct claim_answer *answer)
+{
+	char *headers = g_base64_encode((const guchar *)answer->headers->str,
+	    answer->headers->len);
+	char *body = g_base64_encode((const guchar *)answer->body->str,
+	    answer->body->len);
+	json_t *document = json_pack("{s:i, s:b, s:s, s:s}", "status",
+	    (int)answer->status, "body_kept", (int)answer->body_kept, "headers",
+	    headers, "body", body);
+
+	g_free(headers);
+	g_free(body);
+	return document;
+}
+
+char *
+claim_json_write(const struct claim_record *record)
+{
+	const struct claim_view *view = &record->view;
+	json_t *document = json_pack("{s:s, s:s, s:s, s:I, s:I}", "attempt",
+	    view->attempt_id, "fingerprint", view->fingerprint, "state",
+	    state_names[view->state], "changed_at_ms",
+	    (json_int_t)view->changed_at_ms, "node_id",
+	    (json_int_t)record->node_id);
+	char *text;
+
+	if (view->state == CLAIM_DONE)
+		json_object_set_new(document, "answer",
+		    answer_write(&record->answer));
+	text = json_dumps(document, JSON_COMPACT);
+	json_decref(document);
+	return text;
+}
+
+static bool
+read_text(const json_t *document, const char *name, char *out, size_t size)
+{
+	const json_t *value = json_object_get(document, name);
+
+	return json_is_string(value) && json_string_length(value) > 0 &&
+	    g_strlcpy(out, json_string_value(value), size) < size;
+}
+
+static bool
+read_number(const json_t *document, const char *name, uint64_t *out)
+{
+	const json_t *value = json_object_get(document, name);
+
+	*out = (uint64_t)json_integer_value(value);
+	return json_is_integer(value);
+}
+
+static bool
+read_base64(const json_t *document, const char *name, size_t max_bytes,
+    GString *out)
+{
+	const char *text = json_string_value(json_object_get(document, name));
+	gsize length = 0;
+	guchar *bytes;
+
+	if (text == NULL || strlen(text) > (max_bytes + 2) / 3 * 4)
+		return false;
+	bytes = g_base64_decode(text, &length);
+	g_string_append_len(out, (const char *)bytes, (gssize)length);
+	g_free(bytes);
+	return true;
+}
+
+static bool
+read_answer(const json_t *document, struct claim_answer *answer)
+{
+	uint64_t status;
+
+	if (!read_number(document, "status", &status) || status < STATUS_MIN ||
+	    status > STATUS_MAX)
+		return false;
+	answer->status = (uint32_t)status;
+	answer->body_kept = json_is_true(
+	    json_object_get(document, "body_kept"));
+	return read_base64(document, "headers", CLAIM_HEADERS_MAX_BYTES,
+		   answer->headers) &&
+	    read_base64(document, "body", CLAIM_BODY_MAX_BYTES, answer->body);
+}
+
+static bool
+read_state(const json_t *document, enum claim_state *state)
+{
+	const char *text = json_string_value(
+	    json_object_get(document, "state"));
+
+	for (int i = 0; text != NULL && i < CLAIM_STATE_COUNT; i++)
+		if (strcmp(text, state_names[i]) == 0) {
+			*state = (enum claim_state)i;
+			return true;
+		}
+	return false;
+}
+
+bool
+claim_json_read(const char *text, struct claim_record *record)
+{
+	struct claim_view *view = &record->view;
+	json_t *document = json_loads(text, JSON_REJECT_DUPLICATES, NULL);
+	bool valid = read_text(document, "attempt", view->attempt_id,
+			 sizeof(view->attempt_id)) &&
+	    read_text(document, "fingerprint", view->fingerprint,
+		sizeof(view->fingerprint)) &&
+	    read_number(document, "changed_at_ms", &view->changed_at_ms) &&
+	    read_number(document, "node_id", &record->node_id) &&
+	    read_state(document, &view->state) &&
+	    (view->state != CLAIM_DONE ||
+		read_answer(json_object_get(document, "answer"),
+		    &record->answer));
+
+	json_decref(document);
+	return valid;
+}
--- /dev/null
+++ b/common/path.c
@@ -0,0 +1,66 @@
+#include "common/path.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Bytes that a percent-encoded path must not hide. */
+static bool
+hidden_byte_is_bad(int byte)
+{
+	return byte < 0x20 || byte == 0x7f || byte == '.' || byte == '/' ||
+	    byte == '\\' || byte == '%' || byte == ';';
+}
+
+static bool
+byte_is_bad(char byte)
+{
+	unsigned char value = (unsigned char)byte;
+
+	return value <= 0x20 || value >= 0x7f || value == '\\' || value == '#';
+}
+
+/* Some servers drop a segment's parameters, so "..;x" counts as "..". */
+static bool
+segment_is_bad(const char *segment, size_t length, bool last)
+{
+	size_t name_length = strcspn(segment, ";/");
+
+	if (length == 0)
+		return !last;
+	return (name_length == 1 && segment[0] == '.') ||
+	    (name_length == 2 && segment[0] == '.' && segment[1] == '.');
+}
+
+static bool
+bytes_are_plain(const char *path)
+{
+	for (const char *at = path; *at != '\0'; at++) {
+		if (byte_is_bad(*at))
+			return false;
+		if (*at != '%')
+			continue;
+		if (!g_ascii_isxdigit(at[1]) || !g_ascii_isxdigit(at[2]) ||
+		    hidden_byte_is_bad(g_ascii_xdigit_value(at[1]) * 16 +
+			g_ascii_xdigit_value(at[2])))
+			return false;
+	}
+	return true;
+}
+
+bool
+path_is_plain(const char *path)
+{
+	const char *segment = path;
+
+	if (path[0] != '/' || !bytes_are_plain(path))
+		return false;
+	while (segment[0] == '/') {
+		size_t length;
+		segment++;
+		length = strcspn(segment, "/");
+		if (segment_is_bad(segment, length, segment[length] == '\0'))
+			return false;
+		segment += length;
+	}
+	return true;
+}
--- a/common/platform.c
+++ b/common/platform.c
@@ -1,6 +1,7 @@
 #include "common/platform.h"
 
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdbool.h>
 #include <string.h>
 
@@ -158,6 +159,44 @@
 	return TRUE;
 }
 
+static char **
+read_names(const char *text)
+{
+	json_t *root = json_loads(text, 0, NULL), *item;
+	GPtrArray *names = g_ptr_array_new();
+	size_t index;
+
+	json_array_foreach (json_object_get(root, "items"), index, item) {
+		const char *name = json_string_value(
+		    json_object_get(item, "name"));
+		if (name != NULL)
+			g_ptr_array_add(names, g_strdup(name));
+	}
+	json_decref(root);
+	g_ptr_array_add(names, NULL);
+	return (char **)g_ptr_array_free(names, FALSE);
+}
+
+static gboolean
+http_list(struct platform *platform, const char *prefix, char ***names,
+    GError **error)
+{
+	char *url = g_strdup_printf("%s/objects?prefix=%s", platform->base_url,
+	    prefix);
+	struct http_call call = { .method = "GET",
+		.url = url,
+		.timeout_ms = platform->timeout_ms };
+	struct http_answer answer;
+	gboolean done = call_platform(&call, prefix, &answer, error);
+
+	g_free(url);
+	if (!done)
+		return FALSE;
+	*names = read_names(answer.body->str);
+	http_answer_finish(&answer);
+	return TRUE;
+}
+
 static gboolean
 http_instances(struct platform *platform, char **text, GError **error)
 {
@@ -179,7 +218,7 @@
     uint32_t timeout_ms)
 {
 	static const struct platform_ops ops = { http_get, http_put,
-		http_remove, http_watch, http_instances };
+		http_remove, http_watch, http_list, http_instances };
 
 	memset(platform, 0, sizeof(*platform));
 	platform->ops = &ops;
--- a/common/sse.c
+++ b/common/sse.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define DATA_FIELD "data:"
+#define ID_FIELD "id:"
+#define CR_LF_LF_BYTES 3u
 
 void
 sse_counter_init(struct sse_counter *counter)
@@ -10,19 +12,46 @@
 	counter->events_count = 0;
 	counter->done = false;
 	counter->line_bytes = 0;
+	counter->last_id[0] = '\0';
 	counter->usage_line[0] = '\0';
 }
 
+static const char *
+field_value(const char *line, const char *field)
+{
+	const char *value = line + strlen(field);
+
+	if (strncmp(line, field, strlen(field)) != 0)
+		return NULL;
+	while (*value == ' ')
+		value++;
+	return value;
+}
+
+/* An id that can't be kept whole can't be resumed from. */
+static void
+take_id(struct sse_counter *counter, const char *id)
+{
+	size_t length = strlen(id);
+
+	if (length >= SSE_ID_MAX_BYTES)
+		length = 0;
+	memcpy(counter->last_id, id, length);
+	counter->last_id[length] = '\0';
+}
+
 static void
 take_line(struct sse_counter *counter)
 {
-	const char *data = counter->line + strlen(DATA_FIELD);
+	const char *id, *data;
 
 	counter->line[counter->line_bytes] = '\0';
-	if (strncmp(counter->line, DATA_FIELD, strlen(DATA_FIELD)) != 0)
+	id = field_value(counter->line, ID_FIELD);
+	data = field_value(counter->line, DATA_FIELD);
+	if (id != NULL)
+		take_id(counter, id);
+	if (data == NULL)
 		return;
-	while (*data == ' ')
-		data++;
 	if (strncmp(data, "[DONE]", 6) == 0)
 		counter->done = true;
 	else if (strstr(data, "\"usage\"") != NULL)
@@ -44,3 +73,23 @@
 			counter->line[counter->line_bytes++] = bytes[i];
 	}
 }
+
+/* An event ends with an empty line: LF LF or LF CR LF. */
+size_t
+sse_whole_bytes(const char *bytes, size_t length_bytes, size_t checked_bytes)
+{
+	size_t first = checked_bytes < CR_LF_LF_BYTES
+	    ? 0
+	    : checked_bytes - CR_LF_LF_BYTES;
+
+	for (size_t at = length_bytes; at > first + 1; at--) {
+		if (bytes[at - 1] != '\n')
+			continue;
+		if (bytes[at - 2] == '\n')
+			return at;
+		if (at > first + 2 && bytes[at - 2] == '\r' &&
+		    bytes[at - 3] == '\n')
+			return at;
+	}
+	return 0;
+}
--- a/common/table_json.c
+++ b/common/table_json.c
@@ -147,6 +147,7 @@
 	POOL_NUMBER(extra_slots_per_endpoint),
 	POOL_NUMBER(estimate_tokens),
 	POOL_NUMBER(request_max_tokens),
+	{ "resume", FIELD_BOOL, false, offsetof(struct pool, resume), 0 },
 };
 
 static const struct field endpoint_fields[] = {
--- a/include/bamboorudderd/front.h
+++ b/include/bamboorudderd/front.h
@@ -1,21 +1,27 @@
 /**
  * @file
- * The callers' side: takes requests in, waits for a slot, relays.
+ * The callers' side: the server for callers and what its workers share.
  */
 #ifndef BAMBOORUDDERD_FRONT_H
 #define BAMBOORUDDERD_FRONT_H
 
 #include <civetweb.h>
 #include <glib.h>
+#include <pthread.h>
 
+#include "bamboorudderd/claimstore.h"
 #include "bamboorudderd/control.h"
 #include "bamboorudderd/relay.h"
+#include "core/retry.h"
 
 struct front {
 	const struct settings *settings;
 	struct control *control;
 	struct tablestore *store;
+	struct claimstore claims;
 	struct relay_config relay_config;
+	pthread_mutex_t retry_mutex;
+	struct retry retry; /**< held by retry_mutex */
 	struct mg_context *server;
 };
 
@@ -24,7 +30,8 @@
 
 /** Initialises and starts the server for callers. */
 gboolean front_init(struct front *front, const struct settings *settings,
-    struct control *control, struct tablestore *store, GError **error);
+    struct control *control, struct tablestore *store,
+    struct platform *platform, GError **error);
 
 /** Stops the server; waits for its workers. */
 void front_finish(struct front *front);
--- a/include/bamboorudderd/relay.h
+++ b/include/bamboorudderd/relay.h
@@ -12,6 +12,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "common/claim_json.h"
+
 /** How an attempt at an endpoint ended. */
 enum relay_outcome {
 	RELAY_WHOLE, /**< the whole answer went to the caller */
@@ -38,10 +40,17 @@
 	const char *body;
 	size_t body_bytes;
 	bool idempotent; /**< a dead reused connection may be replaced */
+	bool model; /**< a stream ends with its [DONE] event */
+	bool resume; /**< the engine resumes a broken stream */
 	_Atomic uint64_t *tokens; /**< counts while the answer streams */
+	/** Receives the answer, also if the caller goes away; or NULL. */
+	struct claim_answer *record;
 };
 
-/** Makes one attempt; never repeats it. */
+/**
+ * Makes one attempt; never repeats it. A broken stream is resumed where its
+ * engine can.
+ */
 enum relay_outcome relay_run(const struct relay *relay);
 
 #endif
--- a/include/bamboorudderd/reply.h
+++ b/include/bamboorudderd/reply.h
@@ -11,6 +11,8 @@
 #include <stdint.h>
 
 #define HEADER_RUN "Bamboorudder-Run"
+/** Tells that an answer is a recorded one. */
+#define HEADER_REPLAY "Bamboorudder-Replay"
 #define HEADER_REQUEST_ID "X-Request-Id"
 
 /** Whether an endpoint ran a request that ended in an error. */
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -46,6 +46,9 @@
 	uint32_t heartbeat_period_ms;
 	uint32_t down_after_ms;
 	uint32_t drain_timeout_ms;
+	uint32_t claim_keep_ms;
+	uint32_t claim_clock_margin_ms;
+	uint32_t claim_sweep_round_ms;
 	char log_format[SETTINGS_TEXT_MAX_BYTES];
 	char log_level[SETTINGS_TEXT_MAX_BYTES];
 };
--- a/include/common/digest.h
+++ b/include/common/digest.h
@@ -5,9 +5,15 @@
 #ifndef COMMON_DIGEST_H
 #define COMMON_DIGEST_H
 
+#include <stddef.h>
+
 #define DIGEST_HEX_BYTES 64u
 
 /** Writes the digest and a closing zero. */
 void digest_sha256_hex(const char *text, char out[DIGEST_HEX_BYTES + 1]);
 
+/** The same for bytes that may hold zeros. */
+void digest_sha256_hex_bytes(const void *bytes, size_t length_bytes,
+    char out[DIGEST_HEX_BYTES + 1]);
+
 #endif
--- a/include/common/platform.h
+++ b/include/common/platform.h
@@ -44,6 +44,10 @@
 	gboolean (*watch)(struct platform *platform, const char *name,
 	    uint64_t after_version, uint32_t wait_ms,
 	    struct platform_object *out, GError **error);
+	/** Lists the names that begin with a prefix; free them by
+	 * g_strfreev. */
+	gboolean (*list)(struct platform *platform, const char *prefix,
+	    char ***names, GError **error);
 	/** Reads the list of instances as JSON text. */
 	gboolean (
 	    *instances)(struct platform *platform, char **text, GError **error);
--- a/include/core/tables.h
+++ b/include/core/tables.h
@@ -64,6 +64,7 @@
 	    extra_slots_per_endpoint; /**< for accounts under their share */
 	uint32_t estimate_tokens; /**< charged when a request starts */
 	uint32_t request_max_tokens;
+	bool resume; /**< its engines resume a broken stream */
 	struct endpoint *endpoints;
 	uint32_t endpoint_count;
 };
--- a/tests/standins/service.c
+++ b/tests/standins/service.c
@@ -6,9 +6,12 @@
  *   GET /stock
  *   POST /standin/set?delay_ms=&drop_before=&drop_after=&leaving=
  *   GET /standin/runs   how often each booking ran
+ *
+ * Each run is also a line "run ID" on stderr, which outlives the process.
  */
 #include <glib.h>
 #include <stdatomic.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "standin.h"
@@ -44,6 +47,7 @@
 	g_mutex_lock(&service->mutex);
 	runs = 1 + json_integer_value(json_object_get(service->runs, booking));
 	json_object_set_new(service->runs, booking, json_integer(runs));
+	fprintf(stderr, "run %s\n", booking);
 	g_mutex_unlock(&service->mutex);
 	return runs;
 }
--- /dev/null
+++ b/tests/unit/test_claim.cc
@@ -0,0 +1,465 @@
+/*
+ * Claims of idempotency keys: single decisions, and random schedules of
+ * several daemons that share one key over a store whose writes are lost,
+ * late or refused, against an oracle that counts the runs.
+ */
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "common/claim_json.h"
+#include "core/claim.h"
+#include "core/retry.h"
+}
+
+namespace
+{
+
+constexpr uint32_t LEASE_MS = 1000, MARGIN_MS = 100, RUNNING_MAX_MS = 3000,
+		   KEEP_MS = 1000000;
+
+claim_config
+config_of(const std::string &attempt, const std::string &fingerprint = "f")
+{
+	claim_config config = {};
+
+	strcpy(config.attempt_id, attempt.c_str());
+	strcpy(config.fingerprint, fingerprint.c_str());
+	config.lease_ms = LEASE_MS;
+	config.lease_margin_ms = MARGIN_MS;
+	config.running_max_ms = RUNNING_MAX_MS;
+	config.keep_ms = KEEP_MS;
+	return config;
+}
+
+claim_event
+event_of(claim_event_type type, uint64_t version = 0)
+{
+	claim_event event = {};
+
+	event.type = type;
+	event.version = version;
+	return event;
+}
+
+claim_event
+read_event(const char *attempt, claim_state state, uint64_t changed_at_ms,
+    const char *fingerprint = "f")
+{
+	claim_event event = event_of(CLAIM_EVENT_READ, 7);
+
+	strcpy(event.view.attempt_id, attempt);
+	strcpy(event.view.fingerprint, fingerprint);
+	event.view.state = state;
+	event.view.changed_at_ms = changed_at_ms;
+	return event;
+}
+
+claim_step
+duplicate_of(const claim_event &found, uint64_t now_ms)
+{
+	claim_config config = config_of("mine");
+	claim_event conflict = event_of(CLAIM_EVENT_CONFLICT);
+	claim claim;
+
+	claim_init(&claim, &config, now_ms);
+	EXPECT_EQ(claim_handle(&claim, &conflict, now_ms), CLAIM_STEP_READ);
+	return claim_handle(&claim, &found, now_ms);
+}
+
+} // namespace
+
+TEST(Claim, ADuplicateIsAnsweredFromTheState)
+{
+	EXPECT_EQ(duplicate_of(read_event("o", CLAIM_CLAIMED, 500), 1000),
+	    CLAIM_STEP_IN_PROGRESS);
+	EXPECT_EQ(duplicate_of(read_event("o", CLAIM_SENT, 500), 1000),
+	    CLAIM_STEP_IN_PROGRESS);
+	EXPECT_EQ(duplicate_of(read_event("o", CLAIM_SENT, 500), 4000),
+	    CLAIM_STEP_OUTCOME_UNKNOWN);
+	EXPECT_EQ(duplicate_of(read_event("o", CLAIM_DONE, 500), 1000),
+	    CLAIM_STEP_REPLAY);
+	EXPECT_EQ(duplicate_of(read_event("o", CLAIM_UNKNOWN, 500), 1000),
+	    CLAIM_STEP_OUTCOME_UNKNOWN);
+	EXPECT_EQ(duplicate_of(read_event("o", CLAIM_DONE, 500, "x"), 1000),
+	    CLAIM_STEP_MISMATCH);
+}
+
+TEST(Claim, OnlyALapsedUnsentClaimIsTakenOver)
+{
+	EXPECT_EQ(duplicate_of(read_event("o", CLAIM_CLAIMED, 500),
+		      500 + LEASE_MS + MARGIN_MS),
+	    CLAIM_STEP_TAKE_OVER);
+	EXPECT_EQ(duplicate_of(read_event("o", CLAIM_SENT, 500),
+		      500 + KEEP_MS - 1),
+	    CLAIM_STEP_OUTCOME_UNKNOWN);
+	EXPECT_EQ(duplicate_of(read_event("o", CLAIM_DONE, 500), 500 + KEEP_MS),
+	    CLAIM_STEP_TAKE_OVER);
+}
+
+TEST(Claim, ALostCreateIsSettledByItsAttempt)
+{
+	claim_config config = config_of("mine");
+	claim_event lost = event_of(CLAIM_EVENT_LOST);
+	claim_event found = read_event("mine", CLAIM_CLAIMED, 0);
+	claim claim;
+
+	EXPECT_EQ(claim_init(&claim, &config, 0), CLAIM_STEP_CREATE);
+	EXPECT_EQ(claim_handle(&claim, &lost, 1), CLAIM_STEP_READ);
+	EXPECT_EQ(claim_handle(&claim, &found, 2), CLAIM_STEP_ACQUIRE);
+	EXPECT_EQ(claim.version, 7u);
+}
+
+TEST(Claim, APausedHolderCannotSend)
+{
+	claim_config config = config_of("mine");
+	claim_event written = event_of(CLAIM_EVENT_WRITTEN, 3);
+	claim_event granted = event_of(CLAIM_EVENT_GRANTED);
+	claim_event conflict = event_of(CLAIM_EVENT_CONFLICT);
+	claim_event found = read_event("other", CLAIM_DONE, 9000);
+	claim claim;
+
+	claim_init(&claim, &config, 0);
+	EXPECT_EQ(claim_handle(&claim, &written, 1), CLAIM_STEP_ACQUIRE);
+	EXPECT_EQ(claim_handle(&claim, &granted, 9000), CLAIM_STEP_MARK_SENT);
+	EXPECT_EQ(claim_handle(&claim, &conflict, 9001), CLAIM_STEP_READ);
+	EXPECT_EQ(claim_handle(&claim, &found, 9002), CLAIM_STEP_REPLAY);
+}
+
+TEST(Claim, ALapsedHolderDoesNotSayNotRun)
+{
+	claim_config config = config_of("mine");
+	claim_event written = event_of(CLAIM_EVENT_WRITTEN, 3);
+	claim_event refused = event_of(CLAIM_EVENT_NOT_GRANTED);
+	claim_event down = event_of(CLAIM_EVENT_UNREACHED);
+	claim_step step;
+	claim claim;
+
+	claim_init(&claim, &config, 0);
+	claim_handle(&claim, &written, 1);
+	step = claim_handle(&claim, &refused, LEASE_MS);
+	while (step == CLAIM_STEP_REMOVE)
+		step = claim_handle(&claim, &down, LEASE_MS);
+	EXPECT_EQ(step, CLAIM_STEP_OUTCOME_UNKNOWN);
+}
+
+TEST(Claim, AStoreThatStaysDownEndsInABoundedNumberOfCalls)
+{
+	const claim_event_type failures[] = { CLAIM_EVENT_LOST,
+		CLAIM_EVENT_UNREACHED, CLAIM_EVENT_CONFLICT,
+		CLAIM_EVENT_ABSENT };
+
+	for (uint32_t seed = 0; seed < 200; seed++) {
+		std::mt19937 random(seed);
+		claim_config config = config_of("mine");
+		claim claim;
+		claim_step step = claim_init(&claim, &config, 0);
+		uint32_t calls = 0;
+
+		while (step <= CLAIM_STEP_REMOVE && calls < 100) {
+			claim_event event = event_of(failures[random() % 4]);
+			step = claim_handle(&claim, &event, 1);
+			calls++;
+		}
+		EXPECT_EQ(step, CLAIM_STEP_STORE_DOWN) << seed;
+		EXPECT_LE(calls, CLAIM_STORE_CALLS_MAX_COUNT);
+	}
+}
+
+namespace
+{
+
+struct StoreObject {
+	claim_view view;
+	uint64_t version;
+};
+
+/* One write on its way; a late one takes effect after its answer was lost. */
+struct LateWrite {
+	std::optional<claim_view> view; /* none: a removal */
+	uint64_t version;
+};
+
+/* A store with one object, and daemons that run attempts at its key. */
+class Schedule
+{
+      public:
+	explicit Schedule(uint32_t seed) : random_(seed)
+	{
+	}
+
+	void run()
+	{
+		for (int i = 0; i < 400; i++)
+			act();
+	}
+
+	uint32_t runs = 0, false_not_run = 0, ended = 0, replayed = 0;
+
+      private:
+	struct Attempt {
+		struct claim claim;
+		claim_step step;
+		bool ran = false;
+		bool held = false;
+		uint32_t runs_before = 0; /* when it held the claim */
+	};
+
+	uint32_t pick(uint32_t below)
+	{
+		return (uint32_t)(random_() % below);
+	}
+
+	void act()
+	{
+		now_ms_ += pick(10) == 0 ? pick(1500) : pick(20);
+		if (!late_.empty() && pick(4) == 0) {
+			size_t at = pick((uint32_t)late_.size());
+			apply(late_[at]);
+			late_.erase(late_.begin() + (long)at);
+		} else if (attempts_.size() < 4 && pick(5) == 0)
+			start();
+		else if (!attempts_.empty())
+			advance(pick((uint32_t)attempts_.size()));
+	}
+
+	void start()
+	{
+		claim_config config = config_of(
+		    "a" + std::to_string(++last_attempt_));
+		Attempt attempt;
+
+		attempt.step = claim_init(&attempt.claim, &config, now_ms_);
+		attempts_.push_back(attempt);
+	}
+
+	std::optional<uint64_t> apply(const LateWrite &write)
+	{
+		uint64_t current = object_ ? object_->version : 0;
+
+		if (write.version != current)
+			return {};
+		if (!write.view) {
+			object_.reset();
+			return 0;
+		}
+		object_ = StoreObject{ *write.view, ++version_last_ };
+		return object_->version;
+	}
+
+	claim_event write(const LateWrite &write)
+	{
+		switch (pick(8)) {
+		case 0:
+			return event_of(CLAIM_EVENT_UNREACHED);
+		case 1:
+			apply(write);
+			return event_of(CLAIM_EVENT_LOST);
+		case 2:
+			late_.push_back(write);
+			return event_of(CLAIM_EVENT_LOST);
+		default:
+			std::optional<uint64_t> version = apply(write);
+			return version ? event_of(CLAIM_EVENT_WRITTEN, *version)
+				       : event_of(CLAIM_EVENT_CONFLICT);
+		}
+	}
+
+	claim_event read()
+	{
+		claim_event event;
+
+		if (pick(8) == 0)
+			return event_of(CLAIM_EVENT_UNREACHED);
+		if (!object_)
+			return event_of(CLAIM_EVENT_ABSENT);
+		event = event_of(CLAIM_EVENT_READ, object_->version);
+		event.view = object_->view;
+		return event;
+	}
+
+	claim_event write_state(const Attempt &attempt, claim_state state)
+	{
+		claim_view view = {};
+
+		strcpy(view.attempt_id, attempt.claim.config.attempt_id);
+		strcpy(view.fingerprint, attempt.claim.config.fingerprint);
+		view.state = state;
+		view.changed_at_ms = state == CLAIM_CLAIMED
+		    ? attempt.claim.claimed_at_ms
+		    : now_ms_;
+		return write({ view, attempt.claim.version });
+	}
+
+	claim_event send(Attempt &attempt)
+	{
+		uint32_t fate = pick(4);
+
+		if (fate == 0)
+			return event_of(CLAIM_EVENT_NOT_RUN);
+		runs++;
+		attempt.ran = true;
+		return event_of(
+		    fate == 1 ? CLAIM_EVENT_NO_OUTCOME : CLAIM_EVENT_ANSWERED);
+	}
+
+	claim_event carry_out(Attempt &attempt)
+	{
+		switch (attempt.step) {
+		case CLAIM_STEP_CREATE:
+		case CLAIM_STEP_TAKE_OVER:
+			return write_state(attempt, CLAIM_CLAIMED);
+		case CLAIM_STEP_READ:
+			return read();
+		case CLAIM_STEP_MARK_SENT:
+			return write_state(attempt, CLAIM_SENT);
+		case CLAIM_STEP_RECORD_DONE:
+			return write_state(attempt, CLAIM_DONE);
+		case CLAIM_STEP_RECORD_UNKNOWN:
+			return write_state(attempt, CLAIM_UNKNOWN);
+		case CLAIM_STEP_REMOVE:
+			return write({ {}, attempt.claim.version });
+		case CLAIM_STEP_ACQUIRE:
+			return event_of(pick(4) == 0 ? CLAIM_EVENT_NOT_GRANTED
+						     : CLAIM_EVENT_GRANTED);
+		default:
+			return send(attempt);
+		}
+	}
+
+	void advance(size_t at)
+	{
+		Attempt &attempt = attempts_[at];
+		claim_event event = carry_out(attempt);
+
+		attempt.step = claim_handle(&attempt.claim, &event, now_ms_);
+		if (attempt.step == CLAIM_STEP_ACQUIRE) {
+			attempt.held = true;
+			attempt.runs_before = runs;
+		}
+		if (attempt.step < CLAIM_STEP_REPLAY)
+			return;
+		ended++;
+		replayed += attempt.step == CLAIM_STEP_REPLAY;
+		if (attempt.step == CLAIM_STEP_NOT_RUN ||
+		    attempt.step == CLAIM_STEP_STORE_DOWN)
+			false_not_run += attempt.ran ||
+			    (attempt.held && runs != attempt.runs_before);
+		/* the daemon may also die at any place: it just goes */
+		attempts_.erase(attempts_.begin() + (long)at);
+	}
+
+	std::mt19937 random_;
+	uint64_t now_ms_ = 1000, version_last_ = 0;
+	uint32_t last_attempt_ = 0;
+	std::optional<StoreObject> object_;
+	std::vector<LateWrite> late_;
+	std::vector<Attempt> attempts_;
+};
+
+} // namespace
+
+TEST(Claim, NoScheduleRunsAKeyTwice)
+{
+	uint32_t runs = 0, replayed = 0;
+
+	for (uint32_t seed = 0; seed < 4000; seed++) {
+		Schedule schedule(seed);
+		schedule.run();
+		ASSERT_LE(schedule.runs, 1u) << "seed " << seed;
+		ASSERT_EQ(schedule.false_not_run, 0u) << "seed " << seed;
+		runs += schedule.runs;
+		replayed += schedule.replayed;
+	}
+	/* the schedules are worth something: many run, many replay */
+	EXPECT_GT(runs, 2000u);
+	EXPECT_GT(replayed, 2000u);
+}
+
+TEST(ClaimJson, ADoneRecordComesBackAsItWent)
+{
+	const std::string body("a\0b\r\n", 5);
+	claim_record record, read;
+	char *text;
+
+	claim_record_init(&record);
+	claim_record_init(&read);
+	strcpy(record.view.attempt_id, "attempt");
+	strcpy(record.view.fingerprint, "print");
+	record.view.state = CLAIM_DONE;
+	record.view.changed_at_ms = 12;
+	record.node_id = UINT64_MAX;
+	record.answer.status = 201;
+	record.answer.body_kept = true;
+	g_string_append(record.answer.headers, "A: b\r\n");
+	g_string_append_len(record.answer.body, body.data(),
+	    (gssize)body.size());
+	text = claim_json_write(&record);
+	ASSERT_TRUE(claim_json_read(text, &read));
+	EXPECT_STREQ(read.view.attempt_id, "attempt");
+	EXPECT_EQ(read.view.state, CLAIM_DONE);
+	EXPECT_EQ(read.node_id, UINT64_MAX);
+	EXPECT_EQ(read.answer.status, 201u);
+	EXPECT_STREQ(read.answer.headers->str, "A: b\r\n");
+	EXPECT_EQ(std::string(read.answer.body->str, read.answer.body->len),
+	    body);
+	free(text);
+	claim_record_finish(&record);
+	claim_record_finish(&read);
+}
+
+TEST(ClaimJson, BrokenRecordsAreRejected)
+{
+	const char *texts[] = { "", "{}", "[1]",
+		"{\"attempt\":\"a\",\"fingerprint\":\"f\",\"state\":\"other\","
+		"\"changed_at_ms\":1,\"node_id\":1}",
+		"{\"attempt\":\"a\",\"fingerprint\":\"f\",\"state\":\"done\","
+		"\"changed_at_ms\":1,\"node_id\":1}" };
+
+	for (const char *text : texts) {
+		claim_record record;
+		claim_record_init(&record);
+		EXPECT_FALSE(claim_json_read(text, &record)) << text;
+		claim_record_finish(&record);
+	}
+}
+
+TEST(Retry, TheBudgetBoundsRetriesToATenthOfTheRequests)
+{
+	uint32_t retries = 0;
+	retry retry;
+
+	retry_init(&retry);
+	for (uint32_t i = 0; i < 1000; i++) {
+		retry_count_request(&retry, 1);
+		for (uint32_t attempts = 1;
+		     retry_allow(&retry, 1, RETRY_NO_ANSWER, true, attempts);
+		     attempts++)
+			retries++;
+	}
+	EXPECT_LE(retries, 110u);
+	EXPECT_GE(retries, 100u);
+	/* another account has its own budget */
+	EXPECT_TRUE(retry_allow(&retry, 2, RETRY_NO_ANSWER, true, 1));
+	retry_finish(&retry);
+}
+
+TEST(Retry, WhatMayHaveRunIsRepeatedOnlyIfIdempotent)
+{
+	retry retry;
+
+	retry_init(&retry);
+	EXPECT_FALSE(retry_allow(&retry, 1, RETRY_NO_ANSWER, false, 1));
+	EXPECT_TRUE(retry_allow(&retry, 1, RETRY_REFUSED, false, 1));
+	EXPECT_TRUE(retry_allow(&retry, 1, RETRY_NOT_SENT, false, 1));
+	EXPECT_FALSE(retry_allow(&retry, 1, RETRY_ENDED, true, 1));
+	EXPECT_FALSE(retry_allow(&retry, 1, RETRY_NOT_SENT, true,
+	    RETRY_ATTEMPTS_MAX_COUNT));
+	retry_finish(&retry);
+}
--- a/tests/unit/test_sse.cc
+++ b/tests/unit/test_sse.cc
@@ -23,3 +23,48 @@
 		EXPECT_STREQ(counter.usage_line, "{\"usage\":{}}");
 	}
 }
+
+TEST(Sse, WholeEventsEndAtAnEmptyLine)
+{
+	const std::string stream = "id: 0\ndata: a\n\nid: 1\r\ndata: b\r\n"
+				   "\r\ndata: c\n";
+	const size_t first = stream.find("id: 1"),
+		     second = stream.rfind("data");
+
+	for (size_t length = 0; length <= stream.size(); length++) {
+		size_t expected = length >= second ? second
+		    : length >= first              ? first
+						   : 0;
+		EXPECT_EQ(sse_whole_bytes(stream.data(), length, 0), expected)
+		    << length;
+	}
+}
+
+TEST(Sse, WholeEventsAreFoundHoweverTheBytesArrive)
+{
+	const std::string stream = "data: a\n\ndata: b\r\n\r\ndata: c\n\n";
+	std::string pending, passed;
+
+	for (char byte : stream) {
+		size_t checked = pending.size(), whole;
+		pending += byte;
+		whole = sse_whole_bytes(pending.data(), pending.size(),
+		    checked);
+		passed += pending.substr(0, whole);
+		pending.erase(0, whole);
+		if (whole > 0) {
+			EXPECT_EQ(passed.back(), '\n');
+		}
+	}
+	EXPECT_EQ(passed, stream);
+}
+
+TEST(Sse, TheLastIdIsKept)
+{
+	const std::string stream = "id: 4\ndata: a\n\nid: 5\n\n";
+	sse_counter counter;
+
+	sse_counter_init(&counter);
+	sse_counter_feed(&counter, stream.data(), stream.size());
+	EXPECT_STREQ(counter.last_id, "5");
+}
