Prove whole answers over real processes; reject heads that break off

Cause: libcurl takes a head that breaks off for a whole, empty answer, so the caller got 200 for a request whose outcome is unknown. relay.c now requires the empty line that ends a head.

--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -29,6 +29,7 @@
 	long status;
 	bool is_stream;
 	bool refusal; /* the endpoint says that it did not run it */
+	bool head_ended; /* the endpoint's head came whole */
 	bool head_sent;
 	bool no_body; /* HEAD, 204 and 304 */
 	bool chunked;
@@ -70,6 +71,7 @@
 	g_ptr_array_set_size(transfer->head, 0);
 	g_clear_pointer(&transfer->connection, g_free);
 	transfer->head_bytes = 0;
+	transfer->head_ended = false;
 	transfer->is_stream = false;
 	transfer->refusal = false;
 }
@@ -107,6 +109,7 @@
 	    transfer->head->len >= HEAD_MAX_COUNT)
 		return 0;
 	line = g_strchomp(g_strndup(bytes, length));
+	transfer->head_ended = line[0] == '\0';
 	if (strchr(line, ':') != NULL && line[0] != ' ' && line[0] != '\t')
 		take_header(transfer, line);
 	else
@@ -412,12 +415,13 @@
 	return request_bytes == 0;
 }
 
-/* A model's stream is whole only with its last event: an endpoint that ends a
- * stream by closing tells nothing. */
+/* libcurl takes a head that breaks off for a whole one. A model's stream is
+ * whole only with its last event: an endpoint that ends a stream by closing
+ * tells nothing. */
 static bool
 ended_well(const struct transfer *transfer, CURLcode code)
 {
-	if (code != CURLE_OK)
+	if (code != CURLE_OK || !transfer->head_ended)
 		return false;
 	return !transfer->relay->model || !transfer->is_stream ||
 	    transfer->status != 200 || transfer->sse.done;
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -7,7 +7,7 @@
  *                               "max_tokens": N, "standin_tokens": N}
  *   GET /load                  running and waiting, load_lag_ms late
  *   POST /orders?fence=N       load a model or change role
- *   POST /standin/set?leaving=&break_after=&fenced=&freeze_ms=
+ *   POST /standin/set?leaving=&break_after=&break_count=&fenced=&freeze_ms=
  *   GET /standin/counts
  */
 #include <glib.h>
@@ -39,6 +39,7 @@
 	bool fenced;
 	_Atomic uint32_t leaving;
 	_Atomic int64_t break_after; /* -1: never */
+	_Atomic int64_t break_count; /* breaks that are left; -1: any */
 	_Atomic uint64_t frozen_until_us;
 	_Atomic uint64_t started, finished, cancelled, refused, tokens;
 };
@@ -88,6 +89,16 @@
 	return mg_send_chunk(connection, text, (unsigned)strlen(text)) > 0;
 }
 
+static bool
+take_break(struct engine *engine)
+{
+	int64_t left = atomic_load(&engine->break_count);
+
+	if (left > 0)
+		atomic_store(&engine->break_count, left - 1);
+	return left != 0;
+}
+
 /* Streams tokens from the first one on. @return true if all were sent */
 static bool
 stream_tokens(struct engine *engine, struct mg_connection *connection,
@@ -99,7 +110,8 @@
 
 	for (int64_t i = first; i < count; i++) {
 		wait_token(engine, &due_us);
-		if (i == atomic_load(&engine->break_after))
+		if (i == atomic_load(&engine->break_after) &&
+		    take_break(engine))
 			return false;
 		g_snprintf(event, sizeof(event),
 		    "id: %" PRId64 "\ndata: "
@@ -250,6 +262,9 @@
 	atomic_store(&engine->break_after,
 	    standin_query_number(connection, "break_after",
 		atomic_load(&engine->break_after)));
+	atomic_store(&engine->break_count,
+	    standin_query_number(connection, "break_count",
+		atomic_load(&engine->break_count)));
 	if (freeze_ms > 0)
 		atomic_store(&engine->frozen_until_us,
 		    standin_now_us() + (uint64_t)freeze_ms * US_PER_MS);
@@ -309,5 +324,6 @@
 	engine.slots = (uint32_t)g_ascii_strtoull(argv[2], NULL, 10);
 	engine.token_us = g_ascii_strtoull(argv[3], NULL, 10);
 	atomic_store(&engine.break_after, -1);
+	atomic_store(&engine.break_count, -1);
 	return standin_serve(argv[1], THREADS, handle, &engine);
 }
