--- a/common/codec.c
+++ b/common/codec.c
@@ -170,6 +170,16 @@
 	write_uint(out, refuse->reason);
 }
 
+static void
+write_done(GByteArray *out, const struct msg_done *done)
+{
+	write_uint(out, done->pool_id);
+	write_uint(out, done->seq);
+	write_uint(out, done->tokens);
+	write_uint(out, done->send_seq);
+	write_uint(out, done->outcome);
+}
+
 static void
 write_body(GByteArray *out, const struct msg *msg)
 {
@@ -194,11 +204,7 @@
 		write_uint(out, msg->u.cancel.endpoint_id);
 		break;
 	case MSG_DONE:
-		write_uint(out, msg->u.done.pool_id);
-		write_uint(out, msg->u.done.seq);
-		write_uint(out, msg->u.done.tokens);
-		write_uint(out, msg->u.done.send_seq);
-		write_uint(out, msg->u.done.outcome);
+		write_done(out, &msg->u.done);
 		break;
 	case MSG_REPORT:
 		write_report(out, &msg->u.report);
