Let another attempt avoid the endpoint that failed

Cause: after a failed connect the owner's prefix affinity granted the same dead endpoint again, until three failures had ejected it; the caller got 503. An ASK now names the endpoint to avoid, which the owner chooses last.

--- a/bamboorudderd/attempt.c
+++ b/bamboorudderd/attempt.c
@@ -114,6 +114,7 @@
 		*end = ATTEMPTS_NOT_GRANTED;
 		return false;
 	}
+	attempts->exchange->submit.avoid_endpoint_id = ticket->endpoint_id;
 	stopped = first && attempts->before_send != NULL &&
 	    !attempts->before_send(attempts->context);
 	if (stopped)
--- a/common/codec.c
+++ b/common/codec.c
@@ -147,6 +147,7 @@
 	write_uint(out, ask->account_id);
 	write_uint(out, ask->seq);
 	write_uint(out, ask->prefix_hash);
+	write_uint(out, ask->avoid_endpoint_id);
 	write_uint(out, ask->estimate_tokens);
 }
 
@@ -444,6 +445,7 @@
 	ask->account_id = read_uint(reader, UINT64_MAX);
 	ask->seq = read_uint(reader, UINT64_MAX);
 	ask->prefix_hash = read_uint(reader, UINT64_MAX);
+	ask->avoid_endpoint_id = read_uint(reader, UINT64_MAX);
 	ask->estimate_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
 }
 
--- a/core/entry_fleet.c
+++ b/core/entry_fleet.c
@@ -28,6 +28,7 @@
 	msg->u.ask.account_id = request->submit.account_id;
 	msg->u.ask.seq = request->seq;
 	msg->u.ask.prefix_hash = request->submit.prefix_hash;
+	msg->u.ask.avoid_endpoint_id = request->submit.avoid_endpoint_id;
 	msg->u.ask.estimate_tokens = request->submit.estimate_tokens;
 }
 
--- a/core/owner.c
+++ b/core/owner.c
@@ -138,6 +138,7 @@
 		.seq = ask->seq,
 		.prefix_hash = ask->prefix_hash,
 		.estimate_tokens = ask->estimate_tokens };
+	struct owner_request *request;
 
 	/* one that the newest report knew of and didn't name has ended */
 	if (ask->seq <= node->seq_max ||
@@ -145,8 +146,9 @@
 		return;
 	if (node->requests.length == 0)
 		node->reported_at_ms = now_ms;
-	owner_request_limit(owner, owner_request_add(owner, node, &item),
-	    effects);
+	request = owner_request_add(owner, node, &item);
+	request->avoid_endpoint_id = ask->avoid_endpoint_id;
+	owner_request_limit(owner, request, effects);
 }
 
 static void
--- a/core/owner_endpoint.c
+++ b/core/owner_endpoint.c
@@ -60,7 +60,7 @@
 
 /* The best open endpoint below its limit of running requests. The endpoint
  * with the request's prefix in its cache counts as half empty of its slots
- * more than it is. */
+ * more than it is; one that failed the request comes last. */
 static struct owner_endpoint *
 choose_below_limit(const struct owner *owner,
     const struct owner_request *request, bool with_extra, uint64_t now_ms)
@@ -81,6 +81,8 @@
 		room = endpoint_room(endpoint, now_ms);
 		if (endpoint->endpoint_id == prefix_id)
 			room += endpoint->slots / 2;
+		if (endpoint->endpoint_id == request->avoid_endpoint_id)
+			room = INT64_MIN;
 		if (best == NULL || room > best_room) {
 			best = endpoint;
 			best_room = room;
--- a/include/core/entry.h
+++ b/include/core/entry.h
@@ -63,6 +63,7 @@
 	uint64_t pool_id;
 	uint64_t account_id;
 	uint64_t prefix_hash;
+	uint64_t avoid_endpoint_id; /**< failed an earlier attempt, or 0 */
 	uint64_t deadline_ms;
 	uint32_t estimate_tokens;
 	uint32_t waiting_max_count;
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -99,6 +99,7 @@
 	uint64_t account_id;
 	uint64_t seq;
 	uint64_t prefix_hash;
+	uint64_t avoid_endpoint_id; /**< failed an earlier attempt, or 0 */
 	uint32_t estimate_tokens;
 };
 
--- a/include/core/owner_private.h
+++ b/include/core/owner_private.h
@@ -22,6 +22,7 @@
 	struct request_key key;
 	struct owner_node *node;
 	uint64_t prefix_hash;
+	uint64_t avoid_endpoint_id; /**< chosen last; 0 for none */
 	uint64_t endpoint_id; /**< 0 while waiting */
 	uint64_t granted_at_ms;
 	uint64_t report_mark; /**< of the last report that named it */
--- a/tests/e2e/test_once.cc
+++ b/tests/e2e/test_once.cc
@@ -280,6 +280,18 @@
 	expect_error(first.get(), 502, "outcome_unknown", "unknown");
 }
 
+TEST_F(Once, AnotherAttemptAvoidsTheEndpointThatFailed)
+{
+	start(1, 2, 4);
+	fleet.endpoints[services[0]]->signal(SIGKILL);
+	fleet.endpoints[services[0]]->wait();
+	for (int i = 0; i < 8; i++) {
+		std::string id = "b" + std::to_string(i);
+		EXPECT_EQ(book(0, id).status, 201) << i;
+		EXPECT_EQ(runs(id), 1u);
+	}
+}
+
 TEST_F(Once, ARefusalOfAnUnsentRequestFreesItsKey)
 {
 	start(2, 1, 4);
