--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -78,7 +78,7 @@
 		    settings->watch_wait_ms);
 	control_start(&daemon->control, daemon->watchers);
 	return front_init(&daemon->front, settings, &daemon->control,
-		   &daemon->store, error) &&
+		   &daemon->store, &daemon->platform, error) &&
 	    admin_init(&daemon->admin, settings, &daemon->control,
 		&daemon->store, &daemon->platform, error);
 }
