--- a/bamboorudderd/admin.c
+++ b/bamboorudderd/admin.c
@@ -1,304 +1,214 @@
 #include "bamboorudderd/admin.h"
 
-#include <inttypes.h>
 #include <string.h>
 
-#include "bamboorudderd/reply.h"
-#include "common/digest.h"
-#include "common/http.h"
+#include "bamboorudderd/admin_call.h"
 #include "common/metric.h"
-#include "common/table_json.h"
 
-#define TABLE_MAX_BYTES (1024u * 1024u)
-#define ETAG_TEXT_BYTES 32
 #define ADMIN_THREADS "8"
 
-typedef void (*admin_fn)(struct admin *admin, struct mg_connection *conn);
-
-/* One call of the API. */
-struct admin_call {
-	const char *path;
-	const char *method;
-	bool open; /* needs no operator token */
-	admin_fn run;
-};
-
 GQuark
 admin_error_quark(void)
 {
 	return g_quark_from_static_string("admin-error");
 }
 
-static void
-fail(struct mg_connection *conn, uint32_t status, const char *type,
-    const char *message)
-{
-	struct reply_error error = { .status = status,
-		.type = type,
-		.message = message,
-		.run = RUN_NOT_RUN };
-
-	reply_send_error(conn, &error);
-}
-
-static void
-send_table(struct mg_connection *conn, uint32_t status, uint64_t version,
-    const char *text)
-{
-	char etag[ETAG_TEXT_BYTES], length[ETAG_TEXT_BYTES];
-
-	g_snprintf(etag, sizeof(etag), "\"%" PRIu64 "\"", version);
-	g_snprintf(length, sizeof(length), "%zu", strlen(text));
-	mg_response_header_start(conn, (int)status);
-	mg_response_header_add(conn, "ETag", etag, -1);
-	mg_response_header_add(conn, "Content-Type", "application/json", -1);
-	mg_response_header_add(conn, "Content-Length", length, -1);
-	mg_response_header_send(conn);
-	mg_write(conn, text, strlen(text));
-}
-
-static void
-get_table(struct admin *admin, struct mg_connection *conn, enum table_kind kind)
-{
-	struct snapshot *snapshot = tablestore_ref(admin->store);
-
-	send_table(conn, 200,
-	    kind == TABLE_ROUTES ? snapshot->tables.routes_version
-				 : snapshot->tables.pools_version,
-	    snapshot->texts[kind]);
-	snapshot_unref(snapshot);
-}
-
-static void
-send_findings(struct mg_connection *conn, const struct findings *findings)
-{
-	json_t *list = json_array();
-
-	for (size_t i = 0; i < findings->count; i++) {
-		const struct finding *finding = &findings->items[i];
-		json_array_append_new(list,
-		    json_pack("{s:s, s:i, s:i, s:i, s:s}", "table",
-			finding->place, "row", (int)finding->row, "line",
-			(int)finding->line, "column", (int)finding->column,
-			"text", finding->text));
-	}
-	reply_send_json(conn, 422,
-	    json_pack("{s:{s:s, s:s, s:s, s:o}}", "error", "type",
-		"invalid_table", "message",
-		"the table was not accepted; nothing was changed", "run",
-		"not-run", "findings", list));
-}
-
-/* Validates a new text of one table together with the other in force. */
-static bool
-check_table(struct admin *admin, enum table_kind kind, const char *text,
-    struct findings *findings)
-{
-	struct snapshot *snapshot = tablestore_ref(admin->store);
-	struct tables tables;
-	bool valid;
-
-	findings_init(findings);
-	valid = table_json_read(kind == TABLE_ROUTES
-		? text
-		: snapshot->texts[TABLE_ROUTES],
-	    kind == TABLE_POOLS ? text : snapshot->texts[TABLE_POOLS], &tables,
-	    findings);
-	tables_finish(&tables);
-	snapshot_unref(snapshot);
-	return valid;
-}
+/* Sorted by path, then method. */
+static const struct admin_call calls[] = {
+	{ "/healthz", "GET", OPERATOR_NONE, admin_get_healthz, 0 },
+	{ "/metrics", "GET", OPERATOR_NONE, admin_get_metrics, 0 },
+	{ "/readyz", "GET", OPERATOR_NONE, admin_get_readyz, 0 },
+	{ "/v1/accounts", "GET", OPERATOR_READ, admin_get_accounts, 0 },
+	{ "/v1/drain", "POST", OPERATOR_EDIT, admin_post_drain, 0 },
+	{ "/v1/dump", "GET", OPERATOR_READ, admin_get_dump, 0 },
+	{ "/v1/members", "GET", OPERATOR_READ, admin_get_members, 0 },
+	{ "/v1/pools", "GET", OPERATOR_READ, admin_get_pools, 0 },
+	{ "/v1/status", "GET", OPERATOR_READ, admin_get_status, 0 },
+	{ "/v1/tables/pools", "GET", OPERATOR_READ, admin_get_table,
+	    TABLE_POOLS },
+	{ "/v1/tables/pools", "PUT", OPERATOR_EDIT, admin_put_table,
+	    TABLE_POOLS },
+	{ "/v1/tables/pools/check", "POST", OPERATOR_READ, admin_check_table,
+	    TABLE_POOLS },
+	{ "/v1/tables/pools/history", "GET", OPERATOR_READ, admin_get_history,
+	    TABLE_POOLS },
+	{ "/v1/tables/pools/row", "DELETE", OPERATOR_EDIT, admin_delete_row,
+	    TABLE_POOLS },
+	{ "/v1/tables/pools/row", "PUT", OPERATOR_EDIT, admin_put_row,
+	    TABLE_POOLS },
+	{ "/v1/tables/routes", "GET", OPERATOR_READ, admin_get_table,
+	    TABLE_ROUTES },
+	{ "/v1/tables/routes", "PUT", OPERATOR_EDIT_TEAM, admin_put_table,
+	    TABLE_ROUTES },
+	{ "/v1/tables/routes/check", "POST", OPERATOR_READ, admin_check_table,
+	    TABLE_ROUTES },
+	{ "/v1/tables/routes/history", "GET", OPERATOR_READ, admin_get_history,
+	    TABLE_ROUTES },
+	{ "/v1/tables/routes/row", "DELETE", OPERATOR_EDIT_TEAM,
+	    admin_delete_row, TABLE_ROUTES },
+	{ "/v1/tables/routes/row", "PUT", OPERATOR_EDIT_TEAM, admin_put_row,
+	    TABLE_ROUTES },
+	{ "/v1/version", "GET", OPERATOR_READ, admin_get_version, 0 },
+};
 
-static void
-send_platform_error(struct mg_connection *conn, const GError *error)
+const struct admin_call *
+admin_calls(size_t *count)
 {
-	struct reply_error reply = { .status = 503,
-		.type = "platform_down",
-		.message = error->message,
-		.run = RUN_NOT_RUN,
-		.retry_after_ms = 1000 };
-
-	if (error->code == PLATFORM_ERROR_CONFLICT) {
-		reply.status = 412;
-		reply.type = "version_conflict";
-	} else if (error->code == PLATFORM_ERROR_UNKNOWN) {
-		reply.type = "outcome_unknown";
-		reply.run = RUN_UNKNOWN;
-	}
-	reply_send_error(conn, &reply);
+	*count = G_N_ELEMENTS(calls);
+	return calls;
 }
 
-static void
-write_table(struct admin *admin, struct mg_connection *conn,
-    enum table_kind kind, const char *text)
+static json_t *
+error_document(const char *type, const char *message, enum run_state run,
+    json_t *more)
 {
-	const char *if_match = mg_get_header(conn, "If-Match");
-	uint64_t version = if_match == NULL ? 0 : http_etag_version(if_match);
-	GError *error = NULL;
+	json_t *error = json_pack("{s:s, s:s, s:s}", "type", type, "message",
+	    message, "run", run == RUN_NOT_RUN ? "not-run" : "unknown");
 
-	if (!admin->platform->ops->put(admin->platform, table_kind_name(kind),
-		text, &version, &error)) {
-		send_platform_error(conn, error);
-		g_error_free(error);
-		return;
+	if (more != NULL) {
+		json_object_update(error, more);
+		json_decref(more);
 	}
-	tablestore_offer(admin->store, kind, version, text);
-	send_table(conn, 200, version, text);
+	return json_pack("{s:o}", "error", error);
 }
 
-static void
-put_table(struct admin *admin, struct mg_connection *conn, enum table_kind kind)
+void
+admin_send_document(struct mg_connection *connection, uint32_t status,
+    json_t *document, const struct admin_header *headers, size_t header_count)
 {
-	struct findings *findings = g_new(struct findings, 1);
-	size_t length_bytes;
-	uint32_t status;
-	char *text = reply_read_body(conn, TABLE_MAX_BYTES, &length_bytes,
-	    &status);
+	char *text = json_dumps(document, JSON_INDENT(2)), length[24];
 
-	if (text == NULL)
-		fail(conn, status, "malformed", "the table was not read");
-	else if (!check_table(admin, kind, text, findings))
-		send_findings(conn, findings);
-	else
-		write_table(admin, conn, kind, text);
-	g_free(text);
-	g_free(findings);
-}
-
-static void
-get_routes(struct admin *admin, struct mg_connection *conn)
-{
-	get_table(admin, conn, TABLE_ROUTES);
+	g_snprintf(length, sizeof(length), "%zu", strlen(text));
+	mg_response_header_start(connection, (int)status);
+	for (size_t i = 0; i < header_count; i++)
+		mg_response_header_add(connection, headers[i].name,
+		    headers[i].value, -1);
+	mg_response_header_add(connection, "Content-Type", "application/json",
+	    -1);
+	mg_response_header_add(connection, "Content-Length", length, -1);
+	mg_response_header_send(connection);
+	mg_write(connection, text, strlen(text));
+	free(text);
+	json_decref(document);
 }
 
 static void
-get_pools(struct admin *admin, struct mg_connection *conn)
+send_error(struct mg_connection *connection, uint32_t status, json_t *document,
+    enum run_state run, const struct admin_header *more)
 {
-	get_table(admin, conn, TABLE_POOLS);
-}
+	struct admin_header headers[] = {
+		{ HEADER_RUN, run == RUN_NOT_RUN ? "not-run" : "unknown" },
+		{ NULL, NULL },
+	};
 
-static void
-put_routes(struct admin *admin, struct mg_connection *conn)
-{
-	put_table(admin, conn, TABLE_ROUTES);
+	if (more != NULL)
+		headers[1] = *more;
+	mg_disable_connection_keep_alive(connection);
+	admin_send_document(connection, status, document, headers,
+	    more == NULL ? 1 : 2);
 }
 
-static void
-put_pools(struct admin *admin, struct mg_connection *conn)
+void
+admin_send_error(const struct admin_request *request, uint32_t status,
+    const char *type, const char *message, enum run_state run, json_t *more)
 {
-	put_table(admin, conn, TABLE_POOLS);
-}
+	static const struct admin_header bearer = { "WWW-Authenticate",
+		"Bearer" };
+	static const struct admin_header later = { "Retry-After", "1" };
+	const struct admin_header *header = NULL;
 
-static void
-get_dump(struct admin *admin, struct mg_connection *conn)
-{
-	reply_send_json(conn, 200, control_dump(admin->control));
+	if (status == 401)
+		header = &bearer;
+	else if (status == 503)
+		header = &later;
+	send_error(request->connection, status,
+	    error_document(type, message, run, more), run, header);
 }
 
-static void
-get_healthz(struct admin *admin, struct mg_connection *conn)
-{
-	(void)admin;
-	reply_send_json(conn, 200, json_pack("{s:s}", "status", "ok"));
-}
-
-static void
-get_readyz(struct admin *admin, struct mg_connection *conn)
+static bool
+identify(struct admin_request *request)
 {
-	struct snapshot *snapshot = tablestore_ref(admin->store);
-	bool ready = snapshot->tables.routes_version != 0 &&
-	    snapshot->tables.pools_version != 0 &&
-	    !atomic_load(&admin->draining);
+	struct admin *admin = request->admin;
+	const struct operator_entry *entry;
 
-	snapshot_unref(snapshot);
-	reply_send_json(conn, ready ? 200 : 503,
-	    json_pack("{s:s}", "status", ready ? "ready" : "not ready"));
+	pthread_mutex_lock(&admin->operators_mutex);
+	entry = operator_find(admin->operators, admin->operator_count,
+	    reply_bearer_token(request->connection));
+	if (entry != NULL)
+		request->author = *entry;
+	pthread_mutex_unlock(&admin->operators_mutex);
+	return entry != NULL;
 }
 
 static void
-get_metrics(struct admin *admin, struct mg_connection *conn)
+run_call(struct admin_request *request)
 {
-	GString *text = g_string_new(NULL);
-
-	(void)admin;
-	metric_render(text);
-	mg_response_header_start(conn, 200);
-	mg_response_header_add(conn, "Content-Type",
-	    "text/plain; version=0.0.4", -1);
-	mg_response_header_add(conn, "Connection", "close", -1);
-	mg_response_header_send(conn);
-	mg_write(conn, text->str, text->len);
-	g_string_free(text, TRUE);
+	if (request->call->scope == OPERATOR_NONE)
+		request->call->run(request);
+	else if (!identify(request)) {
+		metric_add(METRIC_ADMIN_UNAUTHORIZED, 1);
+		admin_send_error(request, 401, "unknown_token",
+		    "the operator's token is missing or unknown", RUN_NOT_RUN,
+		    NULL);
+	} else if (request->author.scope < request->call->scope) {
+		metric_add(METRIC_ADMIN_UNAUTHORIZED, 1);
+		admin_send_error(request, 403, "scope_too_low",
+		    "the operator's scope does not include this call",
+		    RUN_NOT_RUN, NULL);
+	} else
+		request->call->run(request);
 }
 
 static void
-post_drain(struct admin *admin, struct mg_connection *conn)
+send_no_method(struct mg_connection *connection, const char *allowed)
 {
-	atomic_store(&admin->draining, 1);
-	control_drain(admin->control);
-	reply_send_json(conn, 202, json_pack("{s:s}", "status", "draining"));
-}
+	struct admin_header header = { "Allow", allowed };
 
-static const struct admin_call calls[] = {
-	{ "/healthz", "GET", true, get_healthz },
-	{ "/metrics", "GET", true, get_metrics },
-	{ "/readyz", "GET", true, get_readyz },
-	{ "/v1/drain", "POST", false, post_drain },
-	{ "/v1/dump", "GET", false, get_dump },
-	{ "/v1/tables/pools", "GET", false, get_pools },
-	{ "/v1/tables/pools", "PUT", false, put_pools },
-	{ "/v1/tables/routes", "GET", false, get_routes },
-	{ "/v1/tables/routes", "PUT", false, put_routes },
-};
-
-static bool
-token_known(const struct admin *admin, const char *token)
-{
-	const struct settings_list *tokens = &admin->settings->operator_tokens;
-	char digest[DIGEST_HEX_BYTES + 1];
-	uint32_t difference, known = 0;
-
-	if (token == NULL)
-		return false;
-	digest_sha256_hex(token, digest);
-	for (uint32_t i = 0; i < tokens->count; i++) {
-		difference = strlen(tokens->items[i]) != DIGEST_HEX_BYTES;
-		for (size_t j = 0; j < DIGEST_HEX_BYTES; j++)
-			difference |= (uint32_t)(tokens->items[i][j] ^
-			    digest[j]);
-		known |= difference == 0;
-	}
-	return known != 0;
+	send_error(connection, 405,
+	    error_document("no_such_method", "no such method here", RUN_NOT_RUN,
+		NULL),
+	    RUN_NOT_RUN, &header);
 }
 
 static int
-handle_request(struct mg_connection *conn, void *context)
+handle_request(struct mg_connection *connection, void *context)
 {
-	const struct mg_request_info *info = mg_get_request_info(conn);
-	struct admin *admin = context;
-	bool path_known = false;
+	const struct mg_request_info *info = mg_get_request_info(connection);
+	struct admin_request request = { .admin = context,
+		.connection = connection };
+	GString *allowed = g_string_new(NULL);
 
 	for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
 		if (strcmp(calls[i].path, info->local_uri) != 0)
 			continue;
-		path_known = true;
-		if (strcmp(calls[i].method, info->request_method) != 0)
-			continue;
-		if (calls[i].open ||
-		    token_known(admin, reply_bearer_token(conn)))
-			calls[i].run(admin, conn);
-		else
-			fail(conn, 401, "unknown_token",
-			    "the operator's token is missing or unknown");
-		return 1;
+		g_string_append_printf(allowed, "%s%s",
+		    allowed->len == 0 ? "" : ", ", calls[i].method);
+		if (strcmp(calls[i].method, info->request_method) == 0)
+			request.call = &calls[i];
 	}
-	if (path_known)
-		fail(conn, 405, "no_such_method", "no such method here");
+	if (request.call != NULL)
+		run_call(&request);
+	else if (allowed->len > 0)
+		send_no_method(connection, allowed->str);
 	else
-		fail(conn, 404, "no_such_path", "no such path");
+		admin_send_error(&request, 404, "no_such_path", "no such path",
+		    RUN_NOT_RUN, NULL);
+	g_string_free(allowed, TRUE);
 	return 1;
 }
 
+void
+admin_set_operators(struct admin *admin, const struct settings_list *tokens)
+{
+	pthread_mutex_lock(&admin->operators_mutex);
+	admin->operator_count = 0;
+	for (uint32_t i = 0; i < tokens->count; i++)
+		if (operator_parse(tokens->items[i],
+			&admin->operators[admin->operator_count]) == NULL)
+			admin->operator_count++;
+	pthread_mutex_unlock(&admin->operators_mutex);
+}
+
 gboolean
 admin_init(struct admin *admin, const struct settings *settings,
     struct control *control, struct tablestore *store,
@@ -313,6 +223,9 @@
 	admin->control = control;
 	admin->store = store;
 	admin->platform = platform;
+	clk_init_system(&admin->clk);
+	pthread_mutex_init(&admin->operators_mutex, NULL);
+	admin_set_operators(admin, &settings->operator_tokens);
 	admin->server = mg_start(&callbacks, admin, options);
 	if (admin->server == NULL) {
 		g_set_error(error, ADMIN_ERROR, 0, "cannot listen on %s",
@@ -329,4 +242,5 @@
 	if (admin->server != NULL)
 		mg_stop(admin->server);
 	admin->server = NULL;
+	pthread_mutex_destroy(&admin->operators_mutex);
 }
--- /dev/null
+++ b/bamboorudderd/admin_status.c
@@ -0,0 +1,213 @@
+#include <string.h>
+
+#include "bamboorudderd/admin_call.h"
+#include "common/metric.h"
+#include "common/table_json.h"
+
+void
+admin_get_healthz(const struct admin_request *request)
+{
+	reply_send_json(request->connection, 200,
+	    json_pack("{s:s}", "status", "ok"));
+}
+
+void
+admin_get_readyz(const struct admin_request *request)
+{
+	struct snapshot *snapshot = tablestore_ref(request->admin->store);
+	const char *status = "ready";
+
+	if (atomic_load(&request->admin->draining))
+		status = "draining";
+	else if (snapshot->tables.routes_version == 0 ||
+	    snapshot->tables.pools_version == 0)
+		status = "no tables yet";
+	snapshot_unref(snapshot);
+	reply_send_json(request->connection,
+	    strcmp(status, "ready") == 0 ? 200 : 503,
+	    json_pack("{s:s}", "status", status));
+}
+
+void
+admin_get_metrics(const struct admin_request *request)
+{
+	struct mg_connection *connection = request->connection;
+	GString *text = g_string_new(NULL);
+
+	metric_render(text);
+	mg_response_header_start(connection, 200);
+	mg_response_header_add(connection, "Content-Type",
+	    "text/plain; version=0.0.4", -1);
+	mg_response_header_add(connection, "Connection", "close", -1);
+	mg_response_header_send(connection);
+	mg_write(connection, text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+void
+admin_get_version(const struct admin_request *request)
+{
+	reply_send_json(request->connection, 200,
+	    json_pack("{s:s}", "version", BAMBOORUDDER_VERSION));
+}
+
+void
+admin_post_drain(const struct admin_request *request)
+{
+	atomic_store(&request->admin->draining, 1);
+	control_drain(request->admin->control);
+	reply_send_json(request->connection, 202,
+	    json_pack("{s:s}", "status", "draining"));
+}
+
+void
+admin_get_dump(const struct admin_request *request)
+{
+	reply_send_json(request->connection, 200,
+	    control_dump(request->admin->control));
+}
+
+/* Sends one member of the dump under its own name. */
+static void
+send_part(const struct admin_request *request, const char *part)
+{
+	json_t *dump = control_dump(request->admin->control);
+
+	reply_send_json(request->connection, 200,
+	    json_pack("{s:O}", part, json_object_get(dump, part)));
+	json_decref(dump);
+}
+
+void
+admin_get_pools(const struct admin_request *request)
+{
+	send_part(request, "pools");
+}
+
+/* This daemon and the others, from a dump. */
+static json_t *
+list_daemons(const json_t *dump)
+{
+	json_t *list = json_copy(json_object_get(dump, "members"));
+
+	json_array_insert(list, 0, json_object_get(dump, "self"));
+	return list;
+}
+
+void
+admin_get_members(const struct admin_request *request)
+{
+	json_t *dump = control_dump(request->admin->control);
+
+	reply_send_json(request->connection, 200,
+	    json_pack("{s:o}", "daemons", list_daemons(dump)));
+	json_decref(dump);
+}
+
+/* One row for each pool and account; pools of other owners are named. */
+void
+admin_get_accounts(const struct admin_request *request)
+{
+	json_t *dump = control_dump(request->admin->control), *pool, *account;
+	json_t *accounts = json_array(), *elsewhere = json_array();
+	size_t index, inner;
+
+	json_array_foreach (json_object_get(dump, "pools"), index, pool) {
+		json_t *name = json_object_get(pool, "pool");
+		if (!json_is_true(json_object_get(pool, "owned_here")))
+			json_array_append_new(elsewhere,
+			    json_pack("{s:O, s:O}", "pool", name, "owner",
+				json_object_get(pool, "owner")));
+		json_array_foreach (json_object_get(pool, "accounts"), inner,
+		    account) {
+			json_t *row = json_copy(account);
+			json_object_set(row, "pool", name);
+			json_array_append_new(accounts, row);
+		}
+	}
+	reply_send_json(request->connection, 200,
+	    json_pack("{s:o, s:o}", "accounts", accounts, "elsewhere",
+		elsewhere));
+	json_decref(dump);
+}
+
+/* Why the newest tables are not in force; an empty list if they are. */
+static json_t *
+newest_findings(struct admin *admin, enum table_kind kind)
+{
+	struct findings *findings = g_new(struct findings, 1);
+	json_t *list = json_array();
+	struct tables tables;
+	char *texts[TABLE_KIND_COUNT], line[512];
+
+	findings_init(findings);
+	for (int i = 0; i < TABLE_KIND_COUNT; i++)
+		texts[i] = tablestore_newest(admin->store, (enum table_kind)i,
+		    NULL);
+	table_json_read(texts[TABLE_ROUTES], texts[TABLE_POOLS], &tables,
+	    findings);
+	for (size_t i = 0; i < findings->count; i++) {
+		if (strcmp(findings->items[i].place, table_kind_name(kind)) !=
+		    0)
+			continue;
+		finding_format(&findings->items[i], line, sizeof(line));
+		json_array_append_new(list, json_string(line));
+	}
+	tables_finish(&tables);
+	for (int i = 0; i < TABLE_KIND_COUNT; i++)
+		g_free(texts[i]);
+	g_free(findings);
+	return list;
+}
+
+static bool
+is_live(const json_t *daemon)
+{
+	const char *state = json_string_value(json_object_get(daemon, "state"));
+
+	return state != NULL && strcmp(state, "live") == 0;
+}
+
+/* How far the newest version of one table has come. */
+static json_t *
+table_status(const struct admin_request *request, enum table_kind kind,
+    const json_t *daemons)
+{
+	const char *field = kind == TABLE_ROUTES ? "routes_version"
+						 : "pools_version";
+	json_t *unconfirmed = json_array(), *daemon;
+	json_int_t confirmed = 0, live = 0;
+	uint64_t newest;
+	size_t index;
+
+	g_free(tablestore_newest(request->admin->store, kind, &newest));
+	json_array_foreach (daemons, index, daemon) {
+		bool confirms = (uint64_t)json_integer_value(
+				    json_object_get(daemon, field)) >= newest;
+		live += is_live(daemon);
+		confirmed += is_live(daemon) && confirms;
+		if (!confirms)
+			json_array_append(unconfirmed,
+			    json_object_get(daemon, "address"));
+	}
+	return json_pack("{s:I, s:O, s:I, s:I, s:o, s:o}", "newest_version",
+	    (json_int_t)newest, "in_force_version",
+	    json_object_get(json_array_get(daemons, 0), field), "daemons_live",
+	    live, "daemons_confirmed", confirmed, "unconfirmed", unconfirmed,
+	    "findings", newest_findings(request->admin, kind));
+}
+
+void
+admin_get_status(const struct admin_request *request)
+{
+	json_t *dump = control_dump(request->admin->control);
+	json_t *daemons = list_daemons(dump);
+
+	reply_send_json(request->connection, 200,
+	    json_pack("{s:s, s:o, s:o, s:O, s:o}", "version",
+		BAMBOORUDDER_VERSION, "routes",
+		table_status(request, TABLE_ROUTES, daemons), "pools",
+		table_status(request, TABLE_POOLS, daemons), "entry",
+		json_object_get(dump, "entry"), "daemons", daemons));
+	json_decref(dump);
+}
--- /dev/null
+++ b/bamboorudderd/admin_tables.c
@@ -0,0 +1,344 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "bamboorudderd/admin_call.h"
+#include "bamboorudderd/edit.h"
+#include "bamboorudderd/table_doc.h"
+#include "common/http.h"
+#include "common/metric.h"
+#include "common/table_diff.h"
+
+#define TABLE_MAX_BYTES (1024u * 1024u)
+#define NUMBER_TEXT_BYTES 32
+#define QUERY_VALUE_MAX_BYTES 256
+
+static void
+send_with_version(struct mg_connection *connection, uint64_t version,
+    json_t *document)
+{
+	char etag[NUMBER_TEXT_BYTES];
+	struct admin_header header = { "ETag", etag };
+
+	g_snprintf(etag, sizeof(etag), "\"%" PRIu64 "\"", version);
+	admin_send_document(connection, 200, document, &header, 1);
+}
+
+/* The table in force here, as a document. */
+static void
+doc_in_force(const struct admin_request *request, struct table_doc *doc)
+{
+	struct snapshot *snapshot = tablestore_ref(request->admin->store);
+	enum table_kind kind = request->call->kind;
+
+	table_doc_init(doc, snapshot->texts[kind],
+	    kind == TABLE_ROUTES ? snapshot->tables.routes_version
+				 : snapshot->tables.pools_version);
+	snapshot_unref(snapshot);
+}
+
+/* With "?newest" the table at the platform, valid or not. */
+static bool
+doc_wanted(const struct admin_request *request, struct table_doc *doc)
+{
+	const struct mg_request_info *info = mg_get_request_info(
+	    request->connection);
+	GError *error = NULL;
+
+	if (info->query_string == NULL ||
+	    strcmp(info->query_string, "newest") != 0) {
+		doc_in_force(request, doc);
+		return true;
+	}
+	if (table_doc_get(doc, request->admin->platform, request->call->kind,
+		&error))
+		return true;
+	admin_send_error(request, 503, "platform_down", error->message,
+	    RUN_NOT_RUN, NULL);
+	g_error_free(error);
+	return false;
+}
+
+void
+admin_get_table(const struct admin_request *request)
+{
+	struct table_doc doc;
+
+	if (!doc_wanted(request, &doc))
+		return;
+	send_with_version(request->connection, doc.version,
+	    json_pack("{s:O}", "rows", doc.rows));
+	table_doc_finish(&doc);
+}
+
+void
+admin_get_history(const struct admin_request *request)
+{
+	struct table_doc doc;
+
+	if (!doc_wanted(request, &doc))
+		return;
+	send_with_version(request->connection, doc.version,
+	    json_pack("{s:o}", "history", table_doc_history(&doc)));
+	table_doc_finish(&doc);
+}
+
+static json_t *
+findings_json(const struct findings *findings)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < findings->count; i++) {
+		const struct finding *finding = &findings->items[i];
+		json_array_append_new(list,
+		    json_pack("{s:s, s:i, s:i, s:i, s:s}", "table",
+			finding->place, "row", (int)finding->row, "line",
+			(int)finding->line, "column", (int)finding->column,
+			"text", finding->text));
+	}
+	return list;
+}
+
+static void
+send_findings(const struct admin_request *request,
+    const struct findings *findings)
+{
+	admin_send_error(request, 422, "invalid_table",
+	    "the table was not accepted; nothing was changed", RUN_NOT_RUN,
+	    json_pack("{s:o, s:I}", "findings", findings_json(findings),
+		"findings_count", (json_int_t)findings->total_count));
+}
+
+static void
+send_outcome_ok(const struct admin_request *request, const struct edit *edit)
+{
+	json_t *document = json_pack("{s:I, s:O}", "version",
+	    (json_int_t)edit->version, "difference", edit->difference);
+
+	if (edit->type != EDIT_CHECK)
+		json_object_set_new(document, "edit", json_string(edit->id));
+	send_with_version(request->connection, edit->version, document);
+}
+
+static void
+send_lost_race(const struct admin_request *request, const struct edit *edit)
+{
+	admin_send_error(request, 412, "version_conflict",
+	    "another version is current; nothing was changed", RUN_NOT_RUN,
+	    json_pack("{s:I, s:O?, s:O?}", "version", (json_int_t)edit->version,
+		"difference", edit->difference, "changes_since",
+		edit->changes_since));
+}
+
+/* Statuses of the outcomes that need no more than a message. */
+static const struct outcome_reply {
+	enum edit_outcome outcome;
+	uint32_t status;
+	const char *type;
+	const char *message;
+	enum run_state run;
+} outcome_replies[] = {
+	{ EDIT_VERSION_REQUIRED, 428, "version_required",
+	    "the table exists: send its version as If-Match", RUN_NOT_RUN },
+	{ EDIT_NO_SUCH_ROW, 404, "no_such_row", "the table has no such row",
+	    RUN_NOT_RUN },
+	{ EDIT_OTHER_TEAM, 403, "other_team",
+	    "the edit touches accounts of another team", RUN_NOT_RUN },
+	{ EDIT_TABLES_CONFLICT, 409, "tables_conflict",
+	    "an edit of the other table at the same time contradicts this "
+	    "one; it was taken back",
+	    RUN_NOT_RUN },
+	{ EDIT_NOT_RUN, 503, "platform_down", NULL, RUN_NOT_RUN },
+	{ EDIT_UNKNOWN, 503, "outcome_unknown", NULL, RUN_UNKNOWN },
+};
+
+static void
+send_outcome(const struct admin_request *request, enum edit_outcome outcome,
+    const struct edit *edit)
+{
+	if (outcome == EDIT_ACCEPTED || outcome == EDIT_READY) {
+		send_outcome_ok(request, edit);
+		return;
+	}
+	metric_add(METRIC_EDITS_REFUSED, 1);
+	if (outcome == EDIT_INVALID)
+		send_findings(request, &edit->findings);
+	else if (outcome == EDIT_LOST_RACE)
+		send_lost_race(request, edit);
+	for (size_t i = 0; i < G_N_ELEMENTS(outcome_replies); i++) {
+		const struct outcome_reply *reply = &outcome_replies[i];
+		if (reply->outcome == outcome)
+			admin_send_error(request, reply->status, reply->type,
+			    reply->message == NULL ? edit->reason
+						   : reply->message,
+			    reply->run,
+			    json_pack("{s:I}", "version",
+				(json_int_t)edit->version));
+	}
+}
+
+static void
+run_edit(const struct admin_request *request, struct edit *edit)
+{
+	struct edit_context context = { request->admin->platform,
+		request->admin->store, &request->admin->clk };
+	const char *if_match = mg_get_header(request->connection, "If-Match");
+
+	edit->kind = request->call->kind;
+	edit->author = &request->author;
+	edit->if_match = if_match != NULL;
+	if (if_match != NULL)
+		edit->base_version = http_etag_version(if_match);
+	send_outcome(request, edit_run(&context, edit), edit);
+	edit_finish(edit);
+}
+
+/* Reads a JSON body; sends the error if there is none. */
+static json_t *
+read_json(const struct admin_request *request)
+{
+	struct findings *findings;
+	json_error_t error;
+	size_t length_bytes;
+	uint32_t status;
+	json_t *root;
+	char *text = reply_read_body(request->connection, TABLE_MAX_BYTES,
+	    &length_bytes, &status);
+
+	if (text == NULL) {
+		admin_send_error(request, status,
+		    status == 413 ? "too_large" : "malformed",
+		    "the body was not read", RUN_NOT_RUN, NULL);
+		return NULL;
+	}
+	root = json_loadb(text, length_bytes, JSON_REJECT_DUPLICATES, &error);
+	if (root == NULL) {
+		findings = g_new(struct findings, 1);
+		findings_init(findings);
+		findings_add_line(findings,
+		    table_kind_name(request->call->kind), (uint32_t)error.line,
+		    (uint32_t)MAX(error.column, 1), "%s", error.text);
+		send_findings(request, findings);
+		g_free(findings);
+	}
+	g_free(text);
+	return root;
+}
+
+static json_t *
+read_rows(const struct admin_request *request)
+{
+	json_t *root = read_json(request);
+	json_t *rows = json_object_get(root, "rows");
+	struct findings *findings;
+
+	if (root == NULL)
+		return NULL;
+	if (json_is_array(rows) && json_object_size(root) == 1)
+		json_incref(rows);
+	else {
+		rows = NULL;
+		findings = g_new(struct findings, 1);
+		findings_init(findings);
+		findings_add_row(findings, table_kind_name(request->call->kind),
+		    0, "must be an object with just a list \"rows\"");
+		send_findings(request, findings);
+		g_free(findings);
+	}
+	json_decref(root);
+	return rows;
+}
+
+void
+admin_put_table(const struct admin_request *request)
+{
+	struct edit *edit = g_new0(struct edit, 1);
+
+	edit->type = EDIT_REPLACE;
+	edit->rows = read_rows(request);
+	if (edit->rows != NULL)
+		run_edit(request, edit);
+	json_decref(edit->rows);
+	g_free(edit);
+}
+
+void
+admin_put_row(const struct admin_request *request)
+{
+	struct edit *edit = g_new0(struct edit, 1);
+	json_t *row = read_json(request);
+	char *key = table_row_key(request->call->kind, row);
+
+	edit->type = EDIT_SET_ROW;
+	edit->row = row;
+	edit->row_key = key;
+	if (row != NULL)
+		run_edit(request, edit);
+	json_decref(row);
+	g_free(key);
+	g_free(edit);
+}
+
+/* The key fields of a row from the query; NULL if one is missing. */
+static json_t *
+row_from_query(const struct admin_request *request)
+{
+	static const char *const route_names[] = { "account", "path", NULL };
+	static const char *const pool_names[] = { "pool", NULL };
+	const char *const *names = request->call->kind == TABLE_ROUTES
+	    ? route_names
+	    : pool_names;
+	const char *query = mg_get_request_info(request->connection)
+				->query_string;
+	char value[QUERY_VALUE_MAX_BYTES];
+	json_t *row = json_object();
+
+	for (size_t i = 0; names[i] != NULL; i++) {
+		if (query == NULL ||
+		    mg_get_var(query, strlen(query), names[i], value,
+			sizeof(value)) <= 0) {
+			json_decref(row);
+			return NULL;
+		}
+		json_object_set_new(row, names[i], json_string(value));
+	}
+	return row;
+}
+
+void
+admin_delete_row(const struct admin_request *request)
+{
+	struct edit *edit = g_new0(struct edit, 1);
+	json_t *row = row_from_query(request);
+	char *key = table_row_key(request->call->kind, row);
+
+	edit->type = EDIT_REMOVE_ROW;
+	edit->row_key = key;
+	if (row != NULL)
+		run_edit(request, edit);
+	else
+		admin_send_error(request, 400, "malformed",
+		    "the query must name the row: account and path, or pool",
+		    RUN_NOT_RUN, NULL);
+	json_decref(row);
+	g_free(key);
+	g_free(edit);
+}
+
+void
+admin_check_table(const struct admin_request *request)
+{
+	struct edit *edit = g_new0(struct edit, 1);
+	struct edit_context context = { request->admin->platform,
+		request->admin->store, &request->admin->clk };
+	struct operator_entry anyone = { .scope = OPERATOR_EDIT };
+
+	edit->kind = request->call->kind;
+	edit->type = EDIT_CHECK;
+	edit->author = &anyone;
+	edit->rows = read_rows(request);
+	if (edit->rows != NULL)
+		send_outcome(request, edit_run(&context, edit), edit);
+	edit_finish(edit);
+	json_decref(edit->rows);
+	g_free(edit);
+}
--- a/bamboorudderd/dump.c
+++ b/bamboorudderd/dump.c
@@ -24,6 +24,17 @@
 	    "pools_version", (json_int_t)member->pools_version);
 }
 
+/* This daemon among the members: live as long as it answers. */
+static json_t *
+dump_self(const struct member *self, uint64_t now_ms)
+{
+	json_t *object = dump_member(self, now_ms);
+
+	json_object_set_new(object, "state", json_string("live"));
+	json_object_set_new(object, "heard_ms_ago", json_integer(0));
+	return object;
+}
+
 static json_t *
 dump_members(const struct members *members, uint64_t now_ms)
 {
@@ -46,21 +57,84 @@
 	return "?";
 }
 
+/* Slots of endpoints that take new work. */
+static uint32_t
+slots_count(const struct owner *owner)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < owner->endpoints->len; i++) {
+		const struct owner_endpoint *endpoint =
+		    &g_array_index(owner->endpoints, struct owner_endpoint, i);
+		if (!endpoint->leaving)
+			count += endpoint->slots;
+	}
+	return count;
+}
+
+static bool
+account_is_active(const struct fair_account *account)
+{
+	return account->waiting_count + account->running_count > 0;
+}
+
+static uint32_t
+active_weight(const struct owner *owner)
+{
+	uint32_t weight = 0;
+
+	for (guint i = 0; i < owner->accounts->len; i++) {
+		const struct fair_account *account =
+		    &g_array_index(owner->accounts, struct fair_account, i);
+		if (account_is_active(account))
+			weight += account->weight;
+	}
+	return weight;
+}
+
+/* Why an account's requests wait, for people; null if none wait. */
+static json_t *
+waiting_reason(const struct owner *owner, const struct fair_account *account)
+{
+	uint32_t slots = slots_count(owner);
+
+	if (account->waiting_count == 0)
+		return json_null();
+	if (owner->syncing)
+		return json_string("the pool's new owner waits for the reports "
+				   "of the other daemons");
+	if (slots == 0)
+		return json_string("the pool has no endpoint that takes new "
+				   "work");
+	return json_sprintf("the pool's %u slots are taken; the account holds "
+			    "%u, its share is %u.%u",
+	    slots, account->running_count,
+	    slots * account->weight / active_weight(owner),
+	    slots * account->weight * 10 / active_weight(owner) % 10);
+}
+
 static json_t *
 dump_accounts(const struct owner *owner, const struct tables *tables)
 {
+	uint32_t weight = active_weight(owner);
 	json_t *list = json_array();
 
 	for (guint i = 0; i < owner->accounts->len; i++) {
 		const struct fair_account *account =
 		    &g_array_index(owner->accounts, struct fair_account, i);
 		json_array_append_new(list,
-		    json_pack("{s:s, s:i, s:i, s:i, s:I}", "account",
-			account_name(tables, account->account_id), "weight",
-			(int)account->weight, "waiting",
-			(int)account->waiting_count, "running",
-			(int)account->running_count, "vtime",
-			(json_int_t)account->vtime));
+		    json_pack("{s:s, s:i, s:f, s:i, s:i, s:I, s:I, s:o}",
+			"account", account_name(tables, account->account_id),
+			"weight", (int)account->weight, "share",
+			account_is_active(account)
+			    ? (double)account->weight / weight
+			    : 0.0,
+			"waiting", (int)account->waiting_count, "running",
+			(int)account->running_count, "served_tokens",
+			(json_int_t)owner_served_tokens(owner,
+			    account->account_id),
+			"vtime", (json_int_t)account->vtime, "waits_because",
+			waiting_reason(owner, account)));
 	}
 	return list;
 }
@@ -85,24 +159,52 @@
 }
 
 static json_t *
-dump_owners(struct control *control)
+dump_owner(const struct owner *owner, const struct tables *tables,
+    const struct pool *pool)
+{
+	return json_pack("{s:I, s:b, s:I, s:I, s:i, s:o, s:o}", "epoch",
+	    (json_int_t)owner->epoch, "syncing", owner->syncing, "grants",
+	    (json_int_t)owner->grants_count, "releases_lost",
+	    (json_int_t)owner->releases_lost_count, "slots",
+	    (int)slots_count(owner), "accounts", dump_accounts(owner, tables),
+	    "endpoints", dump_endpoints(owner, pool));
+}
+
+static const char *
+owner_address(struct control *control, uint64_t pool_id)
+{
+	uint64_t node_id = entry_owner_of(&control->entry, pool_id);
+	const struct member *member;
+
+	if (node_id == control->members.config.self.node_id)
+		return control->members.config.self.address;
+	member = members_find(&control->members, node_id);
+	return member == NULL ? "?" : member->address;
+}
+
+/* All pools with their owners; the state of those that are owned here. */
+static json_t *
+dump_pools(struct control *control)
 {
 	const struct tables *tables = &control->snapshot->tables;
 	json_t *list = json_array();
 
 	for (uint32_t i = 0; i < tables->pool_count; i++) {
+		const struct pool *pool = &tables->pools[i];
 		const struct owner *owner = g_hash_table_lookup(control->owners,
-		    &tables->pools[i].pool_id);
-		if (owner == NULL)
-			continue;
-		json_array_append_new(list,
-		    json_pack("{s:s, s:I, s:b, s:I, s:I, s:o, s:o}", "pool",
-			tables->pools[i].name, "epoch",
-			(json_int_t)owner->epoch, "syncing", owner->syncing,
-			"grants", (json_int_t)owner->grants_count,
-			"releases_lost", (json_int_t)owner->releases_lost_count,
-			"accounts", dump_accounts(owner, tables), "endpoints",
-			dump_endpoints(owner, &tables->pools[i])));
+		    &pool->pool_id);
+		json_t *item = json_pack("{s:s, s:s, s:s, s:b}", "pool",
+		    pool->name, "kind",
+		    pool->kind == POOL_MODEL ? "model" : "service", "owner",
+		    owner_address(control, pool->pool_id), "owned_here",
+		    owner != NULL);
+
+		if (owner != NULL) {
+			json_t *state = dump_owner(owner, tables, pool);
+			json_object_update(item, state);
+			json_decref(state);
+		}
+		json_array_append_new(list, item);
 	}
 	return list;
 }
@@ -115,9 +217,9 @@
 
 	entry_counts(&control->entry, &waiting_count, &running_count);
 	return json_pack("{s:o, s:o, s:o, s:{s:i, s:i, s:I, s:I, s:b}}", "self",
-	    dump_member(&control->members.config.self, now_ms), "members",
-	    dump_members(&control->members, now_ms), "owners",
-	    dump_owners(control), "entry", "waiting", (int)waiting_count,
+	    dump_self(&control->members.config.self, now_ms), "members",
+	    dump_members(&control->members, now_ms), "pools",
+	    dump_pools(control), "entry", "waiting", (int)waiting_count,
 	    "running", (int)running_count, "refused",
 	    (json_int_t)control->entry.refused_count, "stale_grants",
 	    (json_int_t)control->entry.stale_grants_count, "draining",
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -10,6 +10,7 @@
 #include "bamboorudderd/admin.h"
 #include "bamboorudderd/control.h"
 #include "bamboorudderd/front.h"
+#include "bamboorudderd/reload.h"
 #include "bamboorudderd/settings.h"
 #include "bamboorudderd/watcher.h"
 #include "common/log.h"
@@ -28,6 +29,7 @@
 	struct watcher watchers[TABLE_KIND_COUNT];
 	struct front front;
 	struct admin admin;
+	struct reload reload;
 };
 
 static void
@@ -149,6 +151,8 @@
 	    signal_number != SIGTERM && signal_number != SIGINT)
 		if (signal_number == SIGUSR1)
 			write_dump(daemon);
+		else if (signal_number == SIGHUP)
+			reload_run(&daemon->reload);
 	daemon_drain(daemon, &signals);
 	daemon_stop(daemon);
 	return EXIT_SUCCESS;
@@ -171,13 +175,9 @@
 	else if (check)
 		printf("%s: no findings\n", path);
 	else {
-		log_configure(strcmp(daemon->settings.log_format, "json") == 0
-			? LOG_FORMAT_JSON
-			: LOG_FORMAT_LOGFMT,
-		    daemon->settings.log_level[0] == 'e' ? LOG_LEVEL_ERROR
-			: daemon->settings.log_level[0] == 'w'
-			? LOG_LEVEL_WARN
-			: LOG_LEVEL_INFO);
+		reload_apply_log(&daemon->settings);
+		reload_init(&daemon->reload, path, &daemon->settings,
+		    &daemon->admin);
 		curl_global_init(CURL_GLOBAL_DEFAULT);
 		mg_init_library(0);
 		status = daemon_run(daemon);
--- a/bamboorudderd/settings.c
+++ b/bamboorudderd/settings.c
@@ -1,54 +1,61 @@
 #include "bamboorudderd/settings.h"
 
+#include <arpa/inet.h>
 #include <stddef.h>
 #include <string.h>
 
+#include "bamboorudderd/operator.h"
 #include "common/toml_read.h"
 
-#define TEXT(name, member, preset)                                             \
+static const char *check_address(const char *text);
+static const char *check_operator(const char *text);
+static const char *check_url(const char *text);
+
+#define AT(member) offsetof(struct settings, member)
+#define TEXT(name, member, preset, check)                                      \
 	{                                                                      \
-		name, SETTINGS_TEXT, offsetof(struct settings, member), "", 0, \
-		    0, 0, preset, NULL, NULL, false, false                     \
+		name, SETTINGS_TEXT, AT(member), "", 0, 0, 0, preset, NULL,    \
+		    NULL, check, false, false                                  \
 	}
 #define WORD(name, member, preset, words, reload)                              \
 	{                                                                      \
-		name, SETTINGS_TEXT, offsetof(struct settings, member), "", 0, \
-		    0, 0, preset, words, NULL, false, reload                   \
+		name, SETTINGS_TEXT, AT(member), "", 0, 0, 0, preset, words,   \
+		    NULL, NULL, false, reload                                  \
 	}
 #define SECRET(name, member, variable)                                         \
 	{                                                                      \
-		name, SETTINGS_TEXT, offsetof(struct settings, member), "", 0, \
-		    0, 0, "", NULL, variable, true, false                      \
+		name, SETTINGS_TEXT, AT(member), "", 0, 0, 0, "", NULL,        \
+		    variable, NULL, true, false                                \
 	}
 #define NUMBER(name, member, unit, low, high, preset)                          \
 	{                                                                      \
-		name, SETTINGS_UINT32, offsetof(struct settings, member),      \
-		    unit, low, high, preset, "", NULL, NULL, false, false      \
+		name, SETTINGS_UINT32, AT(member), unit, low, high, preset,    \
+		    "", NULL, NULL, NULL, false, false                         \
 	}
-#define LIST(name, member, variable, secret, reload)                           \
+#define LIST(name, member, check, secret, reload)                              \
 	{                                                                      \
-		name, SETTINGS_LIST, offsetof(struct settings, member), "", 0, \
-		    0, 0, "", NULL, variable, secret, reload                   \
+		name, SETTINGS_LIST, AT(member), "", 0, 0, 0, "", NULL, NULL,  \
+		    check, secret, reload                                      \
 	}
 
 static const struct settings_key keys[] = {
-	TEXT("listen.address", listen_address, NULL),
+	TEXT("listen.address", listen_address, NULL, check_address),
 	NUMBER("listen.worker_threads", worker_threads_count, "threads", 4,
 	    2048, 128),
 	NUMBER("listen.body_max_bytes", body_max_bytes, "bytes", 1024, 16777216,
 	    1048576),
-	TEXT("admin.address", admin_address, NULL),
-	LIST("admin.tokens", operator_tokens, NULL, true, true),
-	TEXT("peer.address", peer_address, NULL),
-	TEXT("peer.failure_domain", failure_domain, "default"),
-	LIST("peer.seeds", peer_seeds, NULL, false, false),
-	TEXT("peer.public_key", peer_public_key, ""),
+	TEXT("admin.address", admin_address, NULL, check_address),
+	LIST("admin.tokens", operator_tokens, check_operator, true, true),
+	TEXT("peer.address", peer_address, NULL, check_address),
+	TEXT("peer.failure_domain", failure_domain, "default", NULL),
+	LIST("peer.seeds", peer_seeds, check_address, false, false),
+	TEXT("peer.public_key", peer_public_key, "", NULL),
 	SECRET("peer.secret_key", peer_secret_key,
 	    "BAMBOORUDDER_PEER_SECRET_KEY"),
 	NUMBER("peer.heartbeat_period_ms", heartbeat_period_ms, "ms", 50, 60000,
 	    500),
 	NUMBER("peer.down_after_ms", down_after_ms, "ms", 200, 120000, 2000),
-	TEXT("platform.url", platform_url, NULL),
+	TEXT("platform.url", platform_url, NULL, check_url),
 	NUMBER("platform.timeout_ms", platform_timeout_ms, "ms", 50, 60000,
 	    1000),
 	NUMBER("platform.watch_wait_ms", watch_wait_ms, "ms", 100, 60000,
@@ -115,6 +122,54 @@
 	return found;
 }
 
+/* Numeric IPv4 address and port; names are not looked up. */
+static const char *
+check_address(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	char host[SETTINGS_TEXT_MAX_BYTES], *end;
+	unsigned char bytes[sizeof(struct in_addr)];
+	guint64 port;
+
+	if (colon == NULL || !g_ascii_isdigit(colon[1]))
+		return "must be ip:port";
+	g_strlcpy(host, text, (gsize)(colon - text) + 1);
+	port = g_ascii_strtoull(colon + 1, &end, 10);
+	if (inet_pton(AF_INET, host, bytes) != 1 || *end != '\0' || port < 1 ||
+	    port > UINT16_MAX)
+		return "must be ip:port";
+	return NULL;
+}
+
+static const char *
+check_operator(const char *text)
+{
+	struct operator_entry entry;
+
+	return operator_parse(text, &entry);
+}
+
+static const char *
+check_url(const char *text)
+{
+	if (!g_str_has_prefix(text, "http://") &&
+	    !g_str_has_prefix(text, "https://"))
+		return "must begin with http:// or https://";
+	return g_str_has_suffix(text, "/") ? "must not end with /" : NULL;
+}
+
+/* Adds what the key's own check has against a text. */
+static void
+check_text(struct read_context *context, const struct settings_key *key,
+    const struct toml_value *value)
+{
+	const char *fault = key->check == NULL ? NULL : key->check(value->text);
+
+	if (fault != NULL)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s %s", key->name, fault);
+}
+
 static void
 read_text(struct read_context *context, const struct settings_key *key,
     const struct toml_value *value, char *out)
@@ -130,8 +185,10 @@
 		findings_add_line(context->findings, context->path, value->line,
 		    value->column, "%s must be one of: %s", key->name,
 		    key->words);
-	else
+	else {
+		check_text(context, key, value);
 		g_strlcpy(out, value->text, SETTINGS_TEXT_MAX_BYTES);
+	}
 }
 
 static void
@@ -161,9 +218,15 @@
 		findings_add_line(context->findings, context->path, value->line,
 		    value->column, "%s has more than %u items", key->name,
 		    SETTINGS_LIST_MAX_COUNT);
-	else
+	else if (strlen(value->text) >= SETTINGS_TEXT_MAX_BYTES)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s has an item longer than %u bytes",
+		    key->name, SETTINGS_TEXT_MAX_BYTES - 1);
+	else {
+		check_text(context, key, value);
 		g_strlcpy(out->items[out->count++], value->text,
 		    SETTINGS_TEXT_MAX_BYTES);
+	}
 }
 
 static void
@@ -292,3 +355,29 @@
 		g_string_append_printf(out, "  # %s\n", names[sources[i]]);
 	}
 }
+
+static size_t
+key_size_bytes(const struct settings_key *key)
+{
+	if (key->type == SETTINGS_UINT32)
+		return sizeof(uint32_t);
+	return key->type == SETTINGS_LIST ? sizeof(struct settings_list)
+					  : SETTINGS_TEXT_MAX_BYTES;
+}
+
+/* Settings are cleared before they are read, so bytes decide. */
+bool
+settings_equal(const struct settings *a, const struct settings *b,
+    const struct settings_key *key)
+{
+	return memcmp((const char *)a + key->offset,
+		   (const char *)b + key->offset, key_size_bytes(key)) == 0;
+}
+
+void
+settings_copy(struct settings *to, const struct settings *from,
+    const struct settings_key *key)
+{
+	memcpy((char *)to + key->offset, (const char *)from + key->offset,
+	    key_size_bytes(key));
+}
--- a/bamboorudderd/tablestore.c
+++ b/bamboorudderd/tablestore.c
@@ -131,3 +131,18 @@
 	if (changed && store->on_change != NULL)
 		store->on_change(store->on_change_context);
 }
+
+char *
+tablestore_newest(struct tablestore *store, enum table_kind kind,
+    uint64_t *version)
+{
+	char *text;
+
+	pthread_mutex_lock(&store->mutex);
+	text = g_strdup(
+	    store->texts[kind] == NULL ? EMPTY_TABLE : store->texts[kind]);
+	if (version != NULL)
+		*version = store->versions[kind];
+	pthread_mutex_unlock(&store->mutex);
+	return text;
+}
--- a/common/log.c
+++ b/common/log.c
@@ -6,9 +6,10 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Read by all threads, set by a reload. */
 static struct {
-	enum log_format format;
-	enum log_level level;
+	_Atomic enum log_format format;
+	_Atomic enum log_level level;
 } settings = { LOG_FORMAT_LOGFMT, LOG_LEVEL_INFO };
 
 static const char *const level_names[] = { "error", "warn", "info" };
--- a/common/metric.c
+++ b/common/metric.c
@@ -48,6 +48,13 @@
 	    "Table versions put in force." },
 	[METRIC_TABLES_INVALID] = { "tables_invalid_total", "counter",
 	    "Table versions rejected as invalid." },
+	[METRIC_EDITS_ACCEPTED] = { "edits_accepted_total", "counter",
+	    "Edits of the tables accepted through this daemon." },
+	[METRIC_EDITS_REFUSED] = { "edits_refused_total", "counter",
+	    "Edits of the tables refused or failed at this daemon." },
+	[METRIC_ADMIN_UNAUTHORIZED] = { "admin_unauthorized_total", "counter",
+	    "Calls of the administration API with an unknown token or a scope "
+	    "that is too low." },
 	[METRIC_WAITING] = { "requests_waiting", "gauge",
 	    "Requests that wait for a slot." },
 	[METRIC_RUNNING] = { "requests_running", "gauge",
--- a/common/table_json.c
+++ b/common/table_json.c
@@ -281,6 +281,18 @@
 		    pool);
 }
 
+/* A table is an object with a list "rows"; stored ones have a "history" too. */
+static bool
+root_is_table(const json_t *root)
+{
+	const json_t *history = json_object_get(root, "history");
+	size_t members_count = history == NULL ? 1 : 2;
+
+	return json_is_array(json_object_get(root, "rows")) &&
+	    (history == NULL || json_is_array(history)) &&
+	    json_object_size(root) == members_count;
+}
+
 /* Opens a table's list of rows; NULL if the text isn't one. */
 static json_t *
 rows_open(const char *text, const char *table, uint32_t max_count,
@@ -293,19 +305,17 @@
 	if (root == NULL)
 		findings_add_line(findings, table, (uint32_t)error.line,
 		    (uint32_t)MAX(error.column, 1), "%s", error.text);
-	else if (!json_is_array(rows) || json_object_size(root) != 1)
+	else if (!root_is_table(root)) {
 		findings_add_row(findings, table, 0,
 		    "must be an object with just a list \"rows\"");
-	else if (json_array_size(rows) > max_count)
+		rows = NULL;
+	} else if (json_array_size(rows) > max_count) {
 		findings_add_row(findings, table, 0,
 		    "has %zu rows, allowed are %u", json_array_size(rows),
 		    max_count);
-	else
-		json_incref(rows);
-	if (root != NULL &&
-	    (!json_is_array(rows) || json_object_size(root) != 1 ||
-		json_array_size(rows) > max_count))
 		rows = NULL;
+	}
+	json_incref(rows);
 	json_decref(root);
 	return rows;
 }
--- a/core/owner.c
+++ b/core/owner.c
@@ -88,6 +88,8 @@
 	owner->accounts = g_array_new(FALSE, TRUE, sizeof(struct fair_account));
 	owner->account_index = g_hash_table_new_full(g_int64_hash,
 	    g_int64_equal, g_free, NULL);
+	owner->served = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    g_free, g_free);
 	owner->requests = g_hash_table_new_full(request_key_hash,
 	    request_key_equal, NULL, g_free);
 	owner->endpoints = g_array_new(FALSE, TRUE,
@@ -105,6 +107,7 @@
 {
 	g_hash_table_destroy(owner->requests);
 	g_hash_table_destroy(owner->account_index);
+	g_hash_table_destroy(owner->served);
 	g_array_free(owner->accounts, TRUE);
 	g_array_free(owner->endpoints, TRUE);
 	g_free(owner->unreported_nodes);
@@ -139,6 +142,27 @@
 	account->head_arrival = head == NULL ? 0 : head->arrival;
 }
 
+int64_t
+owner_served_tokens(const struct owner *owner, uint64_t account_id)
+{
+	const int64_t *tokens = g_hash_table_lookup(owner->served, &account_id);
+
+	return tokens == NULL ? 0 : *tokens;
+}
+
+static void
+owner_count_served(struct owner *owner, uint64_t account_id, int64_t tokens)
+{
+	int64_t *total = g_hash_table_lookup(owner->served, &account_id);
+
+	if (total == NULL) {
+		total = g_new0(int64_t, 1);
+		g_hash_table_insert(owner->served,
+		    g_memdup2(&account_id, sizeof(account_id)), total);
+	}
+	*total += tokens;
+}
+
 static void
 owner_charge(struct owner *owner, struct owner_request *request, int64_t tokens)
 {
@@ -146,6 +170,8 @@
 	    request->account_id);
 
 	owner->config.fair->charge(account, tokens - request->charged_tokens);
+	owner_count_served(owner, request->account_id,
+	    tokens - request->charged_tokens);
 	request->charged_tokens = tokens;
 }
 
--- a/include/bamboorudderd/admin.h
+++ b/include/bamboorudderd/admin.h
@@ -7,9 +7,11 @@
 
 #include <civetweb.h>
 #include <glib.h>
+#include <pthread.h>
 #include <stdatomic.h>
 
 #include "bamboorudderd/control.h"
+#include "bamboorudderd/operator.h"
 #include "common/platform.h"
 
 struct admin {
@@ -17,7 +19,11 @@
 	struct control *control;
 	struct tablestore *store;
 	struct platform *platform;
+	struct clk clk;
 	_Atomic uint32_t draining;
+	pthread_mutex_t operators_mutex;
+	struct operator_entry operators[SETTINGS_LIST_MAX_COUNT];
+	uint32_t operator_count;
 	struct mg_context *server;
 };
 
@@ -30,4 +36,8 @@
     struct platform *platform, GError **error);
 void admin_finish(struct admin *admin);
 
+/** Takes over other operators, from a checked list of admin.tokens. */
+void admin_set_operators(struct admin *admin,
+    const struct settings_list *tokens);
+
 #endif
--- /dev/null
+++ b/include/bamboorudderd/admin_call.h
@@ -0,0 +1,69 @@
+/**
+ * @file
+ * Calls of the administration API: one handler each, behind a sorted table.
+ */
+#ifndef BAMBOORUDDERD_ADMIN_CALL_H
+#define BAMBOORUDDERD_ADMIN_CALL_H
+
+#include <civetweb.h>
+#include <jansson.h>
+#include <stddef.h>
+
+#include "bamboorudderd/admin.h"
+#include "bamboorudderd/operator.h"
+#include "bamboorudderd/reply.h"
+
+struct admin_call;
+
+/** One request to the API. */
+struct admin_request {
+	struct admin *admin;
+	struct mg_connection *connection;
+	const struct admin_call *call;
+	struct operator_entry author; /**< a copy; empty on open calls */
+};
+
+/** One call of the API. */
+struct admin_call {
+	const char *path;
+	const char *method;
+	enum operator_scope scope; /**< least scope that may call */
+	void (*run)(const struct admin_request *request);
+	enum table_kind kind; /**< of calls about a table */
+};
+
+/** @return all calls, sorted by path and method */
+const struct admin_call *admin_calls(size_t *count);
+
+/** Sends a typed error; more is merged into it and may be NULL (taken). */
+void admin_send_error(const struct admin_request *request, uint32_t status,
+    const char *type, const char *message, enum run_state run, json_t *more);
+
+struct admin_header {
+	const char *name;
+	const char *value;
+};
+
+/** Sends a JSON document with more headers and drops the reference to it. */
+void admin_send_document(struct mg_connection *connection, uint32_t status,
+    json_t *document, const struct admin_header *headers, size_t header_count);
+
+void admin_get_table(const struct admin_request *request);
+void admin_put_table(const struct admin_request *request);
+void admin_check_table(const struct admin_request *request);
+void admin_put_row(const struct admin_request *request);
+void admin_delete_row(const struct admin_request *request);
+void admin_get_history(const struct admin_request *request);
+
+void admin_get_accounts(const struct admin_request *request);
+void admin_get_dump(const struct admin_request *request);
+void admin_get_healthz(const struct admin_request *request);
+void admin_get_members(const struct admin_request *request);
+void admin_get_metrics(const struct admin_request *request);
+void admin_get_pools(const struct admin_request *request);
+void admin_get_readyz(const struct admin_request *request);
+void admin_get_status(const struct admin_request *request);
+void admin_get_version(const struct admin_request *request);
+void admin_post_drain(const struct admin_request *request);
+
+#endif
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -67,8 +67,10 @@
 	const char *default_text; /**< NULL: the key is required */
 	const char *words; /**< allowed texts, or NULL */
 	const char *environment; /**< variable that overrides, or NULL */
+	/** @return what is wrong with a text, or NULL; may itself be NULL */
+	const char *(*check)(const char *text);
 	bool secret;
-	bool reloadable;
+	bool reloadable; /**< by SIGHUP */
 };
 
 /** @return all keys; count receives their number */
@@ -86,4 +88,12 @@
 void settings_print(const struct settings *settings,
     const enum settings_source *sources, GString *out);
 
+/** Whether two settings agree in one key. */
+bool settings_equal(const struct settings *a, const struct settings *b,
+    const struct settings_key *key);
+
+/** Copies the value of one key. */
+void settings_copy(struct settings *to, const struct settings *from,
+    const struct settings_key *key);
+
 #endif
--- a/include/bamboorudderd/tablestore.h
+++ b/include/bamboorudderd/tablestore.h
@@ -46,6 +46,14 @@
 void tablestore_offer(struct tablestore *store, enum table_kind kind,
     uint64_t version, const char *text);
 
+/**
+ * Copies the newest text seen of one table, valid or not.
+ * @param version receives its version; may be NULL
+ * @return a text to be freed by g_free
+ */
+char *tablestore_newest(struct tablestore *store, enum table_kind kind,
+    uint64_t *version);
+
 /** @return the name of a table: "routes" or "pools" */
 const char *table_kind_name(enum table_kind kind);
 
--- /dev/null
+++ b/include/common/table_diff.h
@@ -0,0 +1,33 @@
+/**
+ * @file
+ * Rows of the two tables as JSON: their keys and the difference between two
+ * lists of them.
+ */
+#ifndef COMMON_TABLE_DIFF_H
+#define COMMON_TABLE_DIFF_H
+
+#include <jansson.h>
+#include <stddef.h>
+
+#include "core/msg.h"
+
+#define TABLE_ROW_NONE ((size_t)-1)
+
+/** @return the key of a row ("account path", or "pool"), to be freed by
+ * g_free */
+char *table_row_key(enum table_kind kind, const json_t *row);
+
+/** @return the index of the row of that key, or TABLE_ROW_NONE */
+size_t table_row_find(enum table_kind kind, const json_t *rows,
+    const char *key);
+
+/**
+ * Compares two lists of rows by their keys; the order of rows is no
+ * difference.
+ * @return a list of {"row", "change": added|changed|removed, "fields":
+ *     {name: [old, new]}}, a new reference
+ */
+json_t *table_diff(enum table_kind kind, const json_t *old_rows,
+    const json_t *new_rows);
+
+#endif
--- a/include/common/table_json.h
+++ b/include/common/table_json.h
@@ -12,7 +12,8 @@
 
 /**
  * Reads both tables and validates them as a whole. Unknown fields, wrong
- * types and broken JSON are findings with their place.
+ * types and broken JSON are findings with their place. Beside "rows" a text may
+ * hold the "history" that is stored with it.
  * @param tables initialised by the call; to be finished by the caller
  * @return true if nothing was found
  */
--- a/include/core/owner.h
+++ b/include/core/owner.h
@@ -50,6 +50,7 @@
 	GArray *endpoints; /**< struct owner_endpoint */
 	uint32_t estimate_tokens;
 	uint32_t request_max_tokens;
+	GHashTable *served; /**< account_id to tokens charged here */
 	uint64_t grants_count;
 	uint64_t releases_lost_count; /**< slots taken back after a loss */
 };
@@ -75,6 +76,9 @@
 void owner_node_down(struct owner *owner, uint64_t node_id, uint64_t now_ms,
     struct effects *effects);
 
+/** @return tokens charged to an account by this owner so far */
+int64_t owner_served_tokens(const struct owner *owner, uint64_t account_id);
+
 /** To be called at least every 100 ms. */
 void owner_tick(struct owner *owner, uint64_t now_ms, struct effects *effects);
 
--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -27,8 +27,6 @@
 namespace e2e
 {
 
-static const char OPERATOR[] = "operator-token";
-
 Process::Process(const std::vector<std::string> &argv,
     const std::string &log_path)
     : pid_(-1), log_path_(log_path)
@@ -290,6 +288,8 @@
 		     << "\"\nadmin.address = \""
 		     << loopback(daemons[i].admin_port)
 		     << "\"\nadmin.tokens = [\"" << sha256(OPERATOR)
+		     << "\", \"reader:read:" << sha256(READER)
+		     << "\", \"desk:edit@desk:" << sha256(TEAM_OPERATOR)
 		     << "\"]\npeer.address = \"" << daemons[i].peer()
 		     << "\"\npeer.seeds = [" << seeds << "]\nplatform.url = \""
 		     << platform("") << "\"\n"
--- a/tests/e2e/fleet.h
+++ b/tests/e2e/fleet.h
@@ -18,6 +18,11 @@
 namespace e2e
 {
 
+/** Tokens of the operators that all daemons know. */
+constexpr char OPERATOR[] = "operator-token";
+constexpr char READER[] = "reader-token";
+constexpr char TEAM_OPERATOR[] = "desk-token"; /* edits of the team "desk" */
+
 /** A process that ends with its object. */
 class Process
 {
