Give the command-line tool tables for people, check, diff, set and remove

apply shows the difference first and writes with the version it compared with; a lost race shows who made the newer version and the difference. check needs no daemon. accounts asks several daemons and says why an account waits. Exit codes: 0, 1 refused or failed, 2 usage or findings in a local file; a table that the API refuses is 1 now (was 2, as for usage).

--- a/bamboorudderctl/drain.c
+++ b/bamboorudderctl/drain.c
@@ -9,16 +9,16 @@
 	struct http_answer answer;
 
 	(void)words;
-	if (word_count != 0) {
-		fprintf(stderr, "usage: bamboorudderctl drain\n");
+	if (!command_takes_no_words("drain", word_count))
 		return EXIT_USAGE;
-	}
 	if (!target_call(target, "POST", "/v1/drain", "", NULL, &answer))
 		return EXIT_REFUSED;
-	if (answer.status == 202)
-		printf("draining\n");
-	else
+	if (answer.status != 202)
 		status = answer_print_error(&answer);
+	else if (target->json)
+		printf("%s", answer.body->str);
+	else
+		printf("draining\n");
 	http_answer_finish(&answer);
 	return status;
 }
--- a/bamboorudderctl/main.c
+++ b/bamboorudderctl/main.c
@@ -7,17 +7,27 @@
 #include "bamboorudderctl/command.h"
 
 #define WORDS_MAX_COUNT 16
+#define ADMIN_MAX_COUNT 16
 #define ADMIN_URL_DEFAULT "http://127.0.0.1:7080"
 
+#define TABLE_WORDS "get|history|check|diff|apply|set|remove"
+
 /* Sorted by name. */
 static const struct command commands[] = {
+	{ "accounts", "", "client accounts: share, waiting, running, why",
+	    command_accounts },
 	{ "drain", "", "let the daemon finish its work and take no more",
 	    command_drain },
 	{ "dump", "", "print the daemon's whole control state", command_dump },
-	{ "pools", "get|apply FILE", "read or replace the pools table",
+	{ "members", "", "daemons, as this daemon sees them", command_members },
+	{ "pools", TABLE_WORDS, "read or change the pools table",
 	    command_pools },
-	{ "routes", "get|apply FILE", "read or replace the routes table",
+	{ "routes", TABLE_WORDS, "read or change the routes table",
 	    command_routes },
+	{ "status", "[--watch]", "which daemons confirm which tables",
+	    command_status },
+	{ "version", "", "versions of the tool and the daemon",
+	    command_version },
 };
 
 #define COMMANDS_COUNT (sizeof(commands) / sizeof(commands[0]))
@@ -36,21 +46,10 @@
 	arg_print_glossary(stdout, table, "  %-18s %s\n");
 	printf("commands:\n");
 	for (size_t i = 0; i < COMMANDS_COUNT; i++)
-		printf("  %-8s %-16s %s\n", commands[i].name, commands[i].words,
+		printf("  %-8s %-41s %s\n", commands[i].name, commands[i].words,
 		    commands[i].help);
 }
 
-static const char *
-option_or_environment(const struct arg_str *option, const char *variable,
-    const char *preset)
-{
-	const char *value = getenv(variable);
-
-	if (option->count > 0)
-		return option->sval[0];
-	return value == NULL ? preset : value;
-}
-
 static enum exit_status
 run_command(const struct target *target, int word_count, char **words)
 {
@@ -69,20 +68,44 @@
 	return status;
 }
 
+/* The addresses: options, else the environment, else the default. */
+static void
+set_admin(struct target *target, const struct arg_str *admin)
+{
+	static const char *preset[] = { ADMIN_URL_DEFAULT };
+	const char *variable = getenv("BAMBOORUDDER_ADMIN");
+
+	if (admin->count > 0) {
+		target->admin_urls = (const char *const *)admin->sval;
+		target->admin_count = (size_t)admin->count;
+		return;
+	}
+	if (variable != NULL)
+		preset[0] = variable;
+	target->admin_urls = preset;
+	target->admin_count = 1;
+}
+
 int
 main(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "show this help");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
-	struct arg_str *admin = arg_str0(NULL, "admin", "URL",
-	    "administration API; else $BAMBOORUDDER_ADMIN");
+	struct arg_lit *watch = arg_lit0(NULL, "watch",
+	    "with status: show it again each second");
+	struct arg_str *if_match = arg_str0(NULL, "if-match", "VERSION",
+	    "with edits: only if this version is current");
+	struct arg_str *admin = arg_strn(NULL, "admin", "URL", 0,
+	    ADMIN_MAX_COUNT,
+	    "administration API; else $BAMBOORUDDER_ADMIN; several for "
+	    "accounts");
 	struct arg_str *words = arg_strn(NULL, NULL, "COMMAND", 1,
 	    WORDS_MAX_COUNT, "command and its words");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { help, json, admin, words, end };
+	void *table[] = { help, json, watch, if_match, admin, words, end };
 	int errors = arg_parse(argc, argv, table);
+	struct target target = { 0 };
 	enum exit_status status;
-	struct target target;
 
 	if (help->count > 0) {
 		print_help(table);
@@ -91,10 +114,12 @@
 		arg_print_errors(stderr, end, "bamboorudderctl");
 		status = EXIT_USAGE;
 	} else {
-		target.admin_url = option_or_environment(admin,
-		    "BAMBOORUDDER_ADMIN", ADMIN_URL_DEFAULT);
+		set_admin(&target, admin);
 		target.token = getenv("BAMBOORUDDER_TOKEN");
 		target.json = json->count > 0;
+		target.watch = watch->count > 0;
+		target.if_match = if_match->count > 0 ? if_match->sval[0]
+						      : NULL;
 		status = run_command(&target, words->count,
 		    (char **)(void *)words->sval);
 	}
--- a/bamboorudderctl/pools.c
+++ b/bamboorudderctl/pools.c
@@ -3,5 +3,5 @@
 enum exit_status
 command_pools(const struct target *target, int word_count, char **words)
 {
-	return table_command(target, "pools", word_count, words);
+	return table_command(target, TABLE_POOLS, word_count, words);
 }
--- /dev/null
+++ b/bamboorudderctl/table_check.c
@@ -0,0 +1,105 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "bamboorudderctl/command.h"
+#include "common/table_json.h"
+
+#define EMPTY_TABLE "{\"rows\": []}"
+
+/* Pools that stand in for those that a routes file names. */
+static char *
+pools_of_routes(const char *routes_text)
+{
+	json_t *root = json_loads(routes_text, 0, NULL), *row;
+	json_t *rows = json_array(), *names = json_object(), *table;
+	size_t index;
+	char *text;
+
+	json_array_foreach (json_object_get(root, "rows"), index, row) {
+		const char *name = json_string_value(
+		    json_object_get(row, "pool"));
+		if (name == NULL || json_object_get(names, name) != NULL)
+			continue;
+		json_object_set_new(names, name, json_true());
+		json_array_append_new(rows,
+		    json_pack("{s:s, s:s, s:[]}", "pool", name, "kind",
+			"service", "endpoints"));
+	}
+	table = json_pack("{s:o}", "rows", rows);
+	text = json_dumps(table, JSON_COMPACT);
+	json_decref(table);
+	json_decref(names);
+	json_decref(root);
+	return text;
+}
+
+static void
+print_findings(const struct findings *findings, const char *const *files)
+{
+	char line[FINDING_PLACE_MAX_BYTES + FINDING_TEXT_MAX_BYTES + 32];
+
+	for (size_t i = 0; i < findings->count; i++) {
+		struct finding finding = findings->items[i];
+		enum table_kind kind = strcmp(finding.place, "routes") == 0
+		    ? TABLE_ROUTES
+		    : TABLE_POOLS;
+		if (files[kind] != NULL)
+			g_strlcpy(finding.place, files[kind],
+			    sizeof(finding.place));
+		finding_format(&finding, line, sizeof(line));
+		fprintf(stderr, "%s\n", line);
+	}
+	if (findings->total_count > findings->count)
+		fprintf(stderr, "and %zu more\n",
+		    findings->total_count - findings->count);
+}
+
+static bool
+read_file(const char *file, char **text)
+{
+	GError *error = NULL;
+
+	if (g_file_get_contents(file, text, NULL, &error))
+		return true;
+	fprintf(stderr, "bamboorudderctl: %s\n", error->message);
+	g_error_free(error);
+	return false;
+}
+
+/*
+ * Checks without a daemon: a routes file alone is not checked for its pools,
+ * with the pools file as second word it is.
+ */
+enum exit_status
+table_check(const struct table_words *words)
+{
+	enum table_kind other = words->kind == TABLE_ROUTES ? TABLE_POOLS
+							    : TABLE_ROUTES;
+	const char *files[TABLE_KIND_COUNT] = { NULL };
+	char *texts[TABLE_KIND_COUNT] = { NULL };
+	struct findings *findings = g_new(struct findings, 1);
+	enum exit_status status = EXIT_USAGE;
+	struct tables tables;
+
+	findings_init(findings);
+	files[words->kind] = words->words[0];
+	files[other] = words->word_count == 2 ? words->words[1] : NULL;
+	if (read_file(files[words->kind], &texts[words->kind]) &&
+	    (files[other] == NULL || read_file(files[other], &texts[other]))) {
+		if (files[other] == NULL && other == TABLE_POOLS)
+			texts[other] = pools_of_routes(texts[words->kind]);
+		if (texts[other] == NULL)
+			texts[other] = g_strdup(EMPTY_TABLE);
+		if (table_json_read(texts[TABLE_ROUTES], texts[TABLE_POOLS],
+			&tables, findings)) {
+			printf("no findings\n");
+			status = EXIT_DONE;
+		} else
+			print_findings(findings, files);
+		tables_finish(&tables);
+	}
+	free(texts[TABLE_ROUTES]);
+	free(texts[TABLE_POOLS]);
+	g_free(findings);
+	return status;
+}
--- a/bamboorudderctl/target.c
+++ b/bamboorudderctl/target.c
@@ -1,24 +1,26 @@
 #include <jansson.h>
 #include <stdio.h>
 
+#include "bamboorudderctl/columns.h"
 #include "bamboorudderctl/command.h"
 
-#define CALL_TIMEOUT_MS 10000u
+#define CALL_TIMEOUT_MS 20000u
+#define PRINT_INDENT 2
 
-bool
-target_call(const struct target *target, const char *method, const char *path,
-    const char *body, const char *if_match, struct http_answer *answer)
+static bool
+call_index(const struct target *target, size_t index,
+    const struct http_call *template, const char *path,
+    struct http_answer *answer)
 {
-	char *url = g_strconcat(target->admin_url, path, NULL);
-	struct http_call call = { .method = method,
-		.url = url,
-		.body = body,
-		.bearer_token = target->token,
-		.if_match = if_match,
-		.timeout_ms = CALL_TIMEOUT_MS };
+	char *url = g_strconcat(target->admin_urls[index], path, NULL);
+	struct http_call call = *template;
 	GError *error = NULL;
-	gboolean done = http_perform(&call, answer, &error);
+	gboolean done;
 
+	call.url = url;
+	call.bearer_token = target->token;
+	call.timeout_ms = CALL_TIMEOUT_MS;
+	done = http_perform(&call, answer, &error);
 	if (!done) {
 		fprintf(stderr, "bamboorudderctl: %s\n", error->message);
 		g_error_free(error);
@@ -27,6 +29,40 @@
 	return done;
 }
 
+bool
+target_call(const struct target *target, const char *method, const char *path,
+    const char *body, const char *if_match, struct http_answer *answer)
+{
+	struct http_call call = { .method = method,
+		.body = body,
+		.if_match = if_match };
+
+	return call_index(target, 0, &call, path, answer);
+}
+
+json_t *
+target_get(const struct target *target, size_t index, const char *path,
+    char **etag)
+{
+	struct http_call call = { .method = "GET" };
+	struct http_answer answer;
+	json_t *document = NULL;
+
+	if (!call_index(target, index, &call, path, &answer))
+		return NULL;
+	if (answer.status == 200) {
+		document = json_loads(answer.body->str, 0, NULL);
+		if (document == NULL)
+			fprintf(stderr,
+			    "bamboorudderctl: the answer is no JSON\n");
+		if (etag != NULL)
+			*etag = g_strdup(answer.etag);
+	} else
+		answer_print_error(&answer);
+	http_answer_finish(&answer);
+	return document;
+}
+
 static void
 print_finding(const json_t *finding)
 {
@@ -44,6 +80,20 @@
 		fprintf(stderr, "%s: %s\n", table, text);
 }
 
+static void
+print_since(const json_t *changes)
+{
+	json_t *edit;
+	size_t index;
+
+	json_array_foreach (changes, index, edit)
+		fprintf(stderr,
+		    "version %" JSON_INTEGER_FORMAT " by %s at %s\n",
+		    json_integer_value(json_object_get(edit, "version")),
+		    json_string_value(json_object_get(edit, "operator")),
+		    json_string_value(json_object_get(edit, "time")));
+}
+
 enum exit_status
 answer_print_error(const struct http_answer *answer)
 {
@@ -51,13 +101,76 @@
 	const json_t *error = json_object_get(root, "error");
 	const char *message = json_string_value(
 	    json_object_get(error, "message"));
+	const char *run = json_string_value(json_object_get(error, "run"));
+	const json_t *difference = json_object_get(error, "difference");
 	size_t index;
 	json_t *finding;
 
-	fprintf(stderr, "bamboorudderctl: %u: %s\n", answer->status,
-	    message == NULL ? "no reason was given" : message);
+	fprintf(stderr, "bamboorudderctl: %u: %s%s\n", answer->status,
+	    message == NULL ? "no reason was given" : message,
+	    g_strcmp0(run, "unknown") == 0
+		? " (it may have taken effect: see history)"
+		: "");
 	json_array_foreach (json_object_get(error, "findings"), index, finding)
 		print_finding(finding);
+	print_since(json_object_get(error, "changes_since"));
+	if (difference != NULL) {
+		fprintf(stderr,
+		    "the current version is %" JSON_INTEGER_FORMAT
+		    ", the difference to yours:\n",
+		    json_integer_value(json_object_get(error, "version")));
+		print_difference(difference);
+	}
 	json_decref(root);
 	return EXIT_REFUSED;
 }
+
+void
+print_json(const json_t *document)
+{
+	json_dumpf(document, stdout, JSON_INDENT(PRINT_INDENT));
+	printf("\n");
+}
+
+static void
+print_fields(const json_t *change)
+{
+	json_t *fields = json_object_get(change, "fields"), *pair;
+	const char *name;
+
+	json_object_foreach (fields, name, pair) {
+		char *before = json_to_text(json_array_get(pair, 0));
+		char *after = json_to_text(json_array_get(pair, 1));
+		printf("    %s: %s -> %s\n", name, before, after);
+		g_free(before);
+		g_free(after);
+	}
+}
+
+void
+print_difference(const json_t *difference)
+{
+	json_t *change;
+	size_t index;
+
+	if (json_array_size(difference) == 0)
+		printf("no difference\n");
+	json_array_foreach (difference, index, change) {
+		const char *kind = json_string_value(
+		    json_object_get(change, "change"));
+		printf("%c %s\n",
+		    g_strcmp0(kind, "added") == 0         ? '+'
+			: g_strcmp0(kind, "removed") == 0 ? '-'
+							  : '~',
+		    json_string_value(json_object_get(change, "row")));
+		print_fields(change);
+	}
+}
+
+bool
+command_takes_no_words(const char *name, int word_count)
+{
+	if (word_count != 0)
+		fprintf(stderr, "usage: bamboorudderctl %s\n", name);
+	return word_count == 0;
+}
