--- a/bamboorudderd/front.c
+++ b/bamboorudderd/front.c
@@ -278,12 +278,17 @@
 {
 	enum relay_outcome outcome = RELAY_NOT_SENT;
 	struct ticket *ticket;
+	uint64_t asked_us;
 
 	for (uint32_t i = 0; i < ATTEMPTS_MAX_COUNT; i++) {
 		if (i > 0)
 			metric_add(METRIC_RETRIES, 1);
+		asked_us = clk_monotonic_us(&exchange->front->control->clk);
 		ticket = control_acquire(exchange->front->control,
 		    &exchange->submit);
+		metric_observe(HISTOGRAM_QUEUE_WAIT,
+		    clk_monotonic_us(&exchange->front->control->clk) -
+			asked_us);
 		if (ticket->state == TICKET_REFUSED) {
 			refuse_ticket(exchange, ticket);
 			control_release(exchange->front->control, ticket,
--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -246,6 +246,7 @@
 	char *url = g_strdup_printf("http://%s%s", relay->address,
 	    relay->target);
 	CURL *handle = transfer->handle;
+	curl_off_t first_us = 0;
 	CURLcode code;
 
 	curl_easy_reset(handle);
@@ -258,6 +259,9 @@
 	set_limits(handle, relay->config);
 	set_request(handle, relay);
 	code = curl_easy_perform(handle);
+	curl_easy_getinfo(handle, CURLINFO_STARTTRANSFER_TIME_T, &first_us);
+	if (first_us > 0)
+		metric_observe(HISTOGRAM_FIRST_BYTE, (uint64_t)first_us);
 	curl_slist_free_all(headers);
 	g_free(url);
 	return code;
--- a/common/http.c
+++ b/common/http.c
@@ -110,6 +110,7 @@
 	struct curl_slist *headers = call_headers(call);
 	CURLcode code;
 	long status = 0;
+	curl_off_t duration_us = 0;
 
 	memset(answer, 0, sizeof(*answer));
 	answer->body = g_string_new(NULL);
@@ -135,7 +136,9 @@
 	}
 	code = curl_easy_perform(handle);
 	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(handle, CURLINFO_TOTAL_TIME_T, &duration_us);
 	curl_slist_free_all(headers);
+	answer->duration_us = (uint64_t)duration_us;
 	answer->status = (uint32_t)status;
 	if (code == CURLE_OK)
 		return TRUE;
--- a/common/metric.c
+++ b/common/metric.c
@@ -3,6 +3,10 @@
 #include <inttypes.h>
 #include <stdatomic.h>
 
+#define MS_PER_S 1000u
+#define US_PER_MS 1000u
+#define US_PER_S 1000000.0
+
 struct metric {
 	const char *name;
 	const char *type;
@@ -83,6 +87,74 @@
 	return atomic_load_explicit(&values[id], memory_order_relaxed);
 }
 
+/* Upper bounds of the buckets; 1300 ms is the target for a first token. */
+static const uint32_t bounds_ms[] = { 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000,
+	1300, 2000, 5000, 10000, 30000, 60000 };
+
+struct histogram {
+	const char *name;
+	const char *help;
+};
+
+static const struct histogram histograms[HISTOGRAM_COUNT] = {
+	[HISTOGRAM_QUEUE_WAIT] = { "queue_wait_seconds",
+	    "Time from a request's arrival until its slot or its refusal." },
+	[HISTOGRAM_FIRST_BYTE] = { "first_byte_seconds",
+	    "Time from sending a request to an endpoint until the first byte "
+	    "of the answer: the first token of a stream." },
+	[HISTOGRAM_PLATFORM_CALL] = { "platform_call_seconds",
+	    "Time of calls to the platform, watches left out." },
+};
+
+static struct {
+	_Atomic uint64_t buckets[G_N_ELEMENTS(bounds_ms) + 1];
+	_Atomic uint64_t sum_us;
+} observed[HISTOGRAM_COUNT];
+
+void
+metric_observe(enum histogram_id id, uint64_t duration_us)
+{
+	size_t bucket = 0;
+
+	while (bucket < G_N_ELEMENTS(bounds_ms) &&
+	    duration_us > (uint64_t)bounds_ms[bucket] * US_PER_MS)
+		bucket++;
+	atomic_fetch_add_explicit(&observed[id].buckets[bucket], 1,
+	    memory_order_relaxed);
+	atomic_fetch_add_explicit(&observed[id].sum_us, duration_us,
+	    memory_order_relaxed);
+}
+
+static void
+histogram_render(GString *out, enum histogram_id id)
+{
+	const char *name = histograms[id].name;
+	uint64_t count = 0;
+
+	g_string_append_printf(out,
+	    "# HELP bamboorudder_%s %s\n# TYPE bamboorudder_%s histogram\n",
+	    name, histograms[id].help, name);
+	for (size_t i = 0; i < G_N_ELEMENTS(bounds_ms); i++) {
+		count += atomic_load_explicit(&observed[id].buckets[i],
+		    memory_order_relaxed);
+		g_string_append_printf(out,
+		    "bamboorudder_%s_bucket{le=\"%u.%03u\"} %" PRIu64 "\n",
+		    name, bounds_ms[i] / MS_PER_S, bounds_ms[i] % MS_PER_S,
+		    count);
+	}
+	count +=
+	    atomic_load_explicit(&observed[id].buckets[G_N_ELEMENTS(bounds_ms)],
+		memory_order_relaxed);
+	g_string_append_printf(out,
+	    "bamboorudder_%s_bucket{le=\"+Inf\"} %" PRIu64
+	    "\nbamboorudder_%s_sum %.6f\nbamboorudder_%s_count %" PRIu64 "\n",
+	    name, count, name,
+	    (double)atomic_load_explicit(&observed[id].sum_us,
+		memory_order_relaxed) /
+		US_PER_S,
+	    name, count);
+}
+
 void
 metric_render(GString *out)
 {
@@ -95,4 +167,6 @@
 		    metric->name, metric->help, metric->name, metric->type,
 		    metric->name, metric_get((enum metric_id)i));
 	}
+	for (int i = 0; i < HISTOGRAM_COUNT; i++)
+		histogram_render(out, (enum histogram_id)i);
 }
--- a/common/platform.c
+++ b/common/platform.c
@@ -28,10 +28,13 @@
     struct http_answer *answer, GError **error)
 {
 	GError *cause = NULL;
-	bool unsent;
+	bool unsent, done;
 
 	metric_add(METRIC_PLATFORM_CALLS, 1);
-	if (!http_perform(call, answer, &cause)) {
+	done = http_perform(call, answer, &cause);
+	if (call->cancelled == NULL)
+		metric_observe(HISTOGRAM_PLATFORM_CALL, answer->duration_us);
+	if (!done) {
 		unsent = g_error_matches(cause, HTTP_ERROR, HTTP_ERROR_CONNECT);
 		fail(error,
 		    unsent ? PLATFORM_ERROR_UNREACHED : PLATFORM_ERROR_UNKNOWN,
--- a/include/common/http.h
+++ b/include/common/http.h
@@ -36,6 +36,7 @@
 	uint32_t status;
 	char etag[HTTP_ETAG_MAX_BYTES];
 	GString *body;
+	uint64_t duration_us; /**< also of a call that failed */
 };
 
 /**
--- a/include/common/metric.h
+++ b/include/common/metric.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Counters and gauges of one process, in the Prometheus text format.
+ * Counters, gauges and histograms of one process, in the Prometheus text format.
  */
 #ifndef COMMON_METRIC_H
 #define COMMON_METRIC_H
@@ -41,6 +41,16 @@
 void metric_set(enum metric_id id, uint64_t value);
 uint64_t metric_get(enum metric_id id);
 
+enum histogram_id {
+	HISTOGRAM_QUEUE_WAIT,
+	HISTOGRAM_FIRST_BYTE,
+	HISTOGRAM_PLATFORM_CALL,
+	HISTOGRAM_COUNT
+};
+
+/** Counts one duration; may be called from any thread. */
+void metric_observe(enum histogram_id id, uint64_t duration_us);
+
 /** Appends all metrics in the Prometheus text format. */
 void metric_render(GString *out);
 
