--- a/bamboorudderd/admin.c
+++ b/bamboorudderd/admin.c
@@ -48,6 +48,8 @@
 	    admin_delete_row, TABLE_ROUTES },
 	{ "/v1/tables/routes/row", "PUT", OPERATOR_EDIT_TEAM, admin_put_row,
 	    TABLE_ROUTES },
+	{ "/v1/test/cut", "POST", OPERATOR_EDIT, admin_post_cut, 0 },
+	{ "/v1/test/heal", "POST", OPERATOR_EDIT, admin_post_heal, 0 },
 	{ "/v1/version", "GET", OPERATOR_READ, admin_get_version, 0 },
 };
 
--- a/bamboorudderd/admin_status.c
+++ b/bamboorudderd/admin_status.c
@@ -67,23 +67,6 @@
 	    control_dump(request->admin->control));
 }
 
-/* Sends one member of the dump under its own name. */
-static void
-send_part(const struct admin_request *request, const char *part)
-{
-	json_t *dump = control_dump(request->admin->control);
-
-	reply_send_json(request->connection, 200,
-	    json_pack("{s:O}", part, json_object_get(dump, part)));
-	json_decref(dump);
-}
-
-void
-admin_get_pools(const struct admin_request *request)
-{
-	send_part(request, "pools");
-}
-
 /* This daemon and the others, from a dump. */
 static json_t *
 list_daemons(const json_t *dump)
@@ -104,27 +87,62 @@
 	json_decref(dump);
 }
 
+/* The state of a pool that is owned here, or NULL. */
+static json_t *
+find_owner(const json_t *dump, const json_t *pool)
+{
+	json_t *owner;
+	size_t index;
+
+	json_array_foreach (json_object_get(dump, "owners"), index, owner)
+		if (json_equal(json_object_get(owner, "pool"),
+			json_object_get(pool, "pool")))
+			return owner;
+	return NULL;
+}
+
+/* All pools; those that are owned here with their state. */
+void
+admin_get_pools(const struct admin_request *request)
+{
+	json_t *dump = control_dump(request->admin->control), *pool;
+	json_t *pools = json_object_get(dump, "pools");
+	size_t index;
+
+	json_array_foreach (pools, index, pool)
+		json_object_update(pool, find_owner(dump, pool));
+	reply_send_json(request->connection, 200,
+	    json_pack("{s:O}", "pools", pools));
+	json_decref(dump);
+}
+
+static void
+append_accounts(json_t *list, const json_t *owner)
+{
+	json_t *account;
+	size_t index;
+
+	json_array_foreach (json_object_get(owner, "accounts"), index,
+	    account) {
+		json_t *row = json_copy(account);
+		json_object_set(row, "pool", json_object_get(owner, "pool"));
+		json_array_append_new(list, row);
+	}
+}
+
 /* One row for each pool and account; pools of other owners are named. */
 void
 admin_get_accounts(const struct admin_request *request)
 {
-	json_t *dump = control_dump(request->admin->control), *pool, *account;
+	json_t *dump = control_dump(request->admin->control), *pool, *owner;
 	json_t *accounts = json_array(), *elsewhere = json_array();
-	size_t index, inner;
+	size_t index;
 
-	json_array_foreach (json_object_get(dump, "pools"), index, pool) {
-		json_t *name = json_object_get(pool, "pool");
+	json_array_foreach (json_object_get(dump, "owners"), index, owner)
+		append_accounts(accounts, owner);
+	json_array_foreach (json_object_get(dump, "pools"), index, pool)
 		if (!json_is_true(json_object_get(pool, "owned_here")))
-			json_array_append_new(elsewhere,
-			    json_pack("{s:O, s:O}", "pool", name, "owner",
-				json_object_get(pool, "owner")));
-		json_array_foreach (json_object_get(pool, "accounts"), inner,
-		    account) {
-			json_t *row = json_copy(account);
-			json_object_set(row, "pool", name);
-			json_array_append_new(accounts, row);
-		}
-	}
+			json_array_append(elsewhere, pool);
 	reply_send_json(request->connection, 200,
 	    json_pack("{s:o, s:o}", "accounts", accounts, "elsewhere",
 		elsewhere));
@@ -165,7 +183,8 @@
 {
 	const char *state = json_string_value(json_object_get(daemon, "state"));
 
-	return state != NULL && strcmp(state, "live") == 0;
+	return state != NULL &&
+	    (strcmp(state, "live") == 0 || strcmp(state, "suspect") == 0);
 }
 
 /* How far the newest version of one table has come. */
--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -113,7 +113,7 @@
 	const struct member *member;
 
 	msg->from_node_id = control->members.config.self.node_id;
-	msg->from_incarnation = control->incarnation;
+	msg->from_incarnation = control->members.config.self.incarnation;
 	if (to_node_id == msg->from_node_id) {
 		dispatch(control, msg, now_ms);
 		return;
@@ -149,6 +149,8 @@
 
 	log_event(LOG_LEVEL_WARN, "member_down", "address",
 	    member == NULL ? "?" : member->address, NULL);
+	if (member != NULL)
+		control->peer.ops->forget(&control->peer, member->address);
 	g_hash_table_iter_init(&iter, control->owners);
 	while (g_hash_table_iter_next(&iter, NULL, &owner))
 		owner_node_down(owner, node_id, now_ms, &control->effects);
@@ -202,11 +204,14 @@
 		.fair = fair_find(control->settings->order),
 		.sync_timeout_ms = control->settings->sync_timeout_ms,
 		.grant_settle_ms = control->settings->grant_settle_ms,
+		.report_period_ms = control->settings->report_period_ms,
 	};
 	struct owner *owner = g_new0(struct owner, 1);
 
-	owner_init(owner, &config, clk_wall_ms(&control->clk), now_ms, live_ids,
-	    live_count, &control->effects);
+	owner_init(owner, &config,
+	    MAX(clk_wall_ms(&control->clk),
+		entry_epoch_seen(&control->entry, pool_id) + 1),
+	    now_ms, live_ids, live_count, &control->effects);
 	g_hash_table_insert(control->owners, &owner->config.pool_id, owner);
 	return owner;
 }
@@ -268,14 +273,28 @@
 		owner_handle(owner, msg, now_ms, &control->effects);
 }
 
+static bool
+is_membership(enum msg_type type)
+{
+	return type <= MSG_MEMBER_LIST;
+}
+
 static void
 dispatch(struct control *control, const struct msg *msg, uint64_t now_ms)
 {
+	if (!is_membership(msg->type) &&
+	    !members_accept(&control->members, msg, now_ms, &control->effects))
+		return;
 	switch (msg->type) {
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
-		members_handle(&control->members, msg, now_ms,
-		    &control->effects);
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
+	case MSG_MEMBER_LIST:
+		if (!members_handle(&control->members, msg, now_ms,
+			&control->effects))
+			metric_add(METRIC_PEER_MALFORMED, 1);
 		break;
 	case MSG_ASK:
 		dispatch_to_owner(control, msg->u.ask.pool_id, msg, now_ms);
@@ -414,10 +433,9 @@
 
 	(void)command;
 	control->snapshot = tablestore_ref(control->store);
-	control->members.config.self.routes_version = control->snapshot->tables
-							  .routes_version;
-	control->members.config.self.pools_version = control->snapshot->tables
-							 .pools_version;
+	members_set_versions(&control->members,
+	    control->snapshot->tables.routes_version,
+	    control->snapshot->tables.pools_version);
 	entry_set_tables(&control->entry, &control->snapshot->tables, now_ms,
 	    &control->effects);
 	update_owners(control, now_ms);
@@ -443,6 +461,7 @@
 	struct entry_config entry_config = {
 		.seq_first = control->incarnation << SEQ_INCARNATION_SHIFT,
 		.ops = entry_find(settings->policy),
+		.fair = fair_find(settings->order),
 		.report_period_ms = settings->report_period_ms,
 		.fallback_after_ms = settings->fallback_after_ms,
 	};
@@ -462,7 +481,7 @@
 
 gboolean
 control_init(struct control *control, const struct settings *settings,
-    struct tablestore *store, GError **error)
+    struct tablestore *store, struct hook *hook, GError **error)
 {
 	struct peer_zmq_config peer_config = { settings->peer_address,
 		settings->peer_public_key, settings->peer_secret_key };
@@ -470,6 +489,9 @@
 	memset(control, 0, sizeof(*control));
 	if (!peer_init_zmq(&control->peer, &peer_config, error))
 		return FALSE;
+	control->hook = hook;
+	if (hook != NULL)
+		hook_wrap_peer(hook, &control->peer);
 	control->settings = settings;
 	control->store = store;
 	clk_init_system(&control->clk);
@@ -497,6 +519,7 @@
 run_stop(struct control *control, struct command *command)
 {
 	(void)command;
+	members_end(&control->members, &control->effects);
 	control->stopping = true;
 }
 
@@ -575,9 +598,7 @@
 run_drain(struct control *control, struct command *command)
 {
 	(void)command;
-	control->members.config.self.leaving = true;
-	control->members.changed = true;
-	control->members.heartbeat_due_ms = 0;
+	members_leave(&control->members, &control->effects);
 	entry_drain(&control->entry, &control->effects);
 }
 
--- a/bamboorudderd/dump.c
+++ b/bamboorudderd/dump.c
@@ -6,7 +6,8 @@
 static const char *
 state_name(enum member_state state)
 {
-	static const char *const names[] = { "unknown", "live", "down" };
+	static const char *const names[] = { "unknown", "live", "suspect",
+		"down" };
 
 	return names[state];
 }
@@ -66,7 +67,8 @@
 	for (guint i = 0; i < owner->endpoints->len; i++) {
 		const struct owner_endpoint *endpoint =
 		    &g_array_index(owner->endpoints, struct owner_endpoint, i);
-		if (!endpoint->leaving)
+		if (endpoint->listed && !endpoint->leaving &&
+		    endpoint->eject_ms == 0)
 			count += endpoint->slots;
 	}
 	return count;
@@ -78,20 +80,6 @@
 	return account->waiting_count + account->running_count > 0;
 }
 
-static uint32_t
-active_weight(const struct owner *owner)
-{
-	uint32_t weight = 0;
-
-	for (guint i = 0; i < owner->accounts->len; i++) {
-		const struct fair_account *account =
-		    &g_array_index(owner->accounts, struct fair_account, i);
-		if (account_is_active(account))
-			weight += account->weight;
-	}
-	return weight;
-}
-
 /* Why an account's requests wait, for people; null if none wait. */
 static json_t *
 waiting_reason(const struct owner *owner, const struct fair_account *account)
@@ -109,19 +97,21 @@
 	return json_sprintf("the pool's %u slots are taken; the account holds "
 			    "%u, its share is %u.%u",
 	    slots, account->running_count,
-	    slots * account->weight / active_weight(owner),
-	    slots * account->weight * 10 / active_weight(owner) % 10);
+	    slots * account->weight /
+		(uint32_t)fair_queue_active_weight(&owner->queue),
+	    slots * account->weight * 10 /
+		(uint32_t)fair_queue_active_weight(&owner->queue) % 10);
 }
 
 static json_t *
 dump_accounts(const struct owner *owner, const struct tables *tables)
 {
-	uint32_t weight = active_weight(owner);
+	uint32_t weight = (uint32_t)fair_queue_active_weight(&owner->queue);
 	json_t *list = json_array();
 
-	for (guint i = 0; i < owner->accounts->len; i++) {
+	for (guint i = 0; i < owner->queue.accounts->len; i++) {
 		const struct fair_account *account =
-		    &g_array_index(owner->accounts, struct fair_account, i);
+		    fair_queue_account(&owner->queue, i);
 		json_array_append_new(list,
 		    json_pack("{s:s, s:i, s:f, s:i, s:i, s:I, s:I, s:o}",
 			"account", account_name(tables, account->account_id),
@@ -131,9 +121,8 @@
 			    : 0.0,
 			"waiting", (int)account->waiting_count, "running",
 			(int)account->running_count, "served_tokens",
-			(json_int_t)owner_served_tokens(owner,
-			    account->account_id),
-			"vtime", (json_int_t)account->vtime, "waits_because",
+			(json_int_t)owner_served_tokens(owner, i), "vtime",
+			(json_int_t)account->vtime, "waits_because",
 			waiting_reason(owner, account)));
 	}
 	return list;
@@ -150,24 +139,39 @@
 		const struct endpoint *endpoint = pool_find_endpoint(pool,
 		    state->endpoint_id);
 		json_array_append_new(list,
-		    json_pack("{s:s, s:i, s:i, s:b}", "address",
+		    json_pack("{s:s, s:i, s:i, s:b, s:b}", "address",
 			endpoint == NULL ? "?" : endpoint->address, "slots",
 			(int)state->slots, "running", (int)state->running_count,
-			"leaving", state->leaving));
+			"leaving", state->leaving, "ejected",
+			state->eject_ms != 0));
 	}
 	return list;
 }
 
+/* State of the pools that are owned here. */
 static json_t *
-dump_owner(const struct owner *owner, const struct tables *tables,
-    const struct pool *pool)
+dump_owners(struct control *control)
 {
-	return json_pack("{s:I, s:b, s:I, s:I, s:i, s:o, s:o}", "epoch",
-	    (json_int_t)owner->epoch, "syncing", owner->syncing, "grants",
-	    (json_int_t)owner->grants_count, "releases_lost",
-	    (json_int_t)owner->releases_lost_count, "slots",
-	    (int)slots_count(owner), "accounts", dump_accounts(owner, tables),
-	    "endpoints", dump_endpoints(owner, pool));
+	const struct tables *tables = &control->snapshot->tables;
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < tables->pool_count; i++) {
+		const struct pool *pool = &tables->pools[i];
+		const struct owner *owner = g_hash_table_lookup(control->owners,
+		    &pool->pool_id);
+		if (owner == NULL)
+			continue;
+		json_array_append_new(list,
+		    json_pack("{s:s, s:I, s:b, s:I, s:I, s:i, s:o, s:o}",
+			"pool", pool->name, "epoch", (json_int_t)owner->epoch,
+			"syncing", owner->syncing, "grants",
+			(json_int_t)owner->grants_count, "releases_lost",
+			(json_int_t)owner->releases_lost_count, "slots",
+			(int)slots_count(owner), "accounts",
+			dump_accounts(owner, tables), "endpoints",
+			dump_endpoints(owner, pool)));
+	}
+	return list;
 }
 
 static const char *
@@ -182,7 +186,7 @@
 	return member == NULL ? "?" : member->address;
 }
 
-/* All pools with their owners; the state of those that are owned here. */
+/* All pools with their owners. */
 static json_t *
 dump_pools(struct control *control)
 {
@@ -191,24 +195,32 @@
 
 	for (uint32_t i = 0; i < tables->pool_count; i++) {
 		const struct pool *pool = &tables->pools[i];
-		const struct owner *owner = g_hash_table_lookup(control->owners,
+		bool owned_here = g_hash_table_contains(control->owners,
 		    &pool->pool_id);
-		json_t *item = json_pack("{s:s, s:s, s:s, s:b}", "pool",
-		    pool->name, "kind",
-		    pool->kind == POOL_MODEL ? "model" : "service", "owner",
-		    owner_address(control, pool->pool_id), "owned_here",
-		    owner != NULL);
-
-		if (owner != NULL) {
-			json_t *state = dump_owner(owner, tables, pool);
-			json_object_update(item, state);
-			json_decref(state);
-		}
-		json_array_append_new(list, item);
+		json_array_append_new(list,
+		    json_pack("{s:s, s:s, s:s, s:b}", "pool", pool->name,
+			"kind", pool->kind == POOL_MODEL ? "model" : "service",
+			"owner", owner_address(control, pool->pool_id),
+			"owned_here", owned_here));
 	}
 	return list;
 }
 
+/* Names of the pools that are served without an owner. */
+static json_t *
+dump_fallback(struct control *control)
+{
+	const struct tables *tables = &control->snapshot->tables;
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < tables->pool_count; i++)
+		if (entry_in_fallback(&control->entry,
+			tables->pools[i].pool_id))
+			json_array_append_new(list,
+			    json_string(tables->pools[i].name));
+	return list;
+}
+
 json_t *
 dump_control(struct control *control)
 {
@@ -216,12 +228,15 @@
 	uint32_t waiting_count, running_count;
 
 	entry_counts(&control->entry, &waiting_count, &running_count);
-	return json_pack("{s:o, s:o, s:o, s:{s:i, s:i, s:I, s:I, s:b}}", "self",
-	    dump_self(&control->members.config.self, now_ms), "members",
+	return json_pack("{s:o, s:o, s:o, s:o, s:{s:i, s:i, s:I, s:I, s:I, "
+	                 "s:o, "
+			 "s:b}}",
+	    "self", dump_self(&control->members.config.self, now_ms), "members",
 	    dump_members(&control->members, now_ms), "pools",
-	    dump_pools(control), "entry", "waiting", (int)waiting_count,
-	    "running", (int)running_count, "refused",
-	    (json_int_t)control->entry.refused_count, "stale_grants",
-	    (json_int_t)control->entry.stale_grants_count, "draining",
-	    control->entry.draining);
+	    dump_pools(control), "owners", dump_owners(control), "entry",
+	    "waiting", (int)waiting_count, "running", (int)running_count,
+	    "refused", (json_int_t)control->entry.refused_count, "stale_grants",
+	    (json_int_t)control->entry.stale_grants_count, "fallback_starts",
+	    (json_int_t)control->entry.fallback_count, "fallback_pools",
+	    dump_fallback(control), "draining", control->entry.draining);
 }
--- a/bamboorudderd/settings.c
+++ b/bamboorudderd/settings.c
@@ -32,6 +32,11 @@
 		name, SETTINGS_UINT32, AT(member), unit, low, high, preset,    \
 		    "", NULL, NULL, NULL, false, false                         \
 	}
+#define SWITCH(name, member)                                                   \
+	{                                                                      \
+		name, SETTINGS_BOOL, AT(member), "", 0, 0, 0, "", NULL, NULL,  \
+		    NULL, false, false                                         \
+	}
 #define LIST(name, member, check, secret, reload)                              \
 	{                                                                      \
 		name, SETTINGS_LIST, AT(member), "", 0, 0, 0, "", NULL, NULL,  \
@@ -78,6 +83,7 @@
 	    600000),
 	NUMBER("shutdown.drain_timeout_ms", drain_timeout_ms, "ms", 0, 3600000,
 	    60000),
+	SWITCH("test.hooks", test_hooks),
 	WORD("log.format", log_format, "logfmt", "logfmt,json", true),
 	WORD("log.level", log_level, "info", "error,warn,info", true),
 };
@@ -207,6 +213,17 @@
 		*out = (uint32_t)value->integer;
 }
 
+static void
+read_switch(struct read_context *context, const struct settings_key *key,
+    const struct toml_value *value, bool *out)
+{
+	if (value->type != TOML_BOOLEAN || value->in_list)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s must be true or false", key->name);
+	else
+		*out = value->boolean;
+}
+
 static void
 read_list(struct read_context *context, const struct settings_key *key,
     const struct toml_value *value, struct settings_list *out)
@@ -243,6 +260,8 @@
 			read_text(context, &keys[i], value, target);
 		else if (keys[i].type == SETTINGS_UINT32)
 			read_number(context, &keys[i], value, target);
+		else if (keys[i].type == SETTINGS_BOOL)
+			read_switch(context, &keys[i], value, target);
 		else
 			read_list(context, &keys[i], value, target);
 		return;
@@ -347,6 +366,9 @@
 		if (key->type == SETTINGS_UINT32)
 			g_string_append_printf(out, "%u",
 			    *(const uint32_t *)target);
+		else if (key->type == SETTINGS_BOOL)
+			g_string_append(out,
+			    *(const bool *)target ? "true" : "false");
 		else if (key->type == SETTINGS_LIST)
 			print_list(target, key->secret, out);
 		else
@@ -361,6 +383,8 @@
 {
 	if (key->type == SETTINGS_UINT32)
 		return sizeof(uint32_t);
+	if (key->type == SETTINGS_BOOL)
+		return sizeof(bool);
 	return key->type == SETTINGS_LIST ? sizeof(struct settings_list)
 					  : SETTINGS_TEXT_MAX_BYTES;
 }
--- a/include/bamboorudderd/admin_call.h
+++ b/include/bamboorudderd/admin_call.h
@@ -64,6 +64,8 @@
 void admin_get_readyz(const struct admin_request *request);
 void admin_get_status(const struct admin_request *request);
 void admin_get_version(const struct admin_request *request);
+void admin_post_cut(const struct admin_request *request);
 void admin_post_drain(const struct admin_request *request);
+void admin_post_heal(const struct admin_request *request);
 
 #endif
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -19,7 +19,8 @@
 	message.type = MSG_REPORT;
 	message.from_node_id = 9;
 	message.from_incarnation = 10;
-	message.u.report = { 11, 12, item, vtime, 1, 1 };
+	message.u.report = { 11, 12, item, vtime, 1, 1, 13, 14, UINT64_MAX, 1,
+		0 };
 	return message;
 }
 
@@ -35,6 +36,10 @@
 	codec_encode(&message, bytes);
 	ASSERT_TRUE(codec_decode(bytes->data, bytes->len, &decoded));
 	EXPECT_EQ(decoded.from_node_id, 9u);
+	EXPECT_EQ(decoded.u.report.owner_seen, 13u);
+	EXPECT_EQ(decoded.u.report.send_seq, 14u);
+	EXPECT_EQ(decoded.u.report.items[0].account_id, 1u);
+	EXPECT_EQ(decoded.u.report.items[0].estimate_tokens, 6u);
 	EXPECT_EQ(decoded.u.report.items[0].seq, UINT64_MAX);
 	EXPECT_EQ(decoded.u.report.items[0].state, REPORT_RUNNING);
 	EXPECT_EQ(decoded.u.report.vtimes[0].vtime, -8);
@@ -48,14 +53,14 @@
 	msg message = {}, decoded;
 
 	message.type = MSG_HEARTBEAT;
-	strcpy(message.u.heartbeat.address, "127.0.0.1:7001");
-	strcpy(message.u.heartbeat.domain, "d1");
-	message.u.heartbeat.leaving = 1;
+	strcpy(message.u.heartbeat.self.address, "127.0.0.1:7001");
+	strcpy(message.u.heartbeat.self.domain, "d1");
+	message.u.heartbeat.self.flags = MEMBER_FLAG_LEAVING;
 	codec_encode(&message, bytes);
 	ASSERT_TRUE(codec_decode(bytes->data, bytes->len, &decoded));
-	EXPECT_STREQ(decoded.u.heartbeat.address, "127.0.0.1:7001");
-	EXPECT_STREQ(decoded.u.heartbeat.domain, "d1");
-	EXPECT_EQ(decoded.u.heartbeat.leaving, 1);
+	EXPECT_STREQ(decoded.u.heartbeat.self.address, "127.0.0.1:7001");
+	EXPECT_STREQ(decoded.u.heartbeat.self.domain, "d1");
+	EXPECT_EQ(decoded.u.heartbeat.self.flags, MEMBER_FLAG_LEAVING);
 	g_byte_array_free(bytes, TRUE);
 }
 
