Reserve the ports of tests among all tests on the machine

Cause: a test that uses more than 50 ports walked into the ports of the test started next; both found a port free and one daemon could not listen (e2e-edits failed so once, beside another run). Ports are held by a lock on a file until the test ends.

--- a/bamboorudderd/dump.c
+++ b/bamboorudderd/dump.c
@@ -229,7 +229,7 @@
 
 	entry_counts(&control->entry, &waiting_count, &running_count);
 	return json_pack("{s:o, s:o, s:o, s:o, s:{s:i, s:i, s:I, s:I, s:I, "
-	                 "s:o, "
+			 "s:o, "
 			 "s:b}}",
 	    "self", dump_self(&control->members.config.self, now_ms), "members",
 	    dump_members(&control->members, now_ms), "pools",
--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -180,26 +181,50 @@
 	return true;
 }
 
+/* Takes a port for this process until it ends, among all tests that run on
+ * the machine. */
+static bool
+reserve_port(uint16_t port)
+{
+	std::string path = "/tmp/bamboorudder-port-" + std::to_string(port);
+	int fd = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+
+	if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0)
+		return true;
+	if (fd >= 0)
+		close(fd);
+	return false;
+}
+
+static bool
+port_is_free(uint16_t port)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	sockaddr_in address = {};
+	bool bound;
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(port);
+	bound = bind(fd, reinterpret_cast<sockaddr *>(&address),
+		    sizeof(address)) == 0;
+	close(fd);
+	return bound;
+}
+
 /* Below the kernel's ephemeral ports, from a place that depends on the
- * process, so that tests side by side don't meet. */
+ * process, so that tests side by side seldom meet. */
 uint16_t
 free_port()
 {
 	constexpr uint32_t FIRST = 10000, SPAN = 20000, STEP = 50;
 	static uint32_t next = (uint32_t)getpid() * STEP;
-	sockaddr_in address = {};
-	bool bound = false;
+	uint16_t port;
 
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	while (!bound) {
-		int fd = socket(AF_INET, SOCK_STREAM, 0);
-		address.sin_port = htons((uint16_t)(FIRST + next++ % SPAN));
-		bound = bind(fd, reinterpret_cast<sockaddr *>(&address),
-			    sizeof(address)) == 0;
-		close(fd);
-	}
-	return ntohs(address.sin_port);
+	do
+		port = (uint16_t)(FIRST + next++ % SPAN);
+	while (!reserve_port(port) || !port_is_free(port));
+	return port;
 }
 
 static std::string
