--- a/bamboorudderd/admin_hook.c
+++ b/bamboorudderd/admin_hook.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "bamboorudderd/admin.h"
 #include "bamboorudderd/admin_call.h"
 
 #define CUT_QUERY_MAX_BYTES 4096
--- a/bamboorudderd/admin_status.c
+++ b/bamboorudderd/admin_status.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "bamboorudderd/admin.h"
 #include "bamboorudderd/admin_call.h"
 #include "common/metric.h"
 #include "common/table_json.h"
--- a/bamboorudderd/admin_tables.c
+++ b/bamboorudderd/admin_tables.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "bamboorudderd/admin.h"
 #include "bamboorudderd/admin_call.h"
 #include "bamboorudderd/edit.h"
 #include "bamboorudderd/table_doc.h"
--- /dev/null
+++ b/completions/bamboorudderd.bash
@@ -0,0 +1,8 @@
+_bamboorudderd()
+{
+	local current=${COMP_WORDS[COMP_CWORD]}
+
+	COMPREPLY=($(compgen -W "--check-settings --help --print-settings" \
+	    -- "$current") $(compgen -f -- "$current"))
+}
+complete -F _bamboorudderd bamboorudderd
--- a/include/bamboorudderd/admin_call.h
+++ b/include/bamboorudderd/admin_call.h
@@ -9,10 +9,11 @@
 #include <jansson.h>
 #include <stddef.h>
 
-#include "bamboorudderd/admin.h"
 #include "bamboorudderd/operator.h"
 #include "bamboorudderd/reply.h"
+#include "core/msg.h"
 
+struct admin;
 struct admin_call;
 
 /** One request to the API. */
--- a/include/bamboorudderd/operator.h
+++ b/include/bamboorudderd/operator.h
@@ -29,8 +29,8 @@
 };
 
 /**
- * Reads one item of admin.tokens: "NAME:SCOPE:SHA256", where SCOPE is read,
- * edit or edit@TEAM, or just a hash, which is the operator named "operator"
+ * Reads one item of admin.tokens: "NAME:SCOPE:SHA256", where SCOPE is "read",
+ * "edit" or "edit@TEAM", or just a hash, which is the operator named "operator"
  * with the scope edit.
  * @return NULL, or what is wrong with the text
  */
--- a/tests/e2e/test_ctl.cc
+++ b/tests/e2e/test_ctl.cc
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 #include "admin_fixture.h"
@@ -209,3 +210,32 @@
 	EXPECT_EQ(run({ "drain" }).status, 0);
 	EXPECT_EQ(call("GET", fleet.daemons[0].admin("/readyz")).status, 503);
 }
+
+TEST_F(Ctl, CompletionsAndManPageKnowEveryCommand)
+{
+	std::istringstream help(run({ "--help" }).output);
+	std::string line, word;
+	bool commands = false;
+	int count = 0;
+
+	while (std::getline(help, line)) {
+		if (commands && std::istringstream(line) >> word) {
+			count++;
+			for (const char *page : { "completions/"
+						  "bamboorudderctl.bash",
+				 "completions/_bamboorudderctl",
+				 "completions/bamboorudderctl.fish",
+				 "bamboorudderctl/bamboorudderctl.1.scd" }) {
+				std::ifstream file(
+				    std::string(SOURCE_ROOT) + "/" + page);
+				std::stringstream text;
+				text << file.rdbuf();
+				EXPECT_NE(text.str().find(word),
+				    std::string::npos)
+				    << page << " lacks " << word;
+			}
+		}
+		commands = commands || line == "commands:";
+	}
+	EXPECT_EQ(count, 8);
+}
--- /dev/null
+++ b/tests/unit/test_pages.cc
@@ -0,0 +1,169 @@
+#include <gtest/gtest.h>
+#include <jansson.h>
+
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <string>
+
+extern "C" {
+#include "bamboorudderd/admin_call.h"
+#include "bamboorudderd/settings.h"
+#include "common/metric.h"
+}
+
+namespace
+{
+
+std::string
+read_page(const std::string &name)
+{
+	std::ifstream file(std::string(SOURCE_ROOT) + "/" + name);
+	std::stringstream text;
+
+	text << file.rdbuf();
+	EXPECT_FALSE(text.str().empty()) << name;
+	return text.str();
+}
+
+std::set<std::string>
+find_all(const std::string &text, const std::string &pattern)
+{
+	std::regex regex(pattern);
+	std::set<std::string> found;
+
+	for (std::sregex_iterator i(text.begin(), text.end(), regex), end;
+	     i != end; ++i)
+		found.insert((*i)[1]);
+	return found;
+}
+
+/** How the man page heads a key. */
+std::string
+heading(const settings_key &key)
+{
+	std::string words = key.words == nullptr ? "" : key.words;
+	std::string text = "*" + std::string(key.name) + "* (";
+
+	if (key.type == SETTINGS_UINT32)
+		text += std::string(key.unit) + ", " + std::to_string(key.low) +
+		    " to " + std::to_string(key.high) + ", default " +
+		    std::to_string(key.default_number);
+	else if (key.type == SETTINGS_BOOL)
+		text += "true or false, default false";
+	else if (key.type == SETTINGS_LIST)
+		text += "list of texts";
+	else if (key.words != nullptr)
+		text += "one of " +
+		    std::regex_replace(words, std::regex(","), ", ") +
+		    ", default \"" + key.default_text + "\"";
+	else if (key.default_text == nullptr)
+		text += "text, required";
+	else
+		text += std::string("text, default \"") + key.default_text +
+		    "\"";
+	return text + (key.secret ? ", secret" : "") +
+	    (key.reloadable ? ", reloadable" : "") + ")\n";
+}
+
+} // namespace
+
+TEST(Pages, EverySettingStandsInTheManPage)
+{
+	std::string page = read_page("bamboorudderd/bamboorudderd.5.scd");
+	size_t count;
+	const settings_key *keys = settings_keys(&count);
+
+	for (size_t i = 0; i < count; i++)
+		EXPECT_NE(page.find(heading(keys[i])), std::string::npos)
+		    << "bamboorudderd.5.scd lacks: " << heading(keys[i]);
+	EXPECT_EQ(find_all(page, "\n\\*([a-z_.]+)\\* \\(").size(), count);
+}
+
+TEST(Pages, EveryMetricStandsInTheOperatorsPage)
+{
+	std::string page = read_page("docs/OPERATIONS.md");
+	GString *text = g_string_new(nullptr);
+
+	metric_render(text);
+	std::set<std::string> served = find_all(text->str,
+	    "# TYPE (bamboorudder_[a-z_]+ [a-z]+)\n");
+	std::set<std::string> described;
+	for (const auto &name :
+	    find_all(page, "\n\\| `(bamboorudder_[a-z_]+` \\| [a-z]+) \\|"))
+		described.insert(
+		    std::regex_replace(name, std::regex("` \\|"), ""));
+	EXPECT_EQ(served, described);
+	g_string_free(text, TRUE);
+}
+
+TEST(Pages, TheApiIsDescribedAsItIs)
+{
+	json_t *root = json_loads(read_page("docs/openapi.json").c_str(), 0,
+	    nullptr);
+	json_t *paths = json_object_get(root, "paths"), *methods, *operation;
+	const char *path, *method;
+	std::set<std::string> described, served;
+	size_t count;
+	const admin_call *calls = admin_calls(&count);
+	const char *const scopes[] = { "", "read", "edit@TEAM", "edit" };
+
+	json_object_foreach (paths, path, methods)
+		json_object_foreach (methods, method, operation) {
+			const char *scope = json_string_value(
+			    json_object_get(operation, "x-scope"));
+			described.insert(std::string(path) + " " + method +
+			    " " + (scope == nullptr ? "" : scope));
+			json_t *responses = json_object_get(operation,
+			    "responses");
+			EXPECT_GT(json_object_size(responses), 0u);
+			if (scope != nullptr) {
+				EXPECT_NE(json_object_get(responses, "401"),
+				    nullptr)
+				    << path;
+				EXPECT_NE(json_object_get(responses, "403"),
+				    nullptr)
+				    << path;
+			}
+		}
+	for (size_t i = 0; i < count; i++) {
+		std::string name = calls[i].method;
+		for (char &c : name)
+			c = (char)tolower(c);
+		if (std::string(calls[i].path).rfind("/v1/test/", 0) != 0)
+			served.insert(std::string(calls[i].path) + " " + name +
+			    " " + scopes[calls[i].scope]);
+	}
+	EXPECT_EQ(served, described);
+	json_decref(root);
+}
+
+TEST(Pages, TheCallsAreSorted)
+{
+	size_t count;
+	const admin_call *calls = admin_calls(&count);
+
+	for (size_t i = 1; i < count; i++)
+		EXPECT_LT(std::string(calls[i - 1].path) + " " +
+			calls[i - 1].method,
+		    std::string(calls[i].path) + " " + calls[i].method);
+}
+
+TEST(Pages, TheExampleSettingsHaveNoFindings)
+{
+	for (const char *name :
+	    { "examples/daemon.toml", "examples/cortaviento/daemon.toml",
+		"examples/hanseong/daemon.toml" }) {
+		std::string path = std::string(SOURCE_ROOT) + "/" + name;
+		static struct findings findings;
+		struct settings settings;
+		char line[512] = "";
+		findings_init(&findings);
+		EXPECT_TRUE(
+		    settings_read(path.c_str(), &settings, nullptr, &findings));
+		if (findings.count > 0)
+			finding_format(&findings.items[0], line, sizeof(line));
+		EXPECT_STREQ(line, "");
+	}
+}
