--- a/bamboorudderd/table_doc.c
+++ b/bamboorudderd/table_doc.c
@@ -4,6 +4,7 @@
 
 #include "bamboorudderd/edit.h"
 #include "bamboorudderd/tablestore.h"
+#include "common/platform.h"
 
 #define HISTORY_CHANGES_MAX_COUNT 8u
 #define MS_PER_S 1000u
--- a/include/bamboorudderd/table_doc.h
+++ b/include/bamboorudderd/table_doc.h
@@ -7,13 +7,15 @@
 #ifndef BAMBOORUDDERD_TABLE_DOC_H
 #define BAMBOORUDDERD_TABLE_DOC_H
 
+#include <glib.h>
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "common/platform.h"
 #include "core/msg.h"
 
+struct platform;
+
 struct table_doc {
 	uint64_t version; /**< 0: no object */
 	char *text; /**< as stored */
