Add the load tool with the fairness and owner-loss experiments

scripts/bench starts real daemons and stand-ins on loopback, loads the tables over the administration API, drives a seeded load over libcurl's multi interface and prints key=value lines. Children end with the tool: at exit, on signals, and by PR_SET_PDEATHSIG if it is killed.

--- /dev/null
+++ b/tests/bench/owner_loss.c
@@ -0,0 +1,94 @@
+/*
+ * The owner of the pool is killed, paused and cut off, each in a run of its
+ * own, while all slots are full.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "process.h"
+#include "trial.h"
+
+#define FULL_PCT 98.0
+#define PAUSE_MS 5000u
+
+static bool
+kill_owner(struct trial *trial)
+{
+	struct rig_daemon *daemon = &trial->rig.daemons[trial->owner];
+
+	daemon->alive = false;
+	process_signal(daemon->pid, SIGKILL);
+	return true;
+}
+
+static bool
+pause_owner(struct trial *trial)
+{
+	process_signal(trial->rig.daemons[trial->owner].pid, SIGSTOP);
+	return true;
+}
+
+static void
+resume_owner(struct trial *trial)
+{
+	process_signal(trial->rig.daemons[trial->owner].pid, SIGCONT);
+}
+
+static const struct trial_fault faults[] = {
+	{ "kill", "", kill_owner, NULL, 0 },
+	{ "pause", "", pause_owner, resume_owner, PAUSE_MS },
+};
+
+static void
+print_recovery(const struct trial *trial, const char *prefix)
+{
+	int64_t recovery_ms = sampler_recovery_ms(&trial->sampler,
+	    trial->fault_us, FULL_PCT);
+
+	if (recovery_ms < 0)
+		bench_print_missing(prefix, "recovery_ms",
+		    "slots_not_full_again_in_the_window");
+	else
+		bench_print_count(prefix, "recovery_ms", (uint64_t)recovery_ms);
+}
+
+static uint64_t
+run_fault(const struct bench_options *options, const struct scenario *scenario,
+    const struct trial_fault *fault)
+{
+	struct trial *trial = g_new0(struct trial, 1);
+	char *prefix = g_strdup_printf("%s_", fault->name);
+	uint64_t faulty_count;
+
+	trial_init(trial, options, scenario, "fleet", fault);
+	trial_run(trial);
+	if (trial->missing != NULL) {
+		bench_print_missing(prefix, "all", trial->missing);
+	} else {
+		print_recovery(trial, prefix);
+		trial_print_service(trial, prefix);
+	}
+	faulty_count = trial->load.counts.lost + trial->load.counts.crossed +
+	    trial->load.counts.disordered;
+	trial_finish(trial);
+	g_free(prefix);
+	g_free(trial);
+	return faulty_count;
+}
+
+int
+bench_owner_loss(const struct bench_options *options)
+{
+	struct scenario *scenario = g_new0(struct scenario, 1);
+	uint64_t faulty_count = 0;
+
+	scenario_read(scenario, options->scenario);
+	printf("scenario=%s\n", scenario->name);
+	bench_print("", "gap_bound_tokens", trial_gap_bound_tokens(scenario));
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++)
+		faulty_count += run_fault(options, scenario, &faults[i]);
+	bench_print_missing("cut_", "all", "no_hook_for_cuts_in_this_version");
+	g_free(scenario);
+	return faulty_count == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/bench/scenario.h
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * A workload: who sends what through which daemons. Read from JSON.
+ */
+#ifndef TESTS_BENCH_SCENARIO_H
+#define TESTS_BENCH_SCENARIO_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define SCENARIO_NAME_BYTES 64
+#define SCENARIO_ACCOUNTS_MAX_COUNT 64u
+#define SCENARIO_WORKS_MAX_COUNT 128u
+#define SCENARIO_ENTRIES_MAX_COUNT 8u
+
+struct scenario_account {
+	char name[SCENARIO_NAME_BYTES];
+	uint32_t weight;
+	bool large; /**< for the plot alone */
+};
+
+/** A stream of requests of one account: a closed loop or Poisson arrivals. */
+struct scenario_work {
+	char kind[SCENARIO_NAME_BYTES];
+	uint32_t account; /**< index */
+	uint32_t tokens_min, tokens_max;
+	uint32_t outstanding_count; /**< closed loop; 0: open */
+	double requests_per_s; /**< open loop */
+	bool interactive; /**< counts for the first-token target */
+	uint32_t entries[SCENARIO_ENTRIES_MAX_COUNT]; /**< daemon indices */
+	uint32_t entry_count;
+};
+
+struct scenario {
+	char name[SCENARIO_NAME_BYTES];
+	uint32_t daemon_count;
+	uint32_t failure_domain_count;
+	uint32_t replica_count;
+	uint32_t slots_per_replica;
+	uint32_t extra_slots_per_replica;
+	uint32_t token_us;
+	uint32_t estimate_tokens;
+	uint32_t request_max_tokens;
+	uint32_t warm_up_ms; /**< load before the measured window */
+	struct scenario_account accounts[SCENARIO_ACCOUNTS_MAX_COUNT];
+	uint32_t account_count;
+	struct scenario_work works[SCENARIO_WORKS_MAX_COUNT];
+	uint32_t work_count;
+};
+
+/** Reads a file; the program ends with a message if it is not usable. */
+void scenario_read(struct scenario *scenario, const char *path);
+
+#endif
--- /dev/null
+++ b/tests/bench/trial.c
@@ -0,0 +1,233 @@
+#include "trial.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DRAIN_LIMIT_MS 30000u
+#define STARVED_US (5u * US_PER_S)
+#define WORKER_THREADS_COUNT 400u
+#define FIRST_TOKEN_PERCENT 95.0
+#define REPORT_PERIOD_US 500000u
+#define WINDOW_PART_BEFORE_FAULT 3u
+
+double
+trial_gap_bound_tokens(const struct scenario *scenario)
+{
+	uint32_t smallest_weight = UINT32_MAX;
+	uint32_t slots = scenario->replica_count *
+	    (scenario->slots_per_replica + scenario->extra_slots_per_replica);
+	double uncharged_per_slot = (double)REPORT_PERIOD_US /
+	    scenario->token_us;
+
+	for (uint32_t i = 0; i < scenario->account_count; i++)
+		smallest_weight = MIN(smallest_weight,
+		    scenario->accounts[i].weight);
+	return 2 * (scenario->request_max_tokens + slots * uncharged_per_slot) /
+	    smallest_weight;
+}
+
+void
+trial_init(struct trial *trial, const struct bench_options *options,
+    const struct scenario *scenario, const char *policy,
+    const struct trial_fault *fault)
+{
+	struct rig_config config = { .options = options,
+		.scenario = scenario,
+		.policy = policy,
+		.extra_settings = fault == NULL ? "" : fault->extra_settings,
+		.daemon_count = scenario->daemon_count,
+		.worker_threads_count = WORKER_THREADS_COUNT };
+
+	memset(trial, 0, sizeof(*trial));
+	trial->options = options;
+	trial->scenario = scenario;
+	trial->fault = fault;
+	trial->owner = -1;
+	rig_init(&trial->rig, &config);
+	load_init(&trial->load, &trial->rig, options->seed);
+}
+
+static void
+cause_fault(struct trial *trial)
+{
+	trial->owner = rig_owner(&trial->rig);
+	trial->fault_us = bench_now_us();
+	if (trial->owner < 0)
+		trial->missing = "no_daemon_says_that_it_owns_the_pool";
+	else if (!trial->fault->cause(trial) && trial->missing == NULL)
+		trial->missing = "the_fault_could_not_be_caused";
+}
+
+static void
+on_sample(void *context, uint64_t elapsed_us)
+{
+	struct trial *trial = context;
+	uint64_t window_us = (uint64_t)trial->options->duration_s * US_PER_S;
+
+	if (trial->fault == NULL || trial->missing != NULL)
+		return;
+	if (trial->fault_us == 0) {
+		if (elapsed_us >= window_us / WINDOW_PART_BEFORE_FAULT)
+			cause_fault(trial);
+		return;
+	}
+	if (trial->fault->mend == NULL || trial->mended ||
+	    bench_now_us() < trial->fault_us +
+		    (uint64_t)trial->fault->mend_after_ms * US_PER_MS)
+		return;
+	trial->fault->mend(trial);
+	trial->mended = true;
+}
+
+void
+trial_run(struct trial *trial)
+{
+	load_warm_up(&trial->load, trial->scenario->warm_up_ms);
+	sampler_start(&trial->sampler, &trial->rig);
+	rig_read_usage(&trial->rig, &trial->usage_before);
+	trial->window_start_us = bench_now_us();
+	load_run(&trial->load, trial->options->duration_s * MS_PER_S, on_sample,
+	    trial);
+	trial->window_end_us = bench_now_us();
+	rig_read_usage(&trial->rig, &trial->usage_after);
+	sampler_stop(&trial->sampler);
+	load_drain(&trial->load, DRAIN_LIMIT_MS);
+}
+
+void
+trial_finish(struct trial *trial)
+{
+	load_finish(&trial->load);
+	sampler_finish(&trial->sampler);
+	rig_finish(&trial->rig);
+}
+
+/* Whether some account waited at every sample: else slots may be idle. */
+static bool
+always_waiting(const struct share *share)
+{
+	for (uint32_t i = 1; i < share_samples_count(share); i++) {
+		bool waiting = false;
+		for (uint32_t j = 0; j < share->account_count; j++)
+			waiting = waiting || share_at(share, i, j)->backlogged;
+		if (!waiting)
+			return false;
+	}
+	return true;
+}
+
+/* Prints a figure, or that it is missing if it is negative. */
+static void
+print_or_missing(const char *prefix, const char *key, double value,
+    const char *reason)
+{
+	if (value < 0)
+		bench_print_missing(prefix, key, reason);
+	else
+		bench_print(prefix, key, value);
+}
+
+static void
+print_answers(const struct trial *trial, const char *prefix)
+{
+	const struct load_counts *counts = &trial->load.counts;
+
+	bench_print_count(prefix, "requests", counts->sent);
+	bench_print_count(prefix, "whole_answers", counts->whole);
+	bench_print_count(prefix, "lost_answers", counts->lost);
+	bench_print_count(prefix, "crossed_answers", counts->crossed);
+	bench_print_count(prefix, "disordered_answers", counts->disordered);
+	bench_print_count(prefix, "refused_requests", counts->refused);
+	bench_print_count(prefix, "cut_by_killed_daemon", counts->cut);
+	bench_print_count(prefix, "unfinished_requests",
+	    trial->load.running_calls);
+}
+
+/* The gap, its two accounts, and what each account received. */
+static void
+print_gap(const struct trial *trial, const char *prefix)
+{
+	const struct scenario_account *accounts = trial->scenario->accounts;
+	const struct share *share = &trial->load.share;
+	uint32_t first = 0, second = 0;
+	double gap_tokens = share_gap_tokens(share, &first, &second);
+
+	print_or_missing(prefix, "gap_tokens", gap_tokens,
+	    "no_two_accounts_were_backlogged");
+	if (gap_tokens >= 0)
+		printf("%sgap_between=%s,%s\n", prefix, accounts[first].name,
+		    accounts[second].name);
+	for (uint32_t i = 0; i < share->account_count; i++)
+		printf("%sservice_tokens.%s=%" G_GUINT64_FORMAT "\n", prefix,
+		    accounts[i].name, (guint64)share_service_tokens(share, i));
+}
+
+void
+trial_print_service(const struct trial *trial, const char *prefix)
+{
+	const struct share *share = &trial->load.share;
+	double utilisation_pct = sampler_utilisation_pct(&trial->sampler,
+	    trial->window_start_us, trial->window_end_us);
+
+	print_gap(trial, prefix);
+	bench_print_count(prefix, "starved_accounts",
+	    share_starved_count(share, STARVED_US));
+	if (!always_waiting(share))
+		bench_print_missing(prefix, "utilisation_pct",
+		    "work_did_not_wait_all_the_time");
+	else
+		print_or_missing(prefix, "utilisation_pct", utilisation_pct,
+		    "no_sample_of_all_engines");
+	print_or_missing(prefix, "quote_first_token_p50_ms",
+	    hist_percentile_ms(&trial->load.first_token, 50),
+	    "no_interactive_request");
+	print_or_missing(prefix, "quote_first_token_p95_ms",
+	    hist_percentile_ms(&trial->load.first_token, FIRST_TOKEN_PERCENT),
+	    "no_interactive_request");
+	bench_print_count(prefix, "quotes", trial->load.first_token.count);
+	print_answers(trial, prefix);
+}
+
+/* Mean and largest rate of one counter over the daemons. */
+static void
+print_rate(const struct trial *trial, const char *prefix, const char *key,
+    const uint64_t *before, const uint64_t *after, double factor)
+{
+	const struct rig_usage *start = &trial->usage_before;
+	const struct rig_usage *end = &trial->usage_after;
+	double elapsed_s = (double)(end->at_us - start->at_us) / US_PER_S;
+	double sum = 0, largest = 0, rate;
+	char *largest_key = g_strdup_printf("%s_largest", key);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < trial->rig.daemon_count; i++) {
+		if (!start->known[i] || !end->known[i])
+			continue;
+		rate = factor * (double)(after[i] - before[i]) / elapsed_s;
+		sum += rate;
+		largest = fmax(largest, rate);
+		count++;
+	}
+	if (count == 0) {
+		bench_print_missing(prefix, key, "no_daemon_answered");
+	} else {
+		bench_print(prefix, key, sum / count);
+		bench_print(prefix, largest_key, largest);
+	}
+	g_free(largest_key);
+}
+
+void
+trial_print_control(const struct trial *trial, const char *prefix)
+{
+	const struct rig_usage *start = &trial->usage_before;
+	const struct rig_usage *end = &trial->usage_after;
+
+	print_rate(trial, prefix, "control_bytes_per_s", start->peer_bytes,
+	    end->peer_bytes, 1);
+	print_rate(trial, prefix, "control_cpu_pct", start->control_cpu_us,
+	    end->control_cpu_us, PERCENT / US_PER_S);
+	print_rate(trial, prefix, "platform_calls_per_s", start->platform_calls,
+	    end->platform_calls, 1);
+}
