--- a/common/codec.c
+++ b/common/codec.c
@@ -3,8 +3,9 @@
 #include <mpack.h>
 #include <string.h>
 
-#define CODEC_VERSION 1u
+#define CODEC_VERSION 2u
 #define REPORT_ITEM_FIELDS 7u
+#define REPORT_SHORT_ITEM_FIELDS 3u
 #define REPORT_VTIME_FIELDS 2u
 
 struct reader {
@@ -48,23 +49,38 @@
 	g_byte_array_append(out, (const guint8 *)text, (guint)length_bytes);
 }
 
+/* The seq goes as its distance from the newest one, which is a small number. */
+static void
+write_report_item(GByteArray *out, const struct msg_report *report,
+    const struct report_item *item)
+{
+	write_token(out,
+	    mpack_pack_array(
+		report->full ? REPORT_ITEM_FIELDS : REPORT_SHORT_ITEM_FIELDS));
+	write_uint(out, report->seq_max - item->seq);
+	write_uint(out, item->tokens);
+	write_uint(out, item->state);
+	if (!report->full)
+		return;
+	write_uint(out, item->account_id);
+	write_uint(out, item->endpoint_id);
+	write_uint(out, item->prefix_hash);
+	write_uint(out, item->estimate_tokens);
+}
+
 static void
 write_report(GByteArray *out, const struct msg_report *report)
 {
 	write_uint(out, report->pool_id);
 	write_uint(out, report->epoch_seen);
+	write_uint(out, report->owner_seen);
+	write_uint(out, report->send_seq);
+	write_uint(out, report->seq_max);
+	write_uint(out, report->full);
+	write_uint(out, report->wants_answer);
 	write_token(out, mpack_pack_array(report->item_count));
-	for (uint32_t i = 0; i < report->item_count; i++) {
-		const struct report_item *item = &report->items[i];
-		write_token(out, mpack_pack_array(REPORT_ITEM_FIELDS));
-		write_uint(out, item->account_id);
-		write_uint(out, item->seq);
-		write_uint(out, item->endpoint_id);
-		write_uint(out, item->prefix_hash);
-		write_uint(out, item->tokens);
-		write_uint(out, item->estimate_tokens);
-		write_uint(out, item->state);
-	}
+	for (uint32_t i = 0; i < report->item_count; i++)
+		write_report_item(out, report, &report->items[i]);
 	write_token(out, mpack_pack_array(report->vtime_count));
 	for (uint32_t i = 0; i < report->vtime_count; i++) {
 		write_token(out, mpack_pack_array(REPORT_VTIME_FIELDS));
@@ -73,15 +89,55 @@
 	}
 }
 
+static void
+write_news(GByteArray *out, const struct member_news *news)
+{
+	write_uint(out, news->node_id);
+	write_text(out, news->address, strlen(news->address));
+	write_text(out, news->domain, strlen(news->domain));
+	write_uint(out, news->incarnation);
+	write_uint(out, news->revision);
+	write_uint(out, news->state);
+	write_uint(out, news->flags);
+}
+
+/* Most members have the versions of the sender: one byte then. */
+static void
+write_difference(GByteArray *out, uint64_t value, uint64_t base)
+{
+	write_int(out, (int64_t)(value - base));
+}
+
 static void
 write_heartbeat(GByteArray *out, const struct msg_heartbeat *heartbeat)
 {
 	write_uint(out, heartbeat->probe_seq);
-	write_text(out, heartbeat->address, strlen(heartbeat->address));
-	write_text(out, heartbeat->domain, strlen(heartbeat->domain));
+	write_uint(out, heartbeat->target_node_id);
+	write_news(out, &heartbeat->self);
 	write_uint(out, heartbeat->routes_version);
 	write_uint(out, heartbeat->pools_version);
-	write_uint(out, heartbeat->leaving);
+	write_token(out, mpack_pack_array(heartbeat->news_count));
+	for (uint32_t i = 0; i < heartbeat->news_count; i++)
+		write_news(out, &heartbeat->news[i]);
+	write_token(out, mpack_pack_array(heartbeat->versions_count));
+	for (uint32_t i = 0; i < heartbeat->versions_count; i++) {
+		const struct member_versions *versions = &heartbeat
+							      ->versions[i];
+		write_uint(out, versions->node_id_low);
+		write_uint(out, versions->incarnation_low);
+		write_difference(out, versions->routes_version,
+		    heartbeat->routes_version);
+		write_difference(out, versions->pools_version,
+		    heartbeat->pools_version);
+	}
+}
+
+static void
+write_member_list(GByteArray *out, const struct msg_member_list *list)
+{
+	write_token(out, mpack_pack_array(list->item_count));
+	for (uint32_t i = 0; i < list->item_count; i++)
+		write_news(out, &list->items[i]);
 }
 
 static void
@@ -114,26 +170,41 @@
 	write_uint(out, refuse->reason);
 }
 
+static void
+write_done(GByteArray *out, const struct msg_done *done)
+{
+	write_uint(out, done->pool_id);
+	write_uint(out, done->seq);
+	write_uint(out, done->tokens);
+	write_uint(out, done->send_seq);
+	write_uint(out, done->outcome);
+}
+
 static void
 write_body(GByteArray *out, const struct msg *msg)
 {
 	switch (msg->type) {
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
 		write_heartbeat(out, &msg->u.heartbeat);
 		break;
+	case MSG_MEMBER_LIST:
+		write_member_list(out, &msg->u.member_list);
+		break;
 	case MSG_ASK:
 		write_ask(out, &msg->u.ask);
 		break;
 	case MSG_CANCEL:
 		write_uint(out, msg->u.cancel.pool_id);
 		write_uint(out, msg->u.cancel.seq);
+		write_uint(out, msg->u.cancel.send_seq);
+		write_uint(out, msg->u.cancel.endpoint_id);
 		break;
 	case MSG_DONE:
-		write_uint(out, msg->u.done.pool_id);
-		write_uint(out, msg->u.done.seq);
-		write_uint(out, msg->u.done.tokens);
-		write_uint(out, msg->u.done.outcome);
+		write_done(out, &msg->u.done);
 		break;
 	case MSG_REPORT:
 		write_report(out, &msg->u.report);
@@ -141,6 +212,7 @@
 	case MSG_SYNC:
 		write_uint(out, msg->u.sync.pool_id);
 		write_uint(out, msg->u.sync.epoch);
+		write_uint(out, msg->u.sync.wants_report);
 		break;
 	case MSG_GRANT:
 		write_grant(out, &msg->u.grant);
@@ -151,6 +223,7 @@
 	case MSG_STALE:
 		write_uint(out, msg->u.stale.pool_id);
 		write_uint(out, msg->u.stale.epoch_seen);
+		write_uint(out, msg->u.stale.owner_seen);
 		break;
 	case MSG_TABLES_NEWS:
 	case MSG_TABLES_PULL:
@@ -266,17 +339,23 @@
 }
 
 static void
-read_report_item(struct reader *reader, struct report_item *item)
+read_report_item(struct reader *reader, const struct msg_report *report,
+    struct report_item *item)
 {
-	if (read_count(reader, REPORT_ITEM_FIELDS) != REPORT_ITEM_FIELDS)
+	uint32_t field_count = report->full ? REPORT_ITEM_FIELDS
+					    : REPORT_SHORT_ITEM_FIELDS;
+
+	if (read_count(reader, field_count) != field_count)
 		reader->failed = true;
+	item->seq = report->seq_max - read_uint(reader, UINT64_MAX);
+	item->tokens = read_uint(reader, UINT32_MAX);
+	item->state = (uint8_t)read_uint(reader, REPORT_RUNNING);
+	if (!report->full)
+		return;
 	item->account_id = read_uint(reader, UINT64_MAX);
-	item->seq = read_uint(reader, UINT64_MAX);
 	item->endpoint_id = read_uint(reader, UINT64_MAX);
 	item->prefix_hash = read_uint(reader, UINT64_MAX);
-	item->tokens = read_uint(reader, UINT32_MAX);
 	item->estimate_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
-	item->state = (uint8_t)read_uint(reader, REPORT_RUNNING);
 }
 
 static void
@@ -287,11 +366,16 @@
 
 	report->pool_id = read_uint(reader, UINT64_MAX);
 	report->epoch_seen = read_uint(reader, UINT64_MAX);
+	report->owner_seen = read_uint(reader, UINT64_MAX);
+	report->send_seq = read_uint(reader, UINT64_MAX);
+	report->seq_max = read_uint(reader, UINT64_MAX);
+	report->full = (uint8_t)read_uint(reader, 1);
+	report->wants_answer = (uint8_t)read_uint(reader, 1);
 	report->item_count = read_count(reader, REPORT_ITEMS_MAX_COUNT);
 	items = g_new0(struct report_item, report->item_count);
 	report->items = items;
 	for (uint32_t i = 0; i < report->item_count && !reader->failed; i++)
-		read_report_item(reader, &items[i]);
+		read_report_item(reader, report, &items[i]);
 	report->vtime_count = read_count(reader, REPORT_ITEMS_MAX_COUNT);
 	vtimes = g_new0(struct report_vtime, report->vtime_count);
 	report->vtimes = vtimes;
@@ -304,15 +388,53 @@
 	}
 }
 
+static void
+read_news(struct reader *reader, struct member_news *news)
+{
+	news->node_id = read_uint(reader, UINT64_MAX);
+	read_text(reader, news->address, sizeof(news->address));
+	read_text(reader, news->domain, sizeof(news->domain));
+	news->incarnation = read_uint(reader, UINT64_MAX);
+	news->revision = (uint32_t)read_uint(reader, UINT32_MAX);
+	news->state = (uint8_t)read_uint(reader, MEMBER_DOWN);
+	news->flags = (uint8_t)read_uint(reader, MEMBER_FLAGS_MAX);
+}
+
 static void
 read_heartbeat(struct reader *reader, struct msg_heartbeat *heartbeat)
 {
 	heartbeat->probe_seq = read_uint(reader, UINT64_MAX);
-	read_text(reader, heartbeat->address, sizeof(heartbeat->address));
-	read_text(reader, heartbeat->domain, sizeof(heartbeat->domain));
+	heartbeat->target_node_id = read_uint(reader, UINT64_MAX);
+	read_news(reader, &heartbeat->self);
 	heartbeat->routes_version = read_uint(reader, UINT64_MAX);
 	heartbeat->pools_version = read_uint(reader, UINT64_MAX);
-	heartbeat->leaving = (uint8_t)read_uint(reader, 1);
+	heartbeat->news_count = read_count(reader, GOSSIP_NEWS_MAX_COUNT);
+	for (uint32_t i = 0; i < heartbeat->news_count; i++)
+		read_news(reader, &heartbeat->news[i]);
+	heartbeat->versions_count = read_count(reader,
+	    GOSSIP_VERSIONS_MAX_COUNT);
+	for (uint32_t i = 0; i < heartbeat->versions_count; i++) {
+		struct member_versions *versions = &heartbeat->versions[i];
+		versions->node_id_low = (uint32_t)read_uint(reader, UINT32_MAX);
+		versions->incarnation_low = (uint32_t)read_uint(reader,
+		    UINT32_MAX);
+		versions->routes_version = heartbeat->routes_version +
+		    (uint64_t)read_int(reader);
+		versions->pools_version = heartbeat->pools_version +
+		    (uint64_t)read_int(reader);
+	}
+}
+
+static void
+read_member_list(struct reader *reader, struct msg_member_list *list)
+{
+	struct member_news *items;
+
+	list->item_count = read_count(reader, MEMBERS_MAX_COUNT);
+	items = g_new0(struct member_news, list->item_count);
+	list->items = items;
+	for (uint32_t i = 0; i < list->item_count && !reader->failed; i++)
+		read_news(reader, &items[i]);
 }
 
 static void
@@ -363,19 +485,28 @@
 	switch (msg->type) {
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
 		read_heartbeat(reader, &msg->u.heartbeat);
 		break;
+	case MSG_MEMBER_LIST:
+		read_member_list(reader, &msg->u.member_list);
+		break;
 	case MSG_ASK:
 		read_ask(reader, &msg->u.ask);
 		break;
 	case MSG_CANCEL:
 		msg->u.cancel.pool_id = read_uint(reader, UINT64_MAX);
 		msg->u.cancel.seq = read_uint(reader, UINT64_MAX);
+		msg->u.cancel.send_seq = read_uint(reader, UINT64_MAX);
+		msg->u.cancel.endpoint_id = read_uint(reader, UINT64_MAX);
 		break;
 	case MSG_DONE:
 		msg->u.done.pool_id = read_uint(reader, UINT64_MAX);
 		msg->u.done.seq = read_uint(reader, UINT64_MAX);
 		msg->u.done.tokens = read_uint(reader, UINT32_MAX);
+		msg->u.done.send_seq = read_uint(reader, UINT64_MAX);
 		msg->u.done.outcome = (uint8_t)read_uint(reader,
 		    DONE_OUTCOME_COUNT - 1);
 		break;
@@ -385,6 +516,7 @@
 	case MSG_SYNC:
 		msg->u.sync.pool_id = read_uint(reader, UINT64_MAX);
 		msg->u.sync.epoch = read_uint(reader, UINT64_MAX);
+		msg->u.sync.wants_report = (uint8_t)read_uint(reader, 1);
 		break;
 	case MSG_GRANT:
 		read_grant(reader, &msg->u.grant);
@@ -395,6 +527,7 @@
 	case MSG_STALE:
 		msg->u.stale.pool_id = read_uint(reader, UINT64_MAX);
 		msg->u.stale.epoch_seen = read_uint(reader, UINT64_MAX);
+		msg->u.stale.owner_seen = read_uint(reader, UINT64_MAX);
 		break;
 	case MSG_TABLES_NEWS:
 	case MSG_TABLES_PULL:
@@ -410,21 +543,45 @@
 	}
 }
 
+static bool
+read_head(struct reader *reader, const void *bytes, size_t length_bytes,
+    struct msg *msg)
+{
+	memset(reader, 0, sizeof(*reader));
+	memset(msg, 0, sizeof(*msg));
+	reader->bytes = bytes;
+	reader->left_bytes = length_bytes;
+	mpack_tokbuf_init(&reader->tokbuf);
+	if (length_bytes > CODEC_MESSAGE_MAX_BYTES ||
+	    read_uint(reader, UINT32_MAX) != CODEC_VERSION)
+		return false;
+	msg->type = (enum msg_type)read_uint(reader, MSG_TYPE_COUNT - 1);
+	msg->from_node_id = read_uint(reader, UINT64_MAX);
+	msg->from_incarnation = read_uint(reader, UINT64_MAX);
+	return !reader->failed;
+}
+
+bool
+codec_read_sender(const void *bytes, size_t length_bytes,
+    uint64_t *from_node_id)
+{
+	struct reader reader;
+	struct msg msg;
+
+	if (!read_head(&reader, bytes, length_bytes, &msg))
+		return false;
+	*from_node_id = msg.from_node_id;
+	return true;
+}
+
 bool
 codec_decode(const void *bytes, size_t length_bytes, struct msg *msg)
 {
-	struct reader reader = { .bytes = bytes, .left_bytes = length_bytes };
+	struct reader reader;
 
-	memset(msg, 0, sizeof(*msg));
-	mpack_tokbuf_init(&reader.tokbuf);
-	if (length_bytes > CODEC_MESSAGE_MAX_BYTES ||
-	    read_uint(&reader, UINT32_MAX) != CODEC_VERSION)
+	if (!read_head(&reader, bytes, length_bytes, msg))
 		return false;
-	msg->type = (enum msg_type)read_uint(&reader, MSG_TYPE_COUNT - 1);
-	msg->from_node_id = read_uint(&reader, UINT64_MAX);
-	msg->from_incarnation = read_uint(&reader, UINT64_MAX);
-	if (!reader.failed)
-		read_body(&reader, msg);
+	read_body(&reader, msg);
 	if (!reader.failed && reader.left_bytes == 0)
 		return true;
 	codec_release(msg);
@@ -439,6 +596,9 @@
 		g_free((gpointer)msg->u.report.vtimes);
 		msg->u.report.items = NULL;
 		msg->u.report.vtimes = NULL;
+	} else if (msg->type == MSG_MEMBER_LIST) {
+		g_free((gpointer)msg->u.member_list.items);
+		msg->u.member_list.items = NULL;
 	} else if (msg->type == MSG_TABLES_DATA) {
 		g_free((gpointer)msg->u.tables_data.text);
 		msg->u.tables_data.text = NULL;
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -12,6 +12,10 @@
 enum msg_type {
 	MSG_HEARTBEAT,
 	MSG_HEARTBEAT_ACK,
+	MSG_PROBE_REQUEST,
+	MSG_GOSSIP,
+	MSG_JOIN,
+	MSG_MEMBER_LIST,
 	MSG_ASK,
 	MSG_CANCEL,
 	MSG_DONE,
@@ -36,14 +40,57 @@
 	REFUSE_REASON_COUNT
 };
 
-/** Liveness probe; carries the table versions that the sender holds. */
-struct msg_heartbeat {
-	uint64_t probe_seq;
+enum member_state { MEMBER_UNKNOWN, MEMBER_LIVE, MEMBER_SUSPECT, MEMBER_DOWN };
+
+#define MEMBER_FLAG_LEAVING 1u /**< takes no new work */
+#define MEMBER_FLAG_PLATFORM_LOST 2u /**< can't reach the platform */
+#define MEMBER_FLAGS_MAX 3u
+
+/**
+ * What the sender believes of one member. Address and domain are empty unless
+ * the member is live: what is told of others concerns those who know them.
+ */
+struct member_news {
+	uint64_t node_id;
 	char address[ADDRESS_MAX_BYTES];
 	char domain[NAME_MAX_BYTES];
+	uint64_t incarnation; /**< of the member's process */
+	uint32_t revision; /**< grows when the member refutes a suspicion or
+			     * changes its flags */
+	uint8_t state; /**< enum member_state */
+	uint8_t flags; /**< MEMBER_FLAG_... */
+};
+
+/** Versions of the tables that a member has in force. */
+struct member_versions {
+	uint32_t node_id_low; /**< low half of its node_id */
+	uint32_t incarnation_low; /**< low half of its incarnation */
+	uint64_t routes_version;
+	uint64_t pools_version;
+};
+
+/**
+ * Membership message: what the sender says of itself and, of bounded size,
+ * what it believes of others. Also the body of MSG_HEARTBEAT_ACK, MSG_GOSSIP
+ * (wants no answer), MSG_JOIN (wants MSG_MEMBER_LIST) and MSG_PROBE_REQUEST
+ * (asks the receiver to probe target_node_id).
+ */
+struct msg_heartbeat {
+	uint64_t probe_seq;
+	uint64_t target_node_id;
+	struct member_news self;
 	uint64_t routes_version;
 	uint64_t pools_version;
-	uint8_t leaving;
+	struct member_news news[GOSSIP_NEWS_MAX_COUNT];
+	struct member_versions versions[GOSSIP_VERSIONS_MAX_COUNT];
+	uint32_t news_count;
+	uint32_t versions_count;
+};
+
+/** All members that the sender knows; owned as the arrays of a report. */
+struct msg_member_list {
+	const struct member_news *items;
+	uint32_t item_count;
 };
 
 /** An entry daemon asks the queue owner for a slot. */
@@ -55,10 +102,15 @@
 	uint32_t estimate_tokens;
 };
 
-/** Names a request of the sender: a cancel. */
+/**
+ * A request of the sender ended before it was started, or its grant at
+ * endpoint_id was not used and it waits again (endpoint_id is not 0).
+ */
 struct msg_cancel {
 	uint64_t pool_id;
 	uint64_t seq;
+	uint64_t send_seq; /**< see msg_report */
+	uint64_t endpoint_id;
 };
 
 /** How a granted request ended at its endpoint. */
@@ -74,6 +126,7 @@
 	uint64_t pool_id;
 	uint64_t seq;
 	uint64_t tokens;
+	uint64_t send_seq; /**< see msg_report */
 	uint8_t outcome; /**< enum done_outcome */
 };
 
@@ -98,7 +151,9 @@
 
 /**
  * All requests that the sender holds for one pool. In an effect the arrays
- * belong to the list of effects; in a received message, to the decoder.
+ * belong to the list of effects; in a received message, to the decoder. A
+ * report that is not full names requests by seq, tokens and state alone; the
+ * owner asks for a full one when it doesn't know a request.
  */
 struct msg_report {
 	uint64_t pool_id;
@@ -107,12 +162,19 @@
 	const struct report_vtime *vtimes;
 	uint32_t item_count;
 	uint32_t vtime_count;
+	uint64_t owner_seen; /**< node that epoch_seen belongs to */
+	uint64_t send_seq; /**< rises with each report, done and cancel of the
+			     * sender for this pool */
+	uint64_t seq_max; /**< newest request taken in by the sender */
+	uint8_t full;
+	uint8_t wants_answer; /**< the owner has not been heard lately */
 };
 
-/** A queue owner announces its epoch and asks for a report. */
+/** A queue owner announces its epoch. */
 struct msg_sync {
 	uint64_t pool_id;
 	uint64_t epoch;
+	uint8_t wants_report; /**< asks for a full report */
 };
 
 /** A slot at an endpoint for one request. */
@@ -133,10 +195,11 @@
 	uint8_t reason;
 };
 
-/** Tells an owner that a newer epoch of its pool exists. */
+/** Tells an owner that a newer (epoch, owner) of its pool exists. */
 struct msg_stale {
 	uint64_t pool_id;
 	uint64_t epoch_seen;
+	uint64_t owner_seen;
 };
 
 /** Versions of the tables that the sender holds. */
@@ -161,6 +224,7 @@
 	uint64_t from_incarnation;
 	union {
 		struct msg_heartbeat heartbeat;
+		struct msg_member_list member_list;
 		struct msg_ask ask;
 		struct msg_cancel cancel;
 		struct msg_done done;
