--- a/include/core/entry.h
+++ b/include/core/entry.h
@@ -63,6 +63,7 @@
 	uint64_t pool_id;
 	uint64_t account_id;
 	uint64_t prefix_hash;
+	uint64_t avoid_endpoint_id; /**< failed an earlier attempt, or 0 */
 	uint64_t deadline_ms;
 	uint32_t estimate_tokens;
 	uint32_t waiting_max_count;
@@ -77,6 +78,8 @@
 	uint64_t *live_node_ids;
 	size_t live_count;
 	GHashTable *accounts; /**< account_id to its waiting count here */
+	uint64_t ticked_ms; /**< last tick, 0 before the first */
+	uint64_t waking_until_ms; /**< starts nothing until then */
 	bool draining;
 	uint64_t stale_grants_count;
 	uint64_t refused_count;
