--- a/include/core/limits.h
+++ b/include/core/limits.h
@@ -8,6 +8,8 @@
 #define NAME_MAX_BYTES 64u
 #define ADDRESS_MAX_BYTES 64u
 #define MEMBERS_MAX_COUNT 1024u
+#define GOSSIP_NEWS_MAX_COUNT 12u
+#define GOSSIP_VERSIONS_MAX_COUNT 24u
 #define POOLS_MAX_COUNT 256u
 #define ENDPOINTS_MAX_COUNT 1024u
 /** Requests that a daemon holds for all pools. */
