Fuzz one-way cuts and wrong suspicion; bound what rival owners send

Rival owners that no view settles send less than two messages a second for each daemon (ShareCases.OwnersThatBeatEachOtherDoNotFlood).

--- a/tests/property/share_world.cc
+++ b/tests/property/share_world.cc
@@ -130,7 +130,8 @@
 	node.view_incarnations.clear();
 	for (uint32_t i = 0; i < nodes.size(); i++)
 		if (i == index ||
-		    (reachable(index, i) && nodes[i]->paused_until <= now_ms))
+		    (reachable(index, i) && nodes[i]->paused_until <= now_ms &&
+			now_ms >= suspect_until_ms[{ index, i }]))
 			node.view.push_back(node_id(i));
 	for (uint64_t id : node.view)
 		node.view_incarnations.push_back(
@@ -493,6 +494,12 @@
 				last_fault_ms = std::max(last_fault_ms, now_ms);
 				views_changed();
 			}
+		for (size_t i = 0; i < views_end_ms.size(); i++)
+			if (views_end_ms[i] <= now_ms) {
+				views_end_ms[i] = views_end_ms.back();
+				views_end_ms.pop_back();
+				views_changed();
+			}
 		if (healed_at_ms != 0 && now_ms >= healed_at_ms)
 			partition(0, 0);
 		refill();
@@ -529,11 +536,33 @@
 }
 
 void
-World::pause(uint32_t node, uint64_t ms)
+World::apart_for(uint64_t ms)
 {
-	nodes[node]->paused_until = now_ms + ms;
 	apart_until_ms = std::max(apart_until_ms, now_ms + ms + SETTLE_MS);
 	last_fault_ms = std::max(last_fault_ms, now_ms + ms);
+}
+
+void
+World::cut(uint32_t from, uint32_t to, uint64_t ms)
+{
+	cut_until_ms[{ from, to }] = now_ms + ms;
+	apart_for(ms);
+}
+
+void
+World::suspect(uint32_t by, uint32_t whom, uint64_t ms)
+{
+	suspect_until_ms[{ by, whom }] = now_ms + ms;
+	nodes[by]->view_due = now_ms + 1;
+	views_end_ms.push_back(now_ms + ms);
+	apart_for(ms + VIEW_LAG_MAX_MS);
+}
+
+void
+World::pause(uint32_t node, uint64_t ms)
+{
+	nodes[node]->paused_until = now_ms + ms;
+	apart_for(ms);
 	views_changed();
 }
 
@@ -543,8 +572,7 @@
 	for (uint32_t i = 0; i < nodes.size(); i++)
 		nodes[i]->group = (mask >> i) & 1;
 	healed_at_ms = mask == 0 ? 0 : now_ms + ms;
-	apart_until_ms = std::max(apart_until_ms, now_ms + ms + SETTLE_MS);
-	last_fault_ms = std::max(last_fault_ms, now_ms + ms);
+	apart_for(ms);
 	views_changed();
 }
 
@@ -568,6 +596,8 @@
 {
 	set_noise(0, 0, 2);
 	failures_left = 0;
+	cut_until_ms.clear();
+	suspect_until_ms.clear();
 	partition(0, 0);
 	for (auto &node : nodes)
 		if (node->paused_until > now_ms)
--- a/tests/property/share_world.h
+++ b/tests/property/share_world.h
@@ -57,6 +57,10 @@
 	void crash(uint32_t node);
 	void pause(uint32_t node, uint64_t ms);
 	void partition(uint32_t mask, uint64_t ms);
+	// Loses what one daemon sends to another; membership doesn't notice.
+	void cut(uint32_t from, uint32_t to, uint64_t ms);
+	// One daemon takes another for lost, though it isn't.
+	void suspect(uint32_t by, uint32_t whom, uint64_t ms);
 	void set_endpoint(uint32_t index, bool listed, bool leaving);
 	void fail_next(uint32_t count)
 	{
@@ -130,6 +134,7 @@
 	void on_start(uint32_t index, const effect &effect);
 	void on_refuse(uint32_t index, const effect &effect);
 	Request *find(uint32_t node, uint64_t seq);
+	void apart_for(uint64_t ms);
 	bool reachable(uint32_t a, uint32_t b) const;
 	uint32_t random(uint32_t below)
 	{
@@ -139,7 +144,10 @@
 	WorldConfig config;
 	std::mt19937_64 rng;
 	std::vector<std::unique_ptr<Node>> nodes;
+	std::vector<uint64_t> views_end_ms;
 	std::vector<Packet> packets;
+	std::map<std::pair<uint32_t, uint32_t>, uint64_t> cut_until_ms,
+	    suspect_until_ms;
 	std::vector<std::pair<bool, bool>> endpoint_rows; // listed, leaving
 	std::vector<uint64_t> endpoint_closed_ms, ejected_until_ms;
 	std::vector<uint32_t> failures;
--- a/tests/property/test_share_fuzz.cc
+++ b/tests/property/test_share_fuzz.cc
@@ -18,6 +18,8 @@
 	CRASH,
 	PAUSE,
 	PARTITION,
+	CUT,
+	SUSPECT,
 	KIND_COUNT
 };
 
@@ -31,7 +33,7 @@
 {
 	static const char *const names[] = { "submit", "burst", "wait",
 		"cancel", "endpoint", "failures", "noise", "crash", "pause",
-		"partition" };
+		"partition", "cut", "suspect" };
 
 	return out << names[action.kind] << "(" << action.a << ", " << action.b
 		   << ", " << action.c << ")";
@@ -45,7 +47,8 @@
 	    { 8, BURST }, { 8, WAIT }, { 3, CANCEL }, { 1, ENDPOINT },
 	    { 1, FAILURES }, { end > NOISE ? 2 : 0, NOISE },
 	    { end > CRASH ? 1 : 0, CRASH }, { end > PAUSE ? 1 : 0, PAUSE },
-	    { end > PARTITION ? 1 : 0, PARTITION } });
+	    { end > PARTITION ? 1 : 0, PARTITION }, { end > CUT ? 1 : 0, CUT },
+	    { end > SUSPECT ? 1 : 0, SUSPECT } });
 	auto number = rc::gen::inRange<uint32_t>(0, 1000);
 
 	return rc::gen::construct<Action>(kind, number, number, number);
@@ -92,6 +95,14 @@
 	case FAILURES:
 		world.fail_next(action.c % 8);
 		break;
+	case CUT:
+		world.cut(node, action.b % config.node_count,
+		    100 + action.c * 4);
+		break;
+	case SUSPECT:
+		world.suspect(node, action.b % config.node_count,
+		    100 + action.c * 4);
+		break;
 	case KIND_COUNT:
 		break;
 	}
@@ -199,3 +210,24 @@
 		      1633685563976439, 0, 4, true }),
 	    "");
 }
+
+// Daemons that disagree on the owner for long: the two owners beat each other
+// in turn, ever more rarely.
+TEST(ShareCases, OwnersThatBeatEachOtherDoNotFlood)
+{
+	WorldConfig config;
+	World world(config);
+	uint64_t before;
+
+	for (uint32_t by = 0; by < config.node_count; by++)
+		world.suspect(by, (by + 1) % config.node_count, 60000);
+	world.advance(10000);
+	before = world.messages;
+	world.advance(50000);
+	// less than two messages a second for each daemon, with nothing to do
+	EXPECT_LE(world.messages - before, 50u * 2 * config.node_count);
+	for (int i = 0; i < 20; i++)
+		world.submit(0, 0, 50);
+	EXPECT_TRUE(world.drains(30000));
+	EXPECT_EQ(world.fault, "");
+}
