--- a/bamboorudderd/hook.c
+++ b/bamboorudderd/hook.c
@@ -171,6 +171,14 @@
 	return FALSE;
 }
 
+static gboolean
+hook_list(struct platform *platform, const char *prefix, char ***names,
+    GError **error)
+{
+	return !fail_if_cut(platform, prefix, error) &&
+	    wrapped(platform)->list(platform, prefix, names, error);
+}
+
 static gboolean
 hook_instances(struct platform *platform, char **text, GError **error)
 {
@@ -182,7 +190,7 @@
 hook_wrap_platform(struct hook *hook, struct platform *platform)
 {
 	static const struct platform_ops ops = { hook_get, hook_put,
-		hook_remove, hook_watch, hook_instances };
+		hook_remove, hook_watch, hook_list, hook_instances };
 
 	hook->platform_ops = platform->ops;
 	platform->ops = &ops;
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -10,6 +10,7 @@
 #include "bamboorudderd/admin.h"
 #include "bamboorudderd/control.h"
 #include "bamboorudderd/front.h"
+#include "bamboorudderd/reload.h"
 #include "bamboorudderd/settings.h"
 #include "bamboorudderd/watcher.h"
 #include "common/log.h"
@@ -29,6 +30,7 @@
 	struct watcher watchers[TABLE_KIND_COUNT];
 	struct front front;
 	struct admin admin;
+	struct reload reload;
 };
 
 static void
@@ -72,13 +74,13 @@
 		return FALSE;
 	daemon->store.on_change = control_tables_changed;
 	daemon->store.on_change_context = &daemon->control;
-	control_start(&daemon->control);
 	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++)
 		watcher_init(&daemon->watchers[kind], &daemon->platform,
 		    &daemon->store, (enum table_kind)kind,
 		    settings->watch_wait_ms);
+	control_start(&daemon->control, daemon->watchers);
 	return front_init(&daemon->front, settings, &daemon->control,
-		   &daemon->store, error) &&
+		   &daemon->store, &daemon->platform, error) &&
 	    admin_init(&daemon->admin, settings, &daemon->control,
 		&daemon->store, &daemon->platform, error);
 }
@@ -108,9 +110,9 @@
 	platform_stop(&daemon->platform);
 	front_finish(&daemon->front);
 	admin_finish(&daemon->admin);
+	control_stop(&daemon->control);
 	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++)
 		watcher_finish(&daemon->watchers[kind]);
-	control_stop(&daemon->control);
 	control_finish(&daemon->control);
 	hook_finish(&daemon->hook);
 	platform_finish(&daemon->platform);
@@ -155,6 +157,8 @@
 	    signal_number != SIGTERM && signal_number != SIGINT)
 		if (signal_number == SIGUSR1)
 			write_dump(daemon);
+		else if (signal_number == SIGHUP)
+			reload_run(&daemon->reload);
 	daemon_drain(daemon, &signals);
 	daemon_stop(daemon);
 	return EXIT_SUCCESS;
@@ -177,13 +181,9 @@
 	else if (check)
 		printf("%s: no findings\n", path);
 	else {
-		log_configure(strcmp(daemon->settings.log_format, "json") == 0
-			? LOG_FORMAT_JSON
-			: LOG_FORMAT_LOGFMT,
-		    daemon->settings.log_level[0] == 'e' ? LOG_LEVEL_ERROR
-			: daemon->settings.log_level[0] == 'w'
-			? LOG_LEVEL_WARN
-			: LOG_LEVEL_INFO);
+		reload_apply_log(&daemon->settings);
+		reload_init(&daemon->reload, path, &daemon->settings,
+		    &daemon->admin);
 		curl_global_init(CURL_GLOBAL_DEFAULT);
 		mg_init_library(0);
 		status = daemon_run(daemon);
--- a/core/owner.c
+++ b/core/owner.c
@@ -58,6 +58,7 @@
 	owner->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, g_free);
 	owner->waiting_max = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	owner->served_tokens = g_array_new(FALSE, TRUE, sizeof(int64_t));
 	owner->endpoints = g_array_new(FALSE, TRUE,
 	    sizeof(struct owner_endpoint));
 	for (size_t i = 0; i < live_count; i++)
@@ -72,6 +73,7 @@
 	g_hash_table_destroy(owner->nodes);
 	g_hash_table_destroy(owner->prefixes);
 	g_array_free(owner->waiting_max, TRUE);
+	g_array_free(owner->served_tokens, TRUE);
 	g_array_free(owner->endpoints, TRUE);
 	fair_queue_finish(&owner->queue);
 	memset(owner, 0, sizeof(*owner));
@@ -187,6 +189,7 @@
 		.seq = ask->seq,
 		.prefix_hash = ask->prefix_hash,
 		.estimate_tokens = ask->estimate_tokens };
+	struct owner_request *request;
 
 	/* one that the newest report knew of and didn't name has ended */
 	if (ask->seq <= node->seq_max ||
@@ -194,8 +197,9 @@
 		return;
 	if (node->requests.length == 0)
 		node->reported_at_ms = now_ms;
-	owner_request_limit(owner, owner_request_add(owner, node, &item),
-	    effects);
+	request = owner_request_add(owner, node, &item);
+	request->avoid_endpoint_id = ask->avoid_endpoint_id;
+	owner_request_limit(owner, request, effects);
 }
 
 static void
--- a/include/core/owner.h
+++ b/include/core/owner.h
@@ -63,6 +63,7 @@
 	GHashTable *requests; /**< (node, seq) to struct owner_request */
 	GHashTable *prefixes; /**< prefix_hash to its last endpoint */
 	GArray *waiting_max; /**< uint32_t, by account index; 0: no bound */
+	GArray *served_tokens; /**< int64_t, by account index */
 	GArray *endpoints; /**< struct owner_endpoint */
 	uint32_t estimate_tokens;
 	uint32_t request_max_tokens;
@@ -101,6 +102,9 @@
 void owner_set_load(struct owner *owner, uint64_t endpoint_id,
     uint32_t waiting_count, uint64_t now_ms);
 
+/** @return tokens charged here so far, by the account's index */
+int64_t owner_served_tokens(const struct owner *owner, size_t account_index);
+
 /** To be called at least every 100 ms. */
 void owner_tick(struct owner *owner, uint64_t now_ms, struct effects *effects);
 
--- a/tests/e2e/fleet.h
+++ b/tests/e2e/fleet.h
@@ -18,6 +18,11 @@
 namespace e2e
 {
 
+/** Tokens of the operators that all daemons know. */
+constexpr char OPERATOR[] = "operator-token";
+constexpr char READER[] = "reader-token";
+constexpr char TEAM_OPERATOR[] = "desk-token"; /* edits of the team "desk" */
+
 /** A process that ends with its object. */
 class Process
 {
@@ -101,6 +106,8 @@
 	/** Waits until all running daemons have tables in force. */
 	void wait_ready();
 	std::string platform(const std::string &path) const;
+	/** Starts or restarts the platform, which is empty then. */
+	void start_platform();
 	Answer admin_call(size_t index, const std::string &method,
 	    const std::string &path, const std::string &body = "",
 	    const std::vector<std::string> &headers = {});
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -125,9 +125,10 @@
 	size_t bytes_per_s;
 
 	ask.type = MSG_ASK;
-	ask.u.ask = { ANY_ID, ANY_ID, ANY_SEQ, ANY_ID, 500 };
+	ask.u.ask = { ANY_ID, ANY_ID, ANY_SEQ, ANY_ID, 0, 500 };
 	grant.type = MSG_GRANT;
-	grant.u.grant = { ANY_ID, ANY_EPOCH, ANY_SEQ, ANY_ID, 123456789 };
+	grant.u.grant = { ANY_ID, ANY_EPOCH, ANY_SEQ, ANY_ID, 123456789,
+		70000 };
 	done.type = MSG_DONE;
 	done.u.done = { ANY_ID, ANY_SEQ, 480, 70000, DONE_WHOLE };
 	bytes_per_s = 30 *
