--- a/tests/property/share_world.cc
+++ b/tests/property/share_world.cc
@@ -123,21 +123,29 @@
 World::take_view(uint32_t index)
 {
 	Node &node = *nodes[index];
-	std::vector<uint64_t> before = node.view;
+	std::vector<std::pair<uint64_t, uint64_t>> before =
+	    node.view_incarnations;
 
 	node.view.clear();
+	node.view_incarnations.clear();
 	for (uint32_t i = 0; i < nodes.size(); i++)
 		if (i == index ||
-		    (reachable(index, i) && nodes[i]->paused_until <= now_ms))
+		    (reachable(index, i) && nodes[i]->paused_until <= now_ms &&
+			now_ms >= suspect_until_ms[{ index, i }]))
 			node.view.push_back(node_id(i));
+	for (uint64_t id : node.view)
+		node.view_incarnations.push_back(
+		    { id, nodes[id - node_id(0)]->incarnation });
 	entry_set_view(&node.entry, node.view.data(), node.view.size(), now_ms,
 	    &node.effects);
 	update_owner(node);
-	for (uint64_t id : before)
+	// a member that left, or came back as another incarnation, was lost
+	for (const auto &member : before)
 		if (node.owner &&
-		    std::find(node.view.begin(), node.view.end(), id) ==
-			node.view.end())
-			owner_node_down(node.owner.get(), id, now_ms,
+		    std::find(node.view_incarnations.begin(),
+			node.view_incarnations.end(),
+			member) == node.view_incarnations.end())
+			owner_node_down(node.owner.get(), member.first, now_ms,
 			    &node.effects);
 	run_effects(index);
 }
@@ -486,6 +494,12 @@
 				last_fault_ms = std::max(last_fault_ms, now_ms);
 				views_changed();
 			}
+		for (size_t i = 0; i < views_end_ms.size(); i++)
+			if (views_end_ms[i] <= now_ms) {
+				views_end_ms[i] = views_end_ms.back();
+				views_end_ms.pop_back();
+				views_changed();
+			}
 		if (healed_at_ms != 0 && now_ms >= healed_at_ms)
 			partition(0, 0);
 		refill();
@@ -521,11 +535,34 @@
 	views_changed();
 }
 
+void
+World::apart_for(uint64_t ms)
+{
+	apart_until_ms = std::max(apart_until_ms, now_ms + ms + SETTLE_MS);
+	last_fault_ms = std::max(last_fault_ms, now_ms + ms);
+}
+
+void
+World::cut(uint32_t from, uint32_t to, uint64_t ms)
+{
+	cut_until_ms[{ from, to }] = now_ms + ms;
+	apart_for(ms);
+}
+
+void
+World::suspect(uint32_t by, uint32_t whom, uint64_t ms)
+{
+	suspect_until_ms[{ by, whom }] = now_ms + ms;
+	nodes[by]->view_due = now_ms + 1;
+	views_end_ms.push_back(now_ms + ms);
+	apart_for(ms + VIEW_LAG_MAX_MS);
+}
+
 void
 World::pause(uint32_t node, uint64_t ms)
 {
 	nodes[node]->paused_until = now_ms + ms;
-	last_fault_ms = std::max(last_fault_ms, now_ms + ms);
+	apart_for(ms);
 	views_changed();
 }
 
@@ -535,7 +572,7 @@
 	for (uint32_t i = 0; i < nodes.size(); i++)
 		nodes[i]->group = (mask >> i) & 1;
 	healed_at_ms = mask == 0 ? 0 : now_ms + ms;
-	last_fault_ms = std::max(last_fault_ms, now_ms + ms);
+	apart_for(ms);
 	views_changed();
 }
 
@@ -559,6 +596,8 @@
 {
 	set_noise(0, 0, 2);
 	failures_left = 0;
+	cut_until_ms.clear();
+	suspect_until_ms.clear();
 	partition(0, 0);
 	for (auto &node : nodes)
 		if (node->paused_until > now_ms)
@@ -671,7 +710,7 @@
 void
 World::check_gap()
 {
-	bool apart = healed_at_ms != 0 || now_ms < last_fault_ms + SETTLE_MS;
+	bool apart = now_ms < apart_until_ms;
 
 	for (uint32_t f = 0; f < config.account_count; f++)
 		for (uint32_t g = f + 1; g < config.account_count; g++) {
