--- a/tests/bench/slopes.c
+++ b/tests/bench/slopes.c
@@ -1,7 +1,8 @@
 /*
  * What control costs a daemon as the fleet and its tables grow: measured at a
  * few sizes, fitted by a line, projected to the target size. The load of each
- * daemon is the target's: two requests a second.
+ * daemon is the target's: two requests a second, one to two of them running in
+ * the pool at any time.
  */
 #include <gsl/gsl_fit.h>
 #include <math.h>
@@ -16,8 +17,8 @@
 #define FEW_DAEMONS_COUNT 8u
 #define ACTIVE_ACCOUNTS_COUNT 16u
 #define REPLICAS_COUNT 4u
-#define SLOTS_COUNT 16u
-#define TOKEN_US 2000u
+#define SLOTS_COUNT 48u
+#define TOKEN_US 20000u
 #define REQUEST_TOKENS 50u
 #define REQUESTS_PER_S 2.0
 #define WORKER_THREADS_COUNT 16u
