--- a/bamboorudderd/attempt.c
+++ b/bamboorudderd/attempt.c
@@ -103,10 +103,13 @@
     enum relay_outcome *outcome, enum attempts_end *end)
 {
 	struct control *control = attempts->exchange->front->control;
+	uint64_t asked_us = clk_monotonic_us(&control->clk);
 	struct ticket *ticket = control_acquire(control,
 	    &attempts->exchange->submit);
 	bool stopped;
 
+	metric_observe(HISTOGRAM_QUEUE_WAIT,
+	    clk_monotonic_us(&control->clk) - asked_us);
 	if (ticket->state == TICKET_REFUSED) {
 		attempts->reason = ticket->reason;
 		attempts->retry_after_ms = ticket->retry_after_ms;
--- a/core/owner_request.c
+++ b/core/owner_request.c
@@ -55,12 +55,31 @@
 	return request;
 }
 
+int64_t
+owner_served_tokens(const struct owner *owner, size_t account_index)
+{
+	return account_index >= owner->served_tokens->len
+	    ? 0
+	    : g_array_index(owner->served_tokens, int64_t, account_index);
+}
+
+static void
+count_served(struct owner *owner, size_t account_index, int64_t tokens)
+{
+	if (account_index >= owner->served_tokens->len)
+		g_array_set_size(owner->served_tokens,
+		    (guint)account_index + 1);
+	g_array_index(owner->served_tokens, int64_t, account_index) += tokens;
+}
+
 void
 owner_request_charge(struct owner *owner, struct owner_request *request,
     int64_t tokens)
 {
 	owner->config.fair->charge(request_account(owner, request),
 	    tokens - request->charged_tokens);
+	count_served(owner, request->waiter.account_index,
+	    tokens - request->charged_tokens);
 	request->charged_tokens = tokens;
 }
 
