--- /dev/null
+++ b/tests/e2e/answers.h
@@ -0,0 +1,170 @@
+/**
+ * @file
+ * A daemon before a scripted endpoint and an engine, and a caller that sends
+ * bytes as they are.
+ */
+#ifndef TESTS_E2E_ANSWERS_H
+#define TESTS_E2E_ANSWERS_H
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "fleet.h"
+#include "scripted_endpoint.h"
+
+namespace e2e
+{
+
+inline const std::vector<std::string> KEY = { "Authorization: Bearer key-a" };
+inline const std::string SETTINGS = "request.idle_timeout_ms = 1000\n"
+				    "request.timeout_ms = 20000\n"
+				    "request.connect_timeout_ms = 500\n";
+
+inline std::string
+head(const std::string &lines, const std::string &status = "200 OK")
+{
+	return "HTTP/1.1 " + status + "\r\n" + lines + "\r\n";
+}
+
+inline std::string
+chunk(const std::string &text)
+{
+	char size[16];
+
+	snprintf(size, sizeof(size), "%zx\r\n", text.size());
+	return size + text + "\r\n";
+}
+
+inline std::string
+event(int i)
+{
+	return "id: " + std::to_string(i) +
+	    "\ndata: {\"t\":" + std::to_string(i) + "}\n\n";
+}
+
+inline const std::string STREAM_HEAD = head(
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+inline const std::string DONE = "data: [DONE]\n\n";
+
+/* Connects to a daemon and sends bytes as they are. */
+class RawCaller
+{
+      public:
+	explicit RawCaller(const Daemon &daemon)
+	{
+		sockaddr_in address = {};
+		timeval limit = { 15, 0 };
+
+		fd_ = socket(AF_INET, SOCK_STREAM, 0);
+		setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		address.sin_port = htons(daemon.listen_port);
+		EXPECT_EQ(connect(fd_, reinterpret_cast<sockaddr *>(&address),
+			      sizeof(address)),
+		    0);
+	}
+
+	~RawCaller()
+	{
+		close(fd_);
+	}
+
+	RawCaller(const RawCaller &) = delete;
+	RawCaller &operator=(const RawCaller &) = delete;
+
+	void send_text(const std::string &text)
+	{
+		::send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+	}
+
+	/* Reads until the daemon closes. */
+	std::string read_all()
+	{
+		std::string text;
+
+		while (read_some(&text))
+			continue;
+		return text;
+	}
+
+	bool read_some(std::string *text, size_t limit_bytes = 4096)
+	{
+		char buffer[4096];
+		ssize_t count = recv(fd_, buffer,
+		    std::min(limit_bytes, sizeof(buffer)), 0);
+
+		if (count > 0)
+			text->append(buffer, (size_t)count);
+		return count > 0;
+	}
+
+      private:
+	int fd_;
+};
+
+class Answers : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		engine = fleet.add_engine(4, 1000);
+		fleet.add_daemons(1);
+		fleet.apply("pools",
+		    pools_table(
+			service_pool("plain", { scripted.address() }, 8) + "," +
+			model_pool("scripted", { scripted.address() }, 8) +
+			"," +
+			model_pool("resumed", { scripted.address() }, 8,
+			    ", \"resume\": true") +
+			"," +
+			model_pool("engine", { engine }, 4,
+			    ", \"resume\": true")));
+		fleet.apply("routes",
+		    pools_table(route("a", "key-a", "/plain", "plain") + "," +
+			route("a", "key-a", "/scripted", "scripted") + "," +
+			route("a", "key-a", "/resumed", "resumed") + "," +
+			route("a", "key-a", "/v1/chat", "engine") + "," +
+			route("b", "key-b", "/other", "plain")));
+		fleet.wait_ready();
+	}
+
+	Answer get(const std::string &path)
+	{
+		return call("GET", fleet.daemons[0].url(path), "", KEY);
+	}
+
+	Answer complete(const std::string &path, const std::string &more = "")
+	{
+		return call("POST", fleet.daemons[0].url(path),
+		    "{\"messages\": [], \"stream\": true" + more + "}", KEY);
+	}
+
+	std::string raw(const std::string &text)
+	{
+		RawCaller caller(fleet.daemons[0]);
+
+		caller.send_text(text);
+		return caller.read_all();
+	}
+
+	uint64_t engine_count(const std::string &name)
+	{
+		std::string text =
+		    call("GET", "http://" + engine + "/standin/counts").body;
+		size_t at = text.find("\"" + name + "\":");
+
+		return at == std::string::npos
+		    ? 0
+		    : std::stoull(text.substr(at + name.size() + 3));
+	}
+
+	ScriptedEndpoint scripted;
+	Fleet fleet{ SETTINGS };
+	std::string engine;
+};
+
+} // namespace e2e
+
+#endif
--- /dev/null
+++ b/tests/e2e/once.h
@@ -0,0 +1,131 @@
+/**
+ * @file
+ * Daemons before services that count bookings where they run, for the tests
+ * of at most once and true refusals.
+ */
+#ifndef TESTS_E2E_ONCE_H
+#define TESTS_E2E_ONCE_H
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <sstream>
+
+#include "fleet.h"
+
+namespace e2e
+{
+
+inline const std::string SETTINGS = "request.queue_timeout_ms = 4000\n"
+				    "request.connect_timeout_ms = 300\n"
+				    "request.idle_timeout_ms = 2000\n"
+				    "request.timeout_ms = 4000\n"
+				    "platform.timeout_ms = 300\n"
+				    "platform.watch_wait_ms = 1000\n"
+				    "peer.heartbeat_period_ms = 200\n"
+				    "peer.down_after_ms = 1000\n"
+				    "claims.clock_margin_ms = 100\n";
+
+inline std::string
+booking(const std::string &id)
+{
+	return "{\"booking\": \"" + id + "\"}";
+}
+
+inline std::vector<std::string>
+headers(const std::string &key)
+{
+	std::vector<std::string> lines = { "Authorization: Bearer key-a",
+		"Content-Type: application/json" };
+
+	if (!key.empty())
+		lines.push_back("Idempotency-Key: " + key);
+	return lines;
+}
+
+class Once : public ::testing::Test
+{
+      protected:
+	explicit Once(const std::string &more = "") : fleet(SETTINGS + more)
+	{
+	}
+
+	void start(size_t daemon_count, size_t service_count, uint32_t slots)
+	{
+		for (size_t i = 0; i < service_count; i++)
+			services.push_back(fleet.add_service());
+		fleet.add_daemons(daemon_count);
+		fleet.apply("pools",
+		    pools_table(service_pool("bookings", services, slots)));
+		fleet.apply("routes",
+		    pools_table(route("a", "key-a", "/bookings", "bookings") +
+			"," +
+			route("b", "key-b", "/bookings", "bookings",
+			    ", \"repeat\": \"always\"")));
+		fleet.wait_ready();
+	}
+
+	Answer book(size_t daemon, const std::string &id,
+	    const std::string &key = "")
+	{
+		return call("POST", fleet.daemons[daemon].url("/bookings"),
+		    booking(id), headers(key), 20000);
+	}
+
+	std::future<Answer> book_async(size_t daemon, const std::string &id,
+	    const std::string &key = "")
+	{
+		return std::async(std::launch::async,
+		    [=] { return book(daemon, id, key); });
+	}
+
+	void set_service(size_t index, const std::string &query)
+	{
+		call("POST",
+		    "http://" + services[index] + "/standin/set?" + query);
+	}
+
+	void set_platform(const std::string &query)
+	{
+		call("POST", fleet.platform("/standin/faults?" + query));
+	}
+
+	/* Counts runs from the logs, which outlive killed services. */
+	uint32_t runs(const std::string &id)
+	{
+		uint32_t count = 0;
+
+		for (const auto &address : services) {
+			std::istringstream log(fleet.endpoints[address]->log());
+			for (std::string line; std::getline(log, line);)
+				count += line == "run " + id;
+		}
+		return count;
+	}
+
+	bool ran(const std::string &id)
+	{
+		return eventually([&] { return runs(id) > 0; });
+	}
+
+	Fleet fleet;
+	std::vector<std::string> services;
+};
+
+inline void
+expect_error(const Answer &answer, long status, const std::string &type,
+    const std::string &run)
+{
+	EXPECT_EQ(answer.status, status) << answer.body << answer.error;
+	EXPECT_NE(answer.body.find("\"type\":\"" + type + "\""),
+	    std::string::npos)
+	    << answer.body;
+	EXPECT_EQ(answer.headers.count("bamboorudder-run"), 1u);
+	if (answer.headers.count("bamboorudder-run") == 1) {
+		EXPECT_EQ(answer.headers.at("bamboorudder-run"), run);
+	}
+}
+
+} // namespace e2e
+
+#endif
