--- a/bamboorudderd/claimstore.c
+++ b/bamboorudderd/claimstore.c
@@ -8,7 +8,8 @@
 #include "common/metric.h"
 
 #define SHARD_DIGITS 3
-#define SWEEP_OBJECTS_MAX_COUNT 256u
+#define SWEEP_OBJECTS_MAX_COUNT 2048u
+#define SWEEP_OBJECT_PAUSE_MS 8u
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
@@ -149,7 +150,8 @@
 		g_error_free(error);
 		return;
 	}
-	for (uint32_t i = 0; names[i] != NULL && i < SWEEP_OBJECTS_MAX_COUNT;
+	for (uint32_t i = 0; names[i] != NULL && i < SWEEP_OBJECTS_MAX_COUNT &&
+	     sweeper_wait(store, SWEEP_OBJECT_PAUSE_MS);
 	     i++)
 		sweep_object(store, names[i]);
 	g_strfreev(names);
