--- a/core/owner_endpoint.c
+++ b/core/owner_endpoint.c
@@ -5,6 +5,8 @@
 #define EJECT_AFTER_FAILURES_COUNT 3u
 #define EJECT_MIN_MS 1000u
 #define EJECT_MAX_MS 30000u
+/* While daemons have unlike tables. */
+#define HOLD_MS 500u
 #define LOAD_FRESH_MS 2000u
 #define PREFIXES_MAX_COUNT 4096u
 
@@ -30,7 +32,8 @@
 static bool
 endpoint_open(const struct owner_endpoint *endpoint, uint64_t now_ms)
 {
-	if (!endpoint->listed || endpoint->leaving)
+	if (!endpoint->listed || endpoint->leaving ||
+	    now_ms < endpoint->held_until_ms)
 		return false;
 	if (endpoint->eject_ms == 0)
 		return true;
@@ -91,12 +94,23 @@
 	return best;
 }
 
-/* Whether the request's account runs less than its share of the slots. */
-static bool
-below_share(const struct owner *owner, const struct owner_request *request)
+struct owner_endpoint *
+owner_endpoint_choose(const struct owner *owner,
+    const struct owner_request *request, uint64_t now_ms)
+{
+	return choose_below_limit(owner, request, false, now_ms);
+}
+
+struct owner_endpoint *
+owner_endpoint_choose_extra(const struct owner *owner,
+    const struct owner_request *request, uint64_t now_ms)
+{
+	return choose_below_limit(owner, request, true, now_ms);
+}
+
+uint64_t
+owner_slots_count(const struct owner *owner)
 {
-	const struct fair_account *account = fair_queue_account(&owner->queue,
-	    request->waiter.account_index);
 	uint64_t slots_count = 0;
 
 	for (guint i = 0; i < owner->endpoints->len; i++) {
@@ -105,24 +119,7 @@
 		if (endpoint->listed && !endpoint->leaving)
 			slots_count += endpoint->slots;
 	}
-	return account->running_count *
-	    fair_queue_active_weight(&owner->queue) <
-	    slots_count * account->weight;
-}
-
-struct owner_endpoint *
-owner_endpoint_choose(const struct owner *owner,
-    const struct owner_request *request, uint64_t now_ms)
-{
-	struct owner_endpoint *endpoint = choose_below_limit(owner, request,
-	    false, now_ms);
-
-	if (endpoint != NULL)
-		return endpoint;
-	endpoint = choose_below_limit(owner, request, true, now_ms);
-	if (endpoint != NULL && below_share(owner, request))
-		return endpoint;
-	return NULL;
+	return slots_count;
 }
 
 static void
@@ -169,13 +166,13 @@
 }
 
 void
-owner_endpoint_eject(struct owner *owner, uint64_t endpoint_id, uint64_t now_ms)
+owner_endpoint_hold(struct owner *owner, uint64_t endpoint_id, uint64_t now_ms)
 {
 	struct owner_endpoint *endpoint = owner_endpoint_find(owner,
 	    endpoint_id);
 
-	if (endpoint != NULL && now_ms >= endpoint->ejected_until_ms)
-		endpoint_eject(endpoint, now_ms);
+	if (endpoint != NULL)
+		endpoint->held_until_ms = now_ms + HOLD_MS;
 }
 
 void
--- a/tests/e2e/test_answers.cc
+++ b/tests/e2e/test_answers.cc
@@ -17,7 +17,7 @@
 	    chunk(DONE) + "0\r\n\r\n";
 
 	for (size_t split = 1; split < answer.size(); split++) {
-		scripted.set([&](Peer &peer, const std::string &) {
+		scripted.set([=](Peer &peer, const std::string &) {
 			peer.send_text(answer.substr(0, split));
 			std::this_thread::sleep_for(
 			    std::chrono::milliseconds(2));
@@ -35,13 +35,13 @@
 
 	for (int i = 0; body.size() < 5000000; i++)
 		body += std::to_string(i) + ",";
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(head(
 		    "Content-Length: " + std::to_string(body.size()) + "\r\n"));
 		peer.send_text(body);
 	});
 	EXPECT_EQ(get("/plain").body, body);
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(head("Transfer-Encoding: chunked\r\n") +
 		    chunk(body) + "0\r\n\r\n");
 	});
@@ -58,7 +58,7 @@
 	};
 
 	for (const auto &cut : cuts) {
-		scripted.set([&](Peer &peer, const std::string &) {
+		scripted.set([=](Peer &peer, const std::string &) {
 			peer.send_text(cut);
 		});
 		Answer answer = get("/plain");
@@ -69,7 +69,7 @@
 
 TEST_F(Answers, AHeadThatBreaksOffIsUnknown)
 {
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text("HTTP/1.1 200 OK\r\nContent-Le");
 	});
 	Answer answer = call("POST", fleet.daemons[0].url("/plain"), "x", KEY);
@@ -80,12 +80,12 @@
 
 TEST_F(Answers, AStreamWithoutItsLastEventHasNoProperEnd)
 {
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(STREAM_HEAD + chunk(event(0)) + "0\r\n\r\n");
 	});
 	EXPECT_FALSE(complete("/scripted").whole);
 	/* the same where the endpoint ends its answer by closing */
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(
 		    head("Content-Type: text/event-stream\r\n") + event(0));
 	});
@@ -94,7 +94,7 @@
 
 TEST_F(Answers, ACutWithinAnEventNeverReachesTheCaller)
 {
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(STREAM_HEAD + chunk(event(0)) +
 		    chunk(event(1).substr(0, 9)));
 	});
@@ -108,7 +108,7 @@
 	const std::string events = event(0) + event(1) + event(2);
 
 	for (size_t cut = event(0).size(); cut <= events.size(); cut++) {
-		scripted.set([&](Peer &peer, const std::string &request) {
+		scripted.set([=](Peer &peer, const std::string &request) {
 			size_t at = request.find("Last-Event-ID: ");
 			int next = at == std::string::npos
 			    ? 0
@@ -132,7 +132,7 @@
 
 TEST_F(Answers, AStreamThatCannotBeResumedHasNoProperEnd)
 {
-	scripted.set([&](Peer &peer, const std::string &request) {
+	scripted.set([=](Peer &peer, const std::string &request) {
 		if (request.find("Last-Event-ID") == std::string::npos)
 			peer.send_text(STREAM_HEAD + chunk(event(0)));
 		else
@@ -164,7 +164,7 @@
 
 TEST_F(Answers, ALateAnswerReachesNobodyElse)
 {
-	scripted.set([&](Peer &peer, const std::string &request) {
+	scripted.set([=](Peer &peer, const std::string &request) {
 		bool late = request.find("/late") != std::string::npos;
 		if (late)
 			std::this_thread::sleep_for(std::chrono::seconds(4));
@@ -186,7 +186,7 @@
 
 TEST_F(Answers, ExtraBytesAfterAnAnswerReachNobody)
 {
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(head("Content-Length: 5\r\n") + "right" +
 		    head("Content-Length: 5\r\n") + "wrong");
 		std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -207,7 +207,7 @@
 	    "key-a\r\nConnection: close\r\n\r\n";
 	std::string text;
 
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(
 		    "HTTP/1.1 103 Early Hints\r\nX-Early: 1\r\n\r\n" +
 		    head("X-Kept: 1\r\n", "204 No Content"));
@@ -218,14 +218,14 @@
 	EXPECT_EQ(text.find("X-Early"), std::string::npos) << text;
 	EXPECT_NE(text.find("X-Kept: 1"), std::string::npos) << text;
 	EXPECT_EQ(text.find("\r\n\r\n"), text.size() - 4) << text;
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(head("ETag: \"1\"\r\n", "304 Not Modified"));
 	});
 	text = raw("GET /plain" + request);
 	EXPECT_EQ(text.rfind("HTTP/1.1 304", 0), 0u) << text;
 	EXPECT_EQ(text.find("chunked"), std::string::npos) << text;
 	EXPECT_EQ(text.find("\r\n\r\n"), text.size() - 4) << text;
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(head("Content-Length: 7\r\n"));
 	});
 	text = raw("HEAD /plain" + request);
@@ -235,7 +235,7 @@
 
 TEST_F(Answers, AnOldCallerGetsAnAnswerThatEndsByClosing)
 {
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(head("Transfer-Encoding: chunked\r\n") +
 		    chunk("one") + chunk("two") + "0\r\n\r\n");
 	});
--- a/tests/e2e/test_callers.cc
+++ b/tests/e2e/test_callers.cc
@@ -14,7 +14,7 @@
 {
 	std::string answer, request;
 
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(head("Connection: close, X-Hop\r\nX-Hop: 1\r\n"
 				    "X-End: 1\r\nBamboorudder-Run: not-run\r\n"
 				    "Bamboorudder-Other: 1\r\n"
@@ -111,7 +111,7 @@
 	const std::string body(3000000, 'x');
 	std::string text;
 
-	scripted.set([&](Peer &peer, const std::string &) {
+	scripted.set([=](Peer &peer, const std::string &) {
 		peer.send_text(head("Content-Length: 3000000\r\n") + body);
 	});
 	RawCaller caller(fleet.daemons[0]);
