--- a/bamboorudderctl/main.c
+++ b/bamboorudderctl/main.c
@@ -58,7 +58,8 @@
 	enum exit_status status;
 
 	if (command == NULL) {
-		fprintf(stderr, "bamboorudderctl: unknown command %s\n",
+		fprintf(stderr,
+		    "bamboorudderctl: unknown command %s, see --help\n",
 		    words[0]);
 		return EXIT_USAGE;
 	}
--- a/bamboorudderctl/table.c
+++ b/bamboorudderctl/table.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -118,7 +119,7 @@
 	if (words->target->json)
 		print_json(table);
 	else {
-		printf("version %s\n", etag);
+		printf("version %" PRIu64 "\n", http_etag_version(etag));
 		if (words->kind == TABLE_ROUTES)
 			print_routes(json_object_get(table, "rows"));
 		else
--- a/bamboorudderctl/table_edit.c
+++ b/bamboorudderctl/table_edit.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -54,7 +55,8 @@
 	else if (target->json)
 		printf("%s\n", answer->body->str);
 	else
-		printf("accepted as version %s\n", answer->etag);
+		printf("accepted as version %" PRIu64 "\n",
+		    http_etag_version(answer->etag));
 	http_answer_finish(answer);
 	return status;
 }
@@ -98,7 +100,8 @@
 	if (words->target->json && !apply)
 		print_json(difference);
 	else if (!words->target->json) {
-		printf("difference to version %s:\n", etag);
+		printf("difference to version %" PRIu64 ":\n",
+		    http_etag_version(etag));
 		print_difference(difference);
 	}
 	if (apply)
