--- a/include/core/owner_private.h
+++ b/include/core/owner_private.h
@@ -22,6 +22,7 @@
 	struct request_key key;
 	struct owner_node *node;
 	uint64_t prefix_hash;
+	uint64_t avoid_endpoint_id; /**< chosen last; 0 for none */
 	uint64_t endpoint_id; /**< 0 while waiting */
 	uint64_t granted_at_ms;
 	uint64_t report_mark; /**< of the last report that named it */
@@ -69,15 +70,20 @@
 /* owner_endpoint.c */
 struct owner_endpoint *owner_endpoint_find(const struct owner *owner,
     uint64_t endpoint_id);
-/** @return where the request may run, or NULL if no slot is free for it */
+/** @return where the request may run, or NULL if no slot is free */
 struct owner_endpoint *owner_endpoint_choose(const struct owner *owner,
     const struct owner_request *request, uint64_t now_ms);
+/** The same, with the extra slots. */
+struct owner_endpoint *owner_endpoint_choose_extra(const struct owner *owner,
+    const struct owner_request *request, uint64_t now_ms);
+/** Slots of endpoints that take new work, without the extra ones. */
+uint64_t owner_slots_count(const struct owner *owner);
 void owner_endpoint_started(struct owner *owner, struct owner_request *request);
 void owner_endpoint_ended(struct owner *owner,
     const struct owner_request *request, enum done_outcome outcome,
     uint64_t now_ms);
-/** Gives an endpoint no new work for some time. */
-void owner_endpoint_eject(struct owner *owner, uint64_t endpoint_id,
+/** Gives an endpoint no new work for a moment: a daemon's tables exclude it. */
+void owner_endpoint_hold(struct owner *owner, uint64_t endpoint_id,
     uint64_t now_ms);
 bool owner_endpoints_usable(const struct owner *owner);
 void owner_endpoints_set(struct owner *owner, const struct pool *pool);
--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -61,7 +61,7 @@
 void
 Process::signal(int number) const
 {
-	if (!ended_)
+	if (!ended_ && pid_ > 0)
 		kill(pid_, number);
 }
 
@@ -257,6 +257,13 @@
 	char name[] = "/tmp/bamboorudder-e2e-XXXXXX";
 
 	folder = mkdtemp(name);
+	start_platform();
+}
+
+void
+Fleet::start_platform()
+{
+	platform_process.reset();
 	platform_process = start_process("STANDIN_PLATFORM",
 	    { loopback(platform_port_) }, "platform");
 	EXPECT_TRUE(eventually([&] {
