--- a/bamboorudderd/edit.c
+++ b/bamboorudderd/edit.c
@@ -13,7 +13,7 @@
 #define RACES_MAX_COUNT 8u
 #define WRITES_MAX_COUNT 5u
 #define SETTLE_READS_MAX_COUNT 3u
-#define WRITE_PAUSE_MIN_MS 20u
+#define RETRY_PAUSE_MIN_MS 20u
 #define NS_PER_MS 1000000L
 #define OBJECT_MAX_BYTES (1024u * 1024u)
 
@@ -42,7 +42,7 @@
 pause_before(uint32_t attempt)
 {
 	struct timespec pause = { 0,
-		(long)(WRITE_PAUSE_MIN_MS << attempt) * NS_PER_MS };
+		(long)(RETRY_PAUSE_MIN_MS << attempt) * NS_PER_MS };
 
 	nanosleep(&pause, NULL);
 }
--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -68,7 +68,7 @@
 int
 Process::wait()
 {
-	if (!ended_)
+	if (!ended_ && pid_ > 0)
 		waitpid(pid_, &status_, 0);
 	ended_ = true;
 	return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
