Bound the edits at work, so that a slow platform leaves threads free

Cause: the API has 8 threads, and an edit holds one through several platform calls; 8 edits on a slow platform kept /healthz waiting, and a balancer would have taken the daemon out. More than 4 are refused as not run. Left as it is: reads with ?newest hold a thread for one platform call.

--- a/bamboorudderd/admin_tables.c
+++ b/bamboorudderd/admin_tables.c
@@ -12,6 +12,8 @@
 #define TABLE_MAX_BYTES (1024u * 1024u)
 #define NUMBER_TEXT_BYTES 32
 #define QUERY_VALUE_MAX_BYTES 256
+/* A slow platform must leave threads to the balancer's checks. */
+#define EDITS_MAX_COUNT 4u
 
 static void
 send_with_version(struct mg_connection *connection, uint64_t version,
@@ -177,20 +179,37 @@
 	}
 }
 
+/* Runs an edit, unless too many wait for the platform already. */
+static void
+run_bounded(const struct admin_request *request, struct edit *edit)
+{
+	struct admin *admin = request->admin;
+	struct edit_context context = { admin->platform, admin->store,
+		&admin->clk };
+
+	edit->kind = request->call->kind;
+	if (atomic_fetch_add(&admin->edits_count, 1) < EDITS_MAX_COUNT)
+		send_outcome(request, edit_run(&context, edit), edit);
+	else {
+		metric_add(METRIC_EDITS_REFUSED, 1);
+		admin_send_error(request, 503, "busy",
+		    "other edits wait for the platform; nothing was changed",
+		    RUN_NOT_RUN, NULL);
+	}
+	atomic_fetch_sub(&admin->edits_count, 1);
+	edit_finish(edit);
+}
+
 static void
 run_edit(const struct admin_request *request, struct edit *edit)
 {
-	struct edit_context context = { request->admin->platform,
-		request->admin->store, &request->admin->clk };
 	const char *if_match = mg_get_header(request->connection, "If-Match");
 
-	edit->kind = request->call->kind;
 	edit->author = &request->author;
 	edit->if_match = if_match != NULL;
 	if (if_match != NULL)
 		edit->base_version = http_etag_version(if_match);
-	send_outcome(request, edit_run(&context, edit), edit);
-	edit_finish(edit);
+	run_bounded(request, edit);
 }
 
 /* Reads a JSON body; sends the error if there is none. */
@@ -329,17 +348,13 @@
 admin_check_table(const struct admin_request *request)
 {
 	struct edit *edit = g_new0(struct edit, 1);
-	struct edit_context context = { request->admin->platform,
-		request->admin->store, &request->admin->clk };
 	struct operator_entry anyone = { .scope = OPERATOR_EDIT };
 
-	edit->kind = request->call->kind;
 	edit->type = EDIT_CHECK;
 	edit->author = &anyone;
 	edit->rows = read_rows(request);
 	if (edit->rows != NULL)
-		send_outcome(request, edit_run(&context, edit), edit);
-	edit_finish(edit);
+		run_bounded(request, edit);
 	json_decref(edit->rows);
 	g_free(edit);
 }
--- a/tests/e2e/test_edits.cc
+++ b/tests/e2e/test_edits.cc
@@ -235,3 +235,37 @@
 		      .status,
 	    422);
 }
+
+TEST(EditsOfASlowStore, LeaveThreadsToTheBalancersChecks)
+{
+	constexpr int EDITS = 8;
+	Fleet fleet("platform.timeout_ms = 5000\n");
+	std::vector<std::thread> operators;
+	std::atomic<int> refused{ 0 }, ended{ 0 };
+
+	fleet.add_daemons(1);
+	fleet.apply("pools",
+	    pools_table(model_pool("chat", { "127.0.0.1:9" }, 4)));
+	call("POST",
+	    fleet.platform("/standin/faults?slow_ms=4000&slow_for_ms=60000"));
+	for (int i = 0; i < EDITS; i++)
+		operators.emplace_back([&, i] {
+			Answer answer = fleet.admin_call(0, "PUT", ROW,
+			    new_row("s" + std::to_string(i)));
+			bool busy = answer.body.find("\"busy\"") !=
+			    std::string::npos;
+			(busy ? refused : ended)++;
+			if (busy) {
+				EXPECT_EQ(answer.status, 503);
+				EXPECT_EQ(answer.headers["bamboorudder-run"],
+				    "not-run");
+			}
+		});
+	EXPECT_TRUE(eventually([&] { return refused + ended >= 4; }));
+	EXPECT_EQ(call("GET", fleet.daemons[0].admin("/healthz")).status, 200);
+	EXPECT_EQ(ended.load(), 0);
+	EXPECT_EQ(refused.load(), 4);
+	call("POST", fleet.platform("/standin/faults"));
+	for (auto &thread : operators)
+		thread.join();
+}
