Match in the tests with GRegex in place of std::regex

Cause: with the address sanitizer the compiler finds an uninitialised value in its own <regex> header, and warnings are errors: the sanitizer build failed.

--- a/tests/e2e/test_examples.cc
+++ b/tests/e2e/test_examples.cc
@@ -1,7 +1,6 @@
 #include <signal.h>
 
 #include <fstream>
-#include <regex>
 #include <sstream>
 
 #include "admin_fixture.h"
@@ -26,10 +25,11 @@
 replace_setting(std::string &text, const std::string &key,
     const std::string &value)
 {
-	std::regex line("\n" + key + " = [^\n]*");
+	size_t start = text.find("\n" + key + " = ");
 
-	ASSERT_TRUE(std::regex_search(text, line)) << key;
-	text = std::regex_replace(text, line, "\n" + key + " = " + value);
+	ASSERT_NE(start, std::string::npos) << key;
+	text.replace(start, text.find('\n', start + 1) - start,
+	    "\n" + key + " = " + value);
 }
 
 std::string
--- a/tests/unit/test_pages.cc
+++ b/tests/unit/test_pages.cc
@@ -2,7 +2,6 @@
 #include <jansson.h>
 
 #include <fstream>
-#include <regex>
 #include <set>
 #include <sstream>
 #include <string>
@@ -30,15 +29,32 @@
 std::set<std::string>
 find_all(const std::string &text, const std::string &pattern)
 {
-	std::regex regex(pattern);
+	GRegex *regex = g_regex_new(pattern.c_str(), G_REGEX_DEFAULT,
+	    G_REGEX_MATCH_DEFAULT, nullptr);
+	GMatchInfo *match;
 	std::set<std::string> found;
 
-	for (std::sregex_iterator i(text.begin(), text.end(), regex), end;
-	     i != end; ++i)
-		found.insert((*i)[1]);
+	g_regex_match(regex, text.c_str(), G_REGEX_MATCH_DEFAULT, &match);
+	while (g_match_info_matches(match)) {
+		char *word = g_match_info_fetch(match, 1);
+		found.insert(word);
+		g_free(word);
+		g_match_info_next(match, nullptr);
+	}
+	g_match_info_free(match);
+	g_regex_unref(regex);
 	return found;
 }
 
+std::string
+replace_all(std::string text, const std::string &from, const std::string &to)
+{
+	for (size_t at = text.find(from); at != std::string::npos;
+	     at = text.find(from, at + to.size()))
+		text.replace(at, from.size(), to);
+	return text;
+}
+
 /** How the man page heads a key. */
 std::string
 heading(const settings_key &key)
@@ -55,8 +71,7 @@
 	else if (key.type == SETTINGS_LIST)
 		text += "list of texts";
 	else if (key.words != nullptr)
-		text += "one of " +
-		    std::regex_replace(words, std::regex(","), ", ") +
+		text += "one of " + replace_all(words, ",", ", ") +
 		    ", default \"" + key.default_text + "\"";
 	else if (key.default_text == nullptr)
 		text += "text, required";
@@ -92,8 +107,7 @@
 	std::set<std::string> described;
 	for (const auto &name :
 	    find_all(page, "\n\\| `(bamboorudder_[a-z_]+` \\| [a-z]+) \\|"))
-		described.insert(
-		    std::regex_replace(name, std::regex("` \\|"), ""));
+		described.insert(replace_all(name, "` |", ""));
 	EXPECT_EQ(served, described);
 	g_string_free(text, TRUE);
 }
