--- a/core/owner.c
+++ b/core/owner.c
@@ -58,6 +58,7 @@
 	owner->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, g_free);
 	owner->waiting_max = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	owner->served_tokens = g_array_new(FALSE, TRUE, sizeof(int64_t));
 	owner->endpoints = g_array_new(FALSE, TRUE,
 	    sizeof(struct owner_endpoint));
 	for (size_t i = 0; i < live_count; i++)
@@ -72,6 +73,7 @@
 	g_hash_table_destroy(owner->nodes);
 	g_hash_table_destroy(owner->prefixes);
 	g_array_free(owner->waiting_max, TRUE);
+	g_array_free(owner->served_tokens, TRUE);
 	g_array_free(owner->endpoints, TRUE);
 	fair_queue_finish(&owner->queue);
 	memset(owner, 0, sizeof(*owner));
