Number grants, so that a given-back one takes no effect later

Cause: a doubled give-back (CANCEL with an endpoint) that arrived after the request had been granted at the same endpoint again put it back in the queue while it ran; and a doubled grant that had been given back started the request once the daemon's tables had the endpoint in service again. Ruled out: fall-back (no start without a grant) and release of a silent daemon (its requests were named in reports). Change: grants carry a number; a give-back names it and counts for the newest grant only, and a daemon ignores grants up to the one that it gave back.

--- a/common/codec.c
+++ b/common/codec.c
@@ -159,6 +159,7 @@
 	write_uint(out, grant->seq);
 	write_uint(out, grant->endpoint_id);
 	write_int(out, grant->account_vtime);
+	write_uint(out, grant->grant_seq);
 }
 
 static void
@@ -203,6 +204,7 @@
 		write_uint(out, msg->u.cancel.seq);
 		write_uint(out, msg->u.cancel.send_seq);
 		write_uint(out, msg->u.cancel.endpoint_id);
+		write_uint(out, msg->u.cancel.grant_seq);
 		break;
 	case MSG_DONE:
 		write_done(out, &msg->u.done);
@@ -457,6 +459,7 @@
 	grant->seq = read_uint(reader, UINT64_MAX);
 	grant->endpoint_id = read_uint(reader, UINT64_MAX);
 	grant->account_vtime = read_int(reader);
+	grant->grant_seq = read_uint(reader, UINT64_MAX);
 }
 
 static void
@@ -481,6 +484,16 @@
 	data->text = g_strndup(text, data->text_bytes);
 }
 
+static void
+read_cancel(struct reader *reader, struct msg_cancel *cancel)
+{
+	cancel->pool_id = read_uint(reader, UINT64_MAX);
+	cancel->seq = read_uint(reader, UINT64_MAX);
+	cancel->send_seq = read_uint(reader, UINT64_MAX);
+	cancel->endpoint_id = read_uint(reader, UINT64_MAX);
+	cancel->grant_seq = read_uint(reader, UINT64_MAX);
+}
+
 static void
 read_body(struct reader *reader, struct msg *msg)
 {
@@ -499,10 +512,7 @@
 		read_ask(reader, &msg->u.ask);
 		break;
 	case MSG_CANCEL:
-		msg->u.cancel.pool_id = read_uint(reader, UINT64_MAX);
-		msg->u.cancel.seq = read_uint(reader, UINT64_MAX);
-		msg->u.cancel.send_seq = read_uint(reader, UINT64_MAX);
-		msg->u.cancel.endpoint_id = read_uint(reader, UINT64_MAX);
+		read_cancel(reader, &msg->u.cancel);
 		break;
 	case MSG_DONE:
 		msg->u.done.pool_id = read_uint(reader, UINT64_MAX);
--- a/core/entry_fleet.c
+++ b/core/entry_fleet.c
@@ -55,14 +55,13 @@
 
 static void
 send_cancel(struct entry_pool *pool, uint64_t to_node_id, uint64_t seq,
-    uint64_t endpoint_id, struct effects *effects)
+    struct effects *effects)
 {
 	struct msg *msg = effects_send(effects, to_node_id, MSG_CANCEL);
 
 	msg->u.cancel.pool_id = pool->pool_id;
 	msg->u.cancel.seq = seq;
 	msg->u.cancel.send_seq = ++pool->send_seq;
-	msg->u.cancel.endpoint_id = endpoint_id;
 }
 
 static void
@@ -73,7 +72,7 @@
 
 	pool_ended(entry, pool);
 	if (pool->owner_id != 0)
-		send_cancel(pool, pool->owner_id, request->seq, 0, effects);
+		send_cancel(pool, pool->owner_id, request->seq, effects);
 }
 
 static void
@@ -136,6 +135,31 @@
 	return endpoint != NULL && !endpoint->leaving;
 }
 
+/* Whether this grant, or a newer one of the same owner, was given back. */
+static bool
+grant_was_given_back(const struct entry_request *request,
+    const struct msg_grant *grant)
+{
+	return grant->epoch == request->unused_epoch &&
+	    grant->grant_seq <= request->unused_grant_seq;
+}
+
+/* The request waits on; the owner may grant it elsewhere. */
+static void
+give_back(struct entry_request *request, uint64_t owner_id,
+    const struct msg_grant *grant, struct effects *effects)
+{
+	struct msg *msg = effects_send(effects, owner_id, MSG_CANCEL);
+
+	request->unused_epoch = grant->epoch;
+	request->unused_grant_seq = grant->grant_seq;
+	msg->u.cancel.pool_id = grant->pool_id;
+	msg->u.cancel.seq = grant->seq;
+	msg->u.cancel.send_seq = ++request->pool->send_seq;
+	msg->u.cancel.endpoint_id = grant->endpoint_id;
+	msg->u.cancel.grant_seq = grant->grant_seq;
+}
+
 static void
 handle_grant(struct entry *entry, const struct msg *msg, uint64_t now_ms,
     struct effects *effects)
@@ -150,7 +174,7 @@
 		return;
 	request = g_hash_table_lookup(entry->requests, &grant->seq);
 	if (request == NULL || request->pool != pool) {
-		send_cancel(pool, msg->from_node_id, grant->seq, 0, effects);
+		send_cancel(pool, msg->from_node_id, grant->seq, effects);
 		return;
 	}
 	account = entry_pool_account(pool, request);
@@ -165,12 +189,11 @@
 		return;
 	}
 	/* as if the grant were lost: the owner sends it again */
-	if (is_waking(entry, now_ms))
+	if (is_waking(entry, now_ms) || grant_was_given_back(request, grant))
 		return;
 	if (!endpoint_takes_work(entry, pool->pool_id, grant->endpoint_id)) {
 		entry->unused_grants_count++;
-		send_cancel(pool, msg->from_node_id, grant->seq,
-		    grant->endpoint_id, effects);
+		give_back(request, msg->from_node_id, grant, effects);
 		return;
 	}
 	entry_start(entry, request, grant->endpoint_id, now_ms, effects);
--- a/core/owner.c
+++ b/core/owner.c
@@ -80,7 +80,7 @@
 }
 
 void
-owner_send_grant(struct owner *owner, const struct owner_request *request,
+owner_send_grant(struct owner *owner, struct owner_request *request,
     struct effects *effects)
 {
 	struct msg *msg = effects_send(effects, request->key.node_id,
@@ -90,6 +90,8 @@
 	msg->u.grant.epoch = owner->epoch;
 	msg->u.grant.seq = request->key.seq;
 	msg->u.grant.endpoint_id = request->endpoint_id;
+	request->grant_seq = ++owner->grant_seq_last;
+	msg->u.grant.grant_seq = request->grant_seq;
 	msg->u.grant.account_vtime = fair_queue_account(&owner->queue,
 	    request->waiter.account_index)
 					 ->vtime;
@@ -254,7 +256,8 @@
 	if (cancel->endpoint_id == 0) {
 		owner_request_charge(owner, request, 0);
 		owner_request_remove(owner, request);
-	} else if (cancel->endpoint_id == request->endpoint_id) {
+	} else if (cancel->endpoint_id == request->endpoint_id &&
+	    cancel->grant_seq == request->grant_seq) {
 		owner_request_requeue(owner, request);
 		owner_endpoint_hold(owner, cancel->endpoint_id, now_ms);
 	}
--- a/include/core/entry_private.h
+++ b/include/core/entry_private.h
@@ -18,6 +18,8 @@
 	uint64_t submitted_at_ms;
 	uint64_t endpoint_id; /**< 0 while waiting */
 	uint64_t tokens;
+	uint64_t unused_epoch; /**< newest grant that was given back */
+	uint64_t unused_grant_seq;
 };
 
 /** What a pool's owner told of an account, and how long its requests wait. */
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -112,6 +112,7 @@
 	uint64_t seq;
 	uint64_t send_seq; /**< see msg_report */
 	uint64_t endpoint_id;
+	uint64_t grant_seq; /**< of the grant that was not used */
 };
 
 /** How a granted request ended at its endpoint. */
@@ -186,6 +187,7 @@
 	uint64_t seq;
 	uint64_t endpoint_id;
 	int64_t account_vtime;
+	uint64_t grant_seq; /**< rises with each grant of the owner */
 };
 
 /** The request was not run and will not be granted. */
--- a/include/core/owner.h
+++ b/include/core/owner.h
@@ -70,6 +70,7 @@
 	enum pool_kind kind;
 	uint64_t ended_at_ms; /**< when the last request ended */
 	uint64_t end_period_us; /**< moving average between two ends */
+	uint64_t grant_seq_last;
 	uint64_t grants_count;
 	uint64_t releases_lost_count; /**< slots taken back after a loss */
 	uint64_t refusals_count;
--- a/include/core/owner_private.h
+++ b/include/core/owner_private.h
@@ -25,6 +25,7 @@
 	uint64_t avoid_endpoint_id; /**< chosen last; 0 for none */
 	uint64_t endpoint_id; /**< 0 while waiting */
 	uint64_t granted_at_ms;
+	uint64_t grant_seq; /**< number of its newest grant */
 	uint64_t report_mark; /**< of the last report that named it */
 	int64_t charged_tokens;
 	uint32_t estimate_tokens;
@@ -89,7 +90,7 @@
 void owner_endpoints_set(struct owner *owner, const struct pool *pool);
 
 /* owner.c */
-void owner_send_grant(struct owner *owner, const struct owner_request *request,
+void owner_send_grant(struct owner *owner, struct owner_request *request,
     struct effects *effects);
 
 /* owner_node.c */
--- a/tests/unit/test_entry.cc
+++ b/tests/unit/test_entry.cc
@@ -66,13 +66,14 @@
 	}
 
 	void grant(uint64_t seq, uint64_t epoch, uint64_t from = OWNER,
-	    uint64_t endpoint = OPEN, uint64_t now_ms = 10)
+	    uint64_t endpoint = OPEN, uint64_t now_ms = 10,
+	    uint64_t grant_seq = 1)
 	{
 		msg message = {};
 
 		message.type = MSG_GRANT;
 		message.from_node_id = from;
-		message.u.grant = { POOL, epoch, seq, endpoint, 7 };
+		message.u.grant = { POOL, epoch, seq, endpoint, 7, grant_seq };
 		entry_handle(&entry, &message, now_ms, &effects);
 	}
 
@@ -180,7 +181,19 @@
 	EXPECT_EQ(count(EFFECT_START), 0u);
 	ASSERT_EQ(sent(MSG_CANCEL).size(), 1u);
 	EXPECT_EQ(sent(MSG_CANCEL)[0].msg.u.cancel.endpoint_id, CLOSED);
-	grant(seq, 5);
+	grant(seq, 5, OWNER, OPEN, 10, 2);
+	EXPECT_EQ(count(EFFECT_START), 1u);
+}
+
+TEST_F(EntryTest, LateDoubleOfAGrantThatWasGivenBackStartsNothing)
+{
+	uint64_t seq = submit();
+
+	grant(seq, 5, OWNER, CLOSED, 10, 3);
+	endpoints[1].leaving = false;
+	grant(seq, 5, OWNER, CLOSED, 20, 3);
+	EXPECT_EQ(count(EFFECT_START), 0u);
+	grant(seq, 5, OWNER, CLOSED, 30, 4);
 	EXPECT_EQ(count(EFFECT_START), 1u);
 }
 
--- a/tests/unit/test_owner.cc
+++ b/tests/unit/test_owner.cc
@@ -83,13 +83,14 @@
 	}
 
 	void give_back(uint64_t node, uint64_t seq, uint64_t endpoint,
-	    uint64_t now_ms)
+	    uint64_t now_ms, uint64_t grant_seq)
 	{
 		msg message = {};
 
 		message.type = MSG_CANCEL;
 		message.from_node_id = node;
-		message.u.cancel = { POOL, seq, ++send_seq, endpoint };
+		message.u.cancel = { POOL, seq, ++send_seq, endpoint,
+			grant_seq };
 		owner_handle(&owner, &message, now_ms, &effects);
 	}
 
@@ -351,13 +352,24 @@
 	owner_tick(&owner, 100, &effects);
 	ask(NODE, 1, ACCOUNT_A, 100);
 	granted();
-	give_back(NODE, 1, 41, 110);
+	give_back(NODE, 1, 41, 110, 1);
 	EXPECT_EQ(account(ACCOUNT_A)->vtime, 0);
 	EXPECT_TRUE(granted().empty());
 	owner_tick(&owner, 700, &effects);
 	EXPECT_EQ(granted(), std::vector<uint64_t>{ 1 });
 }
 
+TEST_F(OwnerTest, LateDoubleOfAGrantGivenBackTakesNoNewerGrantBack)
+{
+	owner_tick(&owner, 100, &effects);
+	ask(NODE, 1, ACCOUNT_A, 100);
+	give_back(NODE, 1, 41, 110, 1);
+	owner_tick(&owner, 700, &effects);
+	give_back(NODE, 1, 41, 710, 1);
+	EXPECT_EQ(account(ACCOUNT_A)->running_count, 1u);
+	EXPECT_EQ(account(ACCOUNT_A)->waiting_count, 0u);
+}
+
 TEST_F(OwnerTest, ChargeIsTheEstimateThenTheTokens)
 {
 	owner_tick(&owner, 100, &effects);
