Charge no debt for slots that nobody else wanted

Cause: an account that had none waiting was lifted, at its return, to the smallest counter among active accounts, running ones included. Ruled out: the corrections from reports (the gap grew with the counters at the start, not with tokens reported late) and the limit of debt at a return (the account never left). Now, as the virtual token counter was published: an account that begins to wait is set beside the smallest counter that waits, or beside the one served last.

--- a/core/entry.c
+++ b/core/entry.c
@@ -184,7 +184,7 @@
 	request->endpoint_id = endpoint_id;
 	account->wait_ms += (wait_ms >> WAIT_SHIFT);
 	account->wait_ms -= account->wait_ms >> WAIT_SHIFT;
-	fair_queue_remove(&pool->queue, &request->waiter);
+	fair_queue_serve(&pool->queue, &request->waiter);
 	account_count(entry, request->submit.account_id)->waiting_count--;
 	pool->running_count++;
 	fair_queue_account(&pool->queue, request->waiter.account_index)
--- a/core/fair_queue.c
+++ b/core/fair_queue.c
@@ -13,6 +13,7 @@
 {
 	memset(queue, 0, sizeof(*queue));
 	queue->ops = ops;
+	queue->served_index = FAIR_NONE;
 	queue->accounts = g_array_new(FALSE, TRUE, sizeof(struct fair_account));
 	queue->lists = g_ptr_array_new_with_free_func(list_free);
 	queue->index = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -70,17 +71,38 @@
 	account->waiting_count = list->length;
 }
 
+static int64_t
+smallest_waiting_vtime(const struct fair_queue *queue)
+{
+	const struct fair_account *accounts = fair_queue_accounts(queue);
+	int64_t vtime = INT64_MAX;
+
+	for (guint i = 0; i < queue->accounts->len; i++)
+		if (accounts[i].waiting_count > 0)
+			vtime = MIN(vtime, accounts[i].vtime);
+	return vtime;
+}
+
+/* An account that begins to wait is set among those that wait; if none does,
+ * beside the one served last, since using slots that nobody waited for is no
+ * debt. */
 static void
 activate(struct fair_queue *queue, struct fair_account *account,
     int64_t debt_max_tokens)
 {
 	int64_t floor_vtime;
 
-	if (account->waiting_count + account->running_count == 0 &&
-	    fair_floor(fair_queue_accounts(queue), queue->accounts->len,
-		&floor_vtime))
-		queue->ops->activate(account, floor_vtime,
-		    fair_vtime_of(account, debt_max_tokens));
+	if (account->waiting_count > 0)
+		return;
+	if (queue->waiting_count > 0)
+		floor_vtime = smallest_waiting_vtime(queue);
+	else if (queue->served_index != FAIR_NONE)
+		floor_vtime = fair_queue_account(queue, queue->served_index)
+				  ->vtime;
+	else
+		return;
+	queue->ops->activate(account, floor_vtime,
+	    fair_vtime_of(account, debt_max_tokens));
 }
 
 void
@@ -121,6 +143,14 @@
 	update_head(queue, waiter->account_index);
 }
 
+void
+fair_queue_serve(struct fair_queue *queue, struct fair_waiter *waiter)
+{
+	if (waiter->queued)
+		queue->served_index = waiter->account_index;
+	fair_queue_remove(queue, waiter);
+}
+
 static struct fair_waiter *
 head_of(const struct fair_queue *queue, size_t index)
 {
@@ -153,18 +183,6 @@
 	return weight;
 }
 
-static int64_t
-smallest_waiting_vtime(const struct fair_queue *queue)
-{
-	const struct fair_account *accounts = fair_queue_accounts(queue);
-	int64_t vtime = INT64_MAX;
-
-	for (guint i = 0; i < queue->accounts->len; i++)
-		if (accounts[i].waiting_count > 0)
-			vtime = MIN(vtime, accounts[i].vtime);
-	return vtime;
-}
-
 struct fair_waiter *
 fair_queue_next_below_share(const struct fair_queue *queue,
     uint64_t slots_count, int64_t ahead_max_tokens)
--- a/core/owner_request.c
+++ b/core/owner_request.c
@@ -114,7 +114,7 @@
 owner_request_place(struct owner *owner, struct owner_request *request,
     uint64_t endpoint_id, uint64_t now_ms)
 {
-	fair_queue_remove(&owner->queue, &request->waiter);
+	fair_queue_serve(&owner->queue, &request->waiter);
 	request_unplace(owner, request);
 	request->endpoint_id = endpoint_id;
 	request->granted_at_ms = now_ms;
--- a/include/core/fair_queue.h
+++ b/include/core/fair_queue.h
@@ -27,6 +27,7 @@
 	GHashTable *index; /**< account_id to index + 1 */
 	uint64_t arrival_next;
 	uint32_t waiting_count; /**< of all accounts */
+	size_t served_index; /**< account served last, or FAIR_NONE */
 };
 
 void fair_queue_init(struct fair_queue *queue, const struct fair_ops *ops);
@@ -43,8 +44,8 @@
 const struct fair_account *fair_queue_accounts(const struct fair_queue *queue);
 
 /**
- * Appends a request to its account's queue. An account that was idle comes
- * back without credit and with a debt of at most debt_max_tokens, divided by
+ * Appends a request to its account's queue. An account that begins to
+ * wait comes back without credit and with a debt of at most debt_max_tokens, divided by
  * its weight.
  */
 void fair_queue_push(struct fair_queue *queue, size_t account_index,
@@ -57,6 +58,9 @@
 /** Takes a request out; does nothing if it isn't queued. */
 void fair_queue_remove(struct fair_queue *queue, struct fair_waiter *waiter);
 
+/** The same for a request that is served now. */
+void fair_queue_serve(struct fair_queue *queue, struct fair_waiter *waiter);
+
 /** @return the waiter that is next in the order, or NULL */
 struct fair_waiter *fair_queue_next(const struct fair_queue *queue);
 
--- a/tests/unit/test_owner.cc
+++ b/tests/unit/test_owner.cc
@@ -470,4 +470,39 @@
 	    2 * 100 * VTIME_SCALE + 10 * VTIME_SCALE);
 }
 
+// Whoever used slots that nobody else wanted owes nothing for it later.
+TEST_F(OwnerTest, UseOfIdleSlotsIsNoDebt)
+{
+	constexpr uint64_t ACCOUNT_C = 33, SOLO_COUNT = 20;
+	uint64_t seq = 1, now_ms = 100;
+	int granted_a = 0;
+
+	owner_tick(&owner, now_ms, &effects);
+	ask(NODE, seq, ACCOUNT_C, now_ms);
+	granted();
+	for (uint64_t i = 0; i < SOLO_COUNT; i++) {
+		ask(NODE, ++seq, ACCOUNT_A, now_ms);
+		ASSERT_EQ(granted(), std::vector<uint64_t>{ seq });
+		done(NODE, seq, 100, now_ms);
+	}
+	ask(NODE, ++seq, ACCOUNT_A, now_ms);
+	uint64_t running = seq, first_b = 1000, first_a = 2000;
+	for (uint64_t i = 0; i < 10; i++) {
+		ask(OTHER_NODE, first_b + i, ACCOUNT_B, now_ms);
+		ask(NODE, first_a + i, ACCOUNT_A, now_ms);
+	}
+	granted();
+	for (int i = 0; i < 10; i++) {
+		done(running >= first_b && running < first_a ? OTHER_NODE
+							     : NODE,
+		    running, 10, ++now_ms);
+		std::vector<uint64_t> next = granted();
+		ASSERT_EQ(next.size(), 1u);
+		running = next[0];
+		granted_a += running >= first_a;
+	}
+	EXPECT_GE(granted_a, 4);
+	EXPECT_LE(granted_a, 6);
+}
+
 } // namespace
