--- a/tests/bench/trial.c
+++ b/tests/bench/trial.c
@@ -10,6 +10,7 @@
 #define STARVED_US (5u * US_PER_S)
 #define WORKER_THREADS_COUNT 400u
 #define FIRST_TOKEN_PERCENT 95.0
+#define KIB_PER_MIB 1024.0
 #define WINDOW_PART_BEFORE_FAULT 3u
 
 uint64_t
@@ -191,6 +192,29 @@
 	print_answers(trial, prefix);
 }
 
+/* Mean and largest resident memory of the daemons, in mebibytes. */
+static void
+print_resident(const struct trial *trial, const char *prefix)
+{
+	const struct rig_usage *usage = &trial->usage_after;
+	uint64_t sum_kib = 0, largest_kib = 0, count = 0;
+
+	for (uint32_t i = 0; i < trial->rig.daemon_count; i++) {
+		sum_kib += usage->resident_kib[i];
+		largest_kib = MAX(largest_kib, usage->resident_kib[i]);
+		count += usage->known[i];
+	}
+	if (count == 0) {
+		bench_print_missing(prefix, "resident_mib",
+		    "no_daemon_answered");
+		return;
+	}
+	bench_print(prefix, "resident_mib",
+	    (double)sum_kib / (double)count / KIB_PER_MIB);
+	bench_print(prefix, "resident_mib_largest",
+	    (double)largest_kib / KIB_PER_MIB);
+}
+
 /* Mean and largest rate of one counter over the daemons. */
 static void
 print_rate(const struct trial *trial, const char *prefix, const char *key,
@@ -230,6 +254,7 @@
 	    end->peer_bytes, 1);
 	print_rate(trial, prefix, "control_cpu_pct", start->control_cpu_us,
 	    end->control_cpu_us, PERCENT / US_PER_S);
+	print_resident(trial, prefix);
 	if (trial->options->duration_s < BENCH_WATCH_S)
 		bench_print_missing(prefix, "platform_calls_per_s",
 		    "window_shorter_than_a_watch");
