--- a/bamboorudderd/front.c
+++ b/bamboorudderd/front.c
@@ -319,16 +319,40 @@
 	return 1;
 }
 
+static int
+on_connection(const struct mg_connection *connection, void **data)
+{
+	struct front *front = mg_get_user_data(mg_get_context(connection));
+
+	atomic_fetch_add(&front->connection_count, 1);
+	*data = atomic_load(&front->draining) ? NULL : front;
+	if (*data != NULL)
+		atomic_fetch_add(&front->earlier_count, 1);
+	return 0;
+}
+
+static void
+on_connection_close(const struct mg_connection *connection)
+{
+	struct front *front = mg_get_user_data(mg_get_context(connection));
+
+	atomic_fetch_sub(&front->connection_count, 1);
+	if (mg_get_user_connection_data(connection) != NULL)
+		atomic_fetch_sub(&front->earlier_count, 1);
+}
+
 gboolean
 front_init(struct front *front, const struct settings *settings,
     struct control *control, struct tablestore *store, GError **error)
 {
 	char threads[THREADS_TEXT_BYTES], timeout[THREADS_TEXT_BYTES];
+	char keep_alive[THREADS_TEXT_BYTES];
 	const char *options[] = { "listening_ports", settings->listen_address,
 		"num_threads", threads, "enable_keep_alive", "yes",
-		"request_timeout_ms", timeout, "keep_alive_timeout_ms", "5000",
-		"tcp_nodelay", "1", "decode_url", "no", NULL };
-	struct mg_callbacks callbacks = { 0 };
+		"request_timeout_ms", timeout, "keep_alive_timeout_ms",
+		keep_alive, "tcp_nodelay", "1", "decode_url", "no", NULL };
+	struct mg_callbacks callbacks = { .init_connection = on_connection,
+		.connection_close = on_connection_close };
 
 	memset(front, 0, sizeof(*front));
 	front->settings = settings;
@@ -339,6 +363,7 @@
 	front->relay_config.request_timeout_ms = settings->request_timeout_ms;
 	g_snprintf(threads, sizeof(threads), "%u",
 	    settings->worker_threads_count);
+	g_snprintf(keep_alive, sizeof(keep_alive), "%u", FRONT_KEEP_ALIVE_MS);
 	g_snprintf(timeout, sizeof(timeout), "%u",
 	    settings->request_timeout_ms);
 	front->server = mg_start(&callbacks, front, options);
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -9,14 +9,13 @@
 
 #include "bamboorudderd/admin.h"
 #include "bamboorudderd/control.h"
+#include "bamboorudderd/drain.h"
 #include "bamboorudderd/front.h"
 #include "bamboorudderd/settings.h"
 #include "bamboorudderd/watcher.h"
 #include "common/log.h"
 
 #define EXIT_USAGE 2
-#define DRAIN_POLL_MS 50u
-#define NS_PER_MS 1000000L
 #define SOURCES_MAX_COUNT 128
 
 /* All parts of the process. */
@@ -83,23 +82,14 @@
 		&daemon->store, &daemon->platform, error);
 }
 
-/* Waits until nothing waits or runs, a second signal, or the limit. */
+/* Ends at once: what still runs is cut. */
 static void
-daemon_drain(struct daemon *daemon, const sigset_t *signals)
+daemon_abort(struct daemon *daemon)
 {
-	struct timespec pause = { 0, DRAIN_POLL_MS * NS_PER_MS };
-	uint32_t waited_ms = 0;
-
-	log_event(LOG_LEVEL_INFO, "draining", NULL);
-	atomic_store(&daemon->admin.draining, 1);
-	control_drain(&daemon->control);
-	while (waited_ms < daemon->settings.drain_timeout_ms &&
-	    control_active_count(&daemon->control) > 0) {
-		int signal_number = sigtimedwait(signals, NULL, &pause);
-		if (signal_number == SIGTERM || signal_number == SIGINT)
-			return;
-		waited_ms += DRAIN_POLL_MS;
-	}
+	log_event(LOG_LEVEL_ERROR, "shutdown_cut", NULL);
+	control_stop(&daemon->control);
+	control_finish(&daemon->control);
+	_Exit(EXIT_FAILURE);
 }
 
 static void
@@ -155,11 +145,29 @@
 	    signal_number != SIGTERM && signal_number != SIGINT)
 		if (signal_number == SIGUSR1)
 			write_dump(daemon);
-	daemon_drain(daemon, &signals);
+	atomic_store(&daemon->admin.draining, 1);
+	if (!drain_run(&daemon->front, &daemon->control, &signals))
+		daemon_abort(daemon);
 	daemon_stop(daemon);
 	return EXIT_SUCCESS;
 }
 
+static int
+print_keys(void)
+{
+	char public_key[PEER_KEY_TEXT_BYTES], secret_key[PEER_KEY_TEXT_BYTES];
+
+	if (!peer_generate_keys(public_key, secret_key)) {
+		fprintf(stderr,
+		    "bamboorudderd: ZeroMQ was built without "
+		    "CURVE\n");
+		return EXIT_FAILURE;
+	}
+	printf("peer.public_key = \"%s\"\npeer.secret_key = \"%s\"\n",
+	    public_key, secret_key);
+	return EXIT_SUCCESS;
+}
+
 static int
 run_with_file(const char *path, bool check, bool print)
 {
@@ -203,10 +211,12 @@
 	    "report all findings in the settings and end");
 	struct arg_lit *print = arg_lit0(NULL, "print-settings",
 	    "print the effective settings with their sources and end");
-	struct arg_file *file = arg_file1(NULL, NULL, "FILE",
+	struct arg_lit *generate = arg_lit0(NULL, "generate-keys",
+	    "print a new pair of keys for the fleet and end");
+	struct arg_file *file = arg_file0(NULL, NULL, "FILE",
 	    "settings in TOML");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { help, check, print, file, end };
+	void *table[] = { help, check, print, generate, file, end };
 	int errors = arg_parse(argc, argv, table), status;
 
 	if (help->count > 0) {
@@ -214,6 +224,11 @@
 		arg_print_syntax(stdout, table, "\n");
 		arg_print_glossary(stdout, table, "  %-18s %s\n");
 		status = EXIT_SUCCESS;
+	} else if (errors == 0 && generate->count > 0)
+		status = print_keys();
+	else if (errors == 0 && file->count == 0) {
+		fprintf(stderr, "bamboorudderd: missing FILE\n");
+		status = EXIT_USAGE;
 	} else if (errors > 0) {
 		arg_print_errors(stderr, end, "bamboorudderd");
 		status = EXIT_USAGE;
--- a/bamboorudderd/peer_zmq.c
+++ b/bamboorudderd/peer_zmq.c
@@ -33,6 +33,13 @@
 	return g_quark_from_static_string("peer-error");
 }
 
+bool
+peer_generate_keys(char public_key[PEER_KEY_TEXT_BYTES],
+    char secret_key[PEER_KEY_TEXT_BYTES])
+{
+	return zmq_curve_keypair(public_key, secret_key) == 0;
+}
+
 static void
 set_int(void *socket, int option, int value)
 {
--- a/include/bamboorudderd/front.h
+++ b/include/bamboorudderd/front.h
@@ -7,16 +7,23 @@
 
 #include <civetweb.h>
 #include <glib.h>
+#include <stdatomic.h>
+#include <stdint.h>
 
 #include "bamboorudderd/control.h"
 #include "bamboorudderd/relay.h"
 
+#define FRONT_KEEP_ALIVE_MS 5000u
+
 struct front {
 	const struct settings *settings;
 	struct control *control;
 	struct tablestore *store;
 	struct relay_config relay_config;
 	struct mg_context *server;
+	_Atomic uint32_t connection_count; /**< of callers, now open */
+	_Atomic uint32_t earlier_count; /**< those of them from before drain */
+	_Atomic uint32_t draining;
 };
 
 #define FRONT_ERROR (front_error_quark())
--- a/include/bamboorudderd/peer.h
+++ b/include/bamboorudderd/peer.h
@@ -44,6 +44,15 @@
 	const char *secret_key;
 };
 
+#define PEER_KEY_TEXT_BYTES 41u /**< a key in Z85, with its end */
+
+/**
+ * Makes a pair of keys for a fleet.
+ * @return false if the library can't
+ */
+bool peer_generate_keys(char public_key[PEER_KEY_TEXT_BYTES],
+    char secret_key[PEER_KEY_TEXT_BYTES]);
+
 /** Initialises the transport over ZeroMQ and binds its address. */
 gboolean peer_init_zmq(struct peer *peer, const struct peer_zmq_config *config,
     GError **error);
--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -43,10 +43,12 @@
 	posix_spawn_file_actions_addopen(&actions, 1, log_path.c_str(),
 	    O_WRONLY | O_CREAT | O_APPEND, 0644);
 	posix_spawn_file_actions_adddup2(&actions, 1, 2);
-	EXPECT_EQ(posix_spawn(&pid_, words[0], &actions, nullptr, words.data(),
-		      environ),
-	    0)
-	    << words[0];
+	if (posix_spawn(&pid_, words[0], &actions, nullptr, words.data(),
+		environ) != 0) {
+		pid_ = -1;
+		ended_ = true;
+		ADD_FAILURE() << "can't start " << words[0];
+	}
 	posix_spawn_file_actions_destroy(&actions);
 }
 
@@ -62,14 +64,15 @@
 void
 Process::signal(int number) const
 {
-	if (!ended_)
+	/* a pid of -1 would name every process of this user */
+	if (!ended_ && pid_ > 0)
 		kill(pid_, number);
 }
 
 int
 Process::wait()
 {
-	if (!ended_)
+	if (!ended_ && pid_ > 0)
 		waitpid(pid_, &status_, 0);
 	ended_ = true;
 	return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
@@ -153,6 +156,7 @@
 	code = curl_easy_perform(handle);
 	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &answer.status);
 	answer.whole = code == CURLE_OK;
+	answer.refused = code == CURLE_COULDNT_CONNECT;
 	answer.error = curl_easy_strerror(code);
 	curl_slist_free_all(list);
 	curl_easy_cleanup(handle);
--- a/tests/e2e/fleet.h
+++ b/tests/e2e/fleet.h
@@ -52,6 +52,7 @@
 	std::string body;
 	std::map<std::string, std::string> headers; /* names in lower case */
 	bool whole = false;
+	bool refused = false; /* no connection came about */
 	std::string error;
 };
 
--- /dev/null
+++ b/tests/e2e/test_keys.cc
@@ -0,0 +1,104 @@
+#include <gtest/gtest.h>
+#include <zmq.h>
+
+#include <memory>
+
+#include "fleet.h"
+
+using namespace e2e;
+
+namespace
+{
+
+struct Keys {
+	char public_key[41], secret_key[41];
+
+	Keys()
+	{
+		EXPECT_EQ(zmq_curve_keypair(public_key, secret_key), 0);
+	}
+	std::string settings() const
+	{
+		return std::string("peer.public_key = \"") + public_key +
+		    "\"\npeer.secret_key = \"" + secret_key + "\"\n";
+	}
+};
+
+bool
+has_metric(Fleet &fleet, const std::string &line)
+{
+	return call("GET", fleet.daemons[0].admin("/metrics"))
+		   .body.find("\nbamboorudder_" + line) != std::string::npos;
+}
+
+/* Sends bytes to the first daemon, with keys or without. */
+class Stranger
+{
+      public:
+	Stranger(const Fleet &fleet, const Keys *own, const Keys *server)
+	    : context_(zmq_ctx_new()), socket_(zmq_socket(context_, ZMQ_DEALER))
+	{
+		int linger = 0;
+
+		zmq_setsockopt(socket_, ZMQ_LINGER, &linger, sizeof(linger));
+		if (own != nullptr) {
+			zmq_setsockopt(socket_, ZMQ_CURVE_SERVERKEY,
+			    server->public_key, 41);
+			zmq_setsockopt(socket_, ZMQ_CURVE_PUBLICKEY,
+			    own->public_key, 41);
+			zmq_setsockopt(socket_, ZMQ_CURVE_SECRETKEY,
+			    own->secret_key, 41);
+		}
+		zmq_connect(socket_,
+		    ("tcp://" + fleet.daemons[0].peer()).c_str());
+	}
+	~Stranger()
+	{
+		zmq_close(socket_);
+		zmq_ctx_term(context_);
+	}
+	void send(const std::string &bytes)
+	{
+		zmq_send(socket_, bytes.data(), bytes.size(), ZMQ_DONTWAIT);
+	}
+
+      private:
+	void *context_, *socket_;
+};
+
+} // namespace
+
+TEST(Keys, AFleetWithKeysCountsAndIgnoresStrangers)
+{
+	Keys fleet_keys, other_keys;
+	Fleet fleet(fleet_keys.settings());
+
+	fleet.add_daemons(2);
+	EXPECT_TRUE(
+	    eventually([&] { return has_metric(fleet, "members_live 2\n"); }));
+	EXPECT_TRUE(has_metric(fleet, "peer_strangers_total 0\n"));
+	Stranger other(fleet, &other_keys, &fleet_keys);
+	other.send("not for you");
+	EXPECT_TRUE(eventually(
+	    [&] { return !has_metric(fleet, "peer_strangers_total 0\n"); }));
+	Stranger keyless(fleet, nullptr, nullptr);
+	keyless.send("not for you");
+	Stranger member(fleet, &fleet_keys, &fleet_keys);
+	member.send("no message");
+	EXPECT_TRUE(eventually(
+	    [&] { return has_metric(fleet, "peer_malformed_total 1\n"); }));
+	EXPECT_TRUE(has_metric(fleet, "members_live 2\n"));
+}
+
+TEST(Keys, GeneratedKeysAreTaken)
+{
+	Fleet fleet;
+	Process generator({ getenv("BAMBOORUDDERD"), "--generate-keys" },
+	    fleet.folder + "/keys");
+
+	EXPECT_EQ(generator.wait(), 0);
+	Fleet keyed(generator.log());
+	keyed.add_daemons(2);
+	EXPECT_TRUE(
+	    eventually([&] { return has_metric(keyed, "members_live 2\n"); }));
+}
--- /dev/null
+++ b/tests/e2e/test_shutdown.cc
@@ -0,0 +1,243 @@
+#include <curl/curl.h>
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+#include "fleet.h"
+
+using namespace e2e;
+
+namespace
+{
+
+const std::vector<std::string> KEY = { "Authorization: Bearer key-a" };
+
+std::string
+completion(int tokens)
+{
+	return "{\"messages\": [], \"stream\": true, \"standin_tokens\": " +
+	    std::to_string(tokens) + "}";
+}
+
+class Shutdown : public ::testing::Test
+{
+      protected:
+	void start(size_t count, uint32_t slots = 8)
+	{
+		engine = fleet.add_engine(16, 10000);
+		service = fleet.add_service();
+		fleet.add_daemons(count);
+		fleet.apply("pools",
+		    pools_table(model_pool("chat", { engine }, slots) + "," +
+			service_pool("bookings", { service }, 16)));
+		fleet.apply("routes",
+		    pools_table(route("a", "key-a", "/v1/chat", "chat") + "," +
+			route("a", "key-a", "/bookings", "bookings")));
+		fleet.wait_ready();
+	}
+
+	std::thread chat(int tokens, Answer &answer)
+	{
+		return std::thread([this, tokens, &answer] {
+			answer = call("POST",
+			    fleet.daemons[0].url("/v1/chat/completions"),
+			    completion(tokens), KEY);
+		});
+	}
+
+	bool engine_started(int count)
+	{
+		return eventually([&] {
+			return call("GET",
+				   "http://" + engine + "/standin/counts")
+				   .body.find("\"started\":" +
+				       std::to_string(count)) !=
+			    std::string::npos;
+		});
+	}
+
+	/* Sends a booking to the daemons in turn, as a balancer would, until
+	 * one does not refuse it as not run. */
+	Answer book(const std::string &id, size_t first)
+	{
+		Answer answer;
+
+		for (size_t i = 0; i < 200; i++) {
+			size_t index = (first + i) % fleet.daemons.size();
+			answer = call("POST",
+			    fleet.daemons[index].url("/bookings"),
+			    "{\"booking\": \"" + id + "\"}", KEY);
+			if (!answer.refused &&
+			    answer.headers["bamboorudder-"
+					   "run"] != "not-run")
+				return answer;
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(10));
+		}
+		return answer;
+	}
+
+	Fleet fleet{ "shutdown.drain_timeout_ms = 20000\n" };
+	std::string engine, service;
+};
+
+} // namespace
+
+TEST_F(Shutdown, ARunningStreamEndsWholeAndNewOnesAreRefusedAsNotRun)
+{
+	Answer running, refused;
+
+	start(2);
+	std::thread caller = chat(150, running);
+	ASSERT_TRUE(engine_started(1));
+	fleet.daemons[0].process->signal(SIGTERM);
+	EXPECT_TRUE(eventually([&] {
+		return call("GET", fleet.daemons[0].admin("/readyz")).status ==
+		    503;
+	}));
+	refused = call("POST", fleet.daemons[0].url("/bookings"),
+	    "{\"booking\": \"late\"}", KEY);
+	EXPECT_EQ(refused.status, 503) << refused.body;
+	EXPECT_EQ(refused.headers["bamboorudder-run"], "not-run");
+	EXPECT_EQ(refused.headers["connection"], "close");
+	caller.join();
+	EXPECT_TRUE(running.whole) << running.error;
+	EXPECT_NE(running.body.find("[DONE]"), std::string::npos);
+	EXPECT_EQ(fleet.daemons[0].process->wait_for_ms(20000), 0);
+	EXPECT_EQ(call("GET", "http://" + service + "/standin/runs").body,
+	    "{}");
+}
+
+TEST_F(Shutdown, AWaitingRequestIsRefusedAsNotRun)
+{
+	Answer running, waiting;
+
+	start(2, 1);
+	std::thread first = chat(150, running);
+	ASSERT_TRUE(engine_started(1));
+	std::thread second = chat(1, waiting);
+	EXPECT_TRUE(eventually([&] {
+		return call("GET", fleet.daemons[0].admin("/metrics"))
+			   .body.find("requests_waiting 1\n") !=
+		    std::string::npos;
+	}));
+	fleet.daemons[0].process->signal(SIGTERM);
+	second.join();
+	EXPECT_EQ(waiting.status, 503) << waiting.body;
+	EXPECT_EQ(waiting.headers["bamboorudder-run"], "not-run");
+	first.join();
+	EXPECT_TRUE(running.whole);
+	EXPECT_EQ(fleet.daemons[0].process->wait_for_ms(20000), 0);
+}
+
+TEST_F(Shutdown, ASecondSignalEndsItAtOnce)
+{
+	Answer running;
+
+	start(2);
+	std::thread caller = chat(2000, running);
+	ASSERT_TRUE(engine_started(1));
+	fleet.daemons[0].process->signal(SIGTERM);
+	EXPECT_TRUE(eventually([&] {
+		return fleet.daemons[0].process->log().find("draining") !=
+		    std::string::npos;
+	}));
+	fleet.daemons[0].process->signal(SIGTERM);
+	EXPECT_EQ(fleet.daemons[0].process->wait_for_ms(10000), 1);
+	caller.join();
+	EXPECT_FALSE(running.whole);
+	EXPECT_EQ(running.body.find("[DONE]"), std::string::npos);
+}
+
+TEST_F(Shutdown, AnotherDaemonTakesTheQueuesOver)
+{
+	start(3);
+	for (size_t i = 0; i < 2; i++) {
+		fleet.daemons[i].process->signal(SIGTERM);
+		EXPECT_EQ(fleet.daemons[i].process->wait_for_ms(20000), 0);
+	}
+	Answer answer = call("POST", fleet.daemons[2].url("/bookings"),
+	    "{\"booking\": \"b\"}", KEY);
+	EXPECT_EQ(answer.status, 201) << answer.body;
+}
+
+TEST_F(Shutdown, ARollingRestartUnderLoadLosesNoRequest)
+{
+	constexpr size_t DAEMONS = 8, CALLERS = 12;
+	std::atomic<bool> stopping{ false };
+	std::atomic<int> sent{ 0 }, lost{ 0 };
+	std::vector<std::thread> callers;
+
+	start(DAEMONS);
+	for (size_t i = 0; i < CALLERS; i++)
+		callers.emplace_back([&, i] {
+			for (size_t n = 0; !stopping; n++) {
+				std::string id = std::to_string(i) + "-" +
+				    std::to_string(n);
+				Answer answer = book(id, i + n);
+				sent++;
+				std::this_thread::sleep_for(
+				    std::chrono::milliseconds(2));
+				if (answer.status != 201) {
+					lost++;
+					ADD_FAILURE()
+					    << id << ": " << answer.status
+					    << " " << answer.error << " "
+					    << answer.body;
+				}
+			}
+		});
+	for (size_t i = 0; i < DAEMONS; i++) {
+		fleet.daemons[i].process->signal(SIGTERM);
+		EXPECT_EQ(fleet.daemons[i].process->wait_for_ms(20000), 0);
+		fleet.start(i);
+		EXPECT_TRUE(eventually([&] {
+			return call("GET", fleet.daemons[i].admin("/readyz"))
+				   .status == 200;
+		}));
+	}
+	stopping = true;
+	for (auto &caller : callers)
+		caller.join();
+	EXPECT_EQ(lost, 0);
+	EXPECT_GT(sent, 100);
+	std::string runs = call("GET", "http://" + service + "/standin/runs")
+			       .body;
+	EXPECT_EQ(runs.find(":2"), std::string::npos);
+	printf("bookings=%d lost=%d\n", sent.load(), lost.load());
+}
+
+TEST_F(Shutdown, KeepAliveConnectionsEndWithoutALostRequest)
+{
+	CURL *handle = curl_easy_init();
+	curl_slist *list = curl_slist_append(nullptr, "Expect:");
+	long status = 0;
+
+	start(2);
+	list = curl_slist_append(list, KEY[0].c_str());
+	std::string url = fleet.daemons[0].url("/bookings");
+	curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(handle, CURLOPT_POSTFIELDS, "{\"booking\": \"k\"}");
+	curl_easy_setopt(
+	    handle, CURLOPT_WRITEFUNCTION,
+	    +[](char *, size_t size, size_t count, void *) {
+		    return size * count;
+	    });
+	EXPECT_EQ(curl_easy_perform(handle), CURLE_OK);
+	fleet.daemons[0].process->signal(SIGTERM);
+	EXPECT_TRUE(eventually([&] {
+		return call("GET", fleet.daemons[0].admin("/readyz")).status ==
+		    503;
+	}));
+	EXPECT_EQ(curl_easy_perform(handle), CURLE_OK);
+	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+	EXPECT_EQ(status, 503);
+	curl_slist_free_all(list);
+	curl_easy_cleanup(handle);
+	EXPECT_EQ(fleet.daemons[0].process->wait_for_ms(20000), 0);
+}
