--- a/bamboorudderd/drain.c
+++ b/bamboorudderd/drain.c
@@ -83,7 +83,9 @@
 	control_drain(control);
 	if (front->settings->drain_timeout_ms > 0)
 		wait_for_requests(&drain);
+	log_event(LOG_LEVEL_INFO, "requests_ended", NULL);
 	if (!drain.ended)
 		wait_for_connections(&drain);
+	log_event(LOG_LEVEL_INFO, "connections_ended", NULL);
 	return control_active_count(control) == 0 && !has_connections(&drain);
 }
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -92,12 +92,29 @@
 	_Exit(EXIT_FAILURE);
 }
 
+static gpointer
+finish_admin(gpointer admin)
+{
+	admin_finish(admin);
+	return NULL;
+}
+
+/* Stopping a server takes about a second: both stop side by side. */
+static void
+finish_servers(struct daemon *daemon)
+{
+	GThread *thread = g_thread_new("finish-admin", finish_admin,
+	    &daemon->admin);
+
+	front_finish(&daemon->front);
+	g_thread_join(thread);
+}
+
 static void
 daemon_stop(struct daemon *daemon)
 {
 	platform_stop(&daemon->platform);
-	front_finish(&daemon->front);
-	admin_finish(&daemon->admin);
+	finish_servers(daemon);
 	control_stop(&daemon->control);
 	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++)
 		watcher_finish(&daemon->watchers[kind]);
