--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -11,6 +11,7 @@
 #include "bamboorudderd/control.h"
 #include "bamboorudderd/drain.h"
 #include "bamboorudderd/front.h"
+#include "bamboorudderd/reload.h"
 #include "bamboorudderd/settings.h"
 #include "bamboorudderd/watcher.h"
 #include "common/log.h"
@@ -28,6 +29,7 @@
 	struct watcher watchers[TABLE_KIND_COUNT];
 	struct front front;
 	struct admin admin;
+	struct reload reload;
 };
 
 static void
@@ -77,7 +79,7 @@
 		    settings->watch_wait_ms);
 	control_start(&daemon->control, daemon->watchers);
 	return front_init(&daemon->front, settings, &daemon->control,
-		   &daemon->store, error) &&
+		   &daemon->store, &daemon->platform, error) &&
 	    admin_init(&daemon->admin, settings, &daemon->control,
 		&daemon->store, &daemon->platform, error);
 }
@@ -162,6 +164,8 @@
 	    signal_number != SIGTERM && signal_number != SIGINT)
 		if (signal_number == SIGUSR1)
 			write_dump(daemon);
+		else if (signal_number == SIGHUP)
+			reload_run(&daemon->reload);
 	atomic_store(&daemon->admin.draining, 1);
 	if (!drain_run(&daemon->front, &daemon->control, &signals))
 		daemon_abort(daemon);
@@ -202,13 +206,9 @@
 	else if (check)
 		printf("%s: no findings\n", path);
 	else {
-		log_configure(strcmp(daemon->settings.log_format, "json") == 0
-			? LOG_FORMAT_JSON
-			: LOG_FORMAT_LOGFMT,
-		    daemon->settings.log_level[0] == 'e' ? LOG_LEVEL_ERROR
-			: daemon->settings.log_level[0] == 'w'
-			? LOG_LEVEL_WARN
-			: LOG_LEVEL_INFO);
+		reload_apply_log(&daemon->settings);
+		reload_init(&daemon->reload, path, &daemon->settings,
+		    &daemon->admin);
 		curl_global_init(CURL_GLOBAL_DEFAULT);
 		mg_init_library(0);
 		status = daemon_run(daemon);
--- a/common/codec.c
+++ b/common/codec.c
@@ -147,6 +147,7 @@
 	write_uint(out, ask->account_id);
 	write_uint(out, ask->seq);
 	write_uint(out, ask->prefix_hash);
+	write_uint(out, ask->avoid_endpoint_id);
 	write_uint(out, ask->estimate_tokens);
 }
 
@@ -170,6 +171,16 @@
 	write_uint(out, refuse->reason);
 }
 
+static void
+write_done(GByteArray *out, const struct msg_done *done)
+{
+	write_uint(out, done->pool_id);
+	write_uint(out, done->seq);
+	write_uint(out, done->tokens);
+	write_uint(out, done->send_seq);
+	write_uint(out, done->outcome);
+}
+
 static void
 write_body(GByteArray *out, const struct msg *msg)
 {
@@ -194,11 +205,7 @@
 		write_uint(out, msg->u.cancel.endpoint_id);
 		break;
 	case MSG_DONE:
-		write_uint(out, msg->u.done.pool_id);
-		write_uint(out, msg->u.done.seq);
-		write_uint(out, msg->u.done.tokens);
-		write_uint(out, msg->u.done.send_seq);
-		write_uint(out, msg->u.done.outcome);
+		write_done(out, &msg->u.done);
 		break;
 	case MSG_REPORT:
 		write_report(out, &msg->u.report);
@@ -438,6 +445,7 @@
 	ask->account_id = read_uint(reader, UINT64_MAX);
 	ask->seq = read_uint(reader, UINT64_MAX);
 	ask->prefix_hash = read_uint(reader, UINT64_MAX);
+	ask->avoid_endpoint_id = read_uint(reader, UINT64_MAX);
 	ask->estimate_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
 }
 
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -46,6 +46,9 @@
 	uint32_t heartbeat_period_ms;
 	uint32_t down_after_ms;
 	uint32_t drain_timeout_ms;
+	uint32_t claim_keep_ms;
+	uint32_t claim_clock_margin_ms;
+	uint32_t claim_sweep_round_ms;
 	bool test_hooks;
 	char log_format[SETTINGS_TEXT_MAX_BYTES];
 	char log_level[SETTINGS_TEXT_MAX_BYTES];
@@ -73,8 +76,10 @@
 	const char *default_text; /**< NULL: the key is required */
 	const char *words; /**< allowed texts, or NULL */
 	const char *environment; /**< variable that overrides, or NULL */
+	/** @return what is wrong with a text, or NULL; may itself be NULL */
+	const char *(*check)(const char *text);
 	bool secret;
-	bool reloadable;
+	bool reloadable; /**< by SIGHUP */
 };
 
 /** @return all keys; count receives their number */
@@ -92,4 +97,12 @@
 void settings_print(const struct settings *settings,
     const enum settings_source *sources, GString *out);
 
+/** Whether two settings agree in one key. */
+bool settings_equal(const struct settings *a, const struct settings *b,
+    const struct settings_key *key);
+
+/** Copies the value of one key. */
+void settings_copy(struct settings *to, const struct settings *from,
+    const struct settings_key *key);
+
 #endif
--- a/include/common/metric.h
+++ b/include/common/metric.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Counters and gauges of one process, in the Prometheus text format.
+ * Counters, gauges and histograms of one process, in the Prometheus text format.
  */
 #ifndef COMMON_METRIC_H
 #define COMMON_METRIC_H
@@ -15,6 +15,10 @@
 	METRIC_REQUESTS_UNAUTHORIZED,
 	METRIC_REQUESTS_MALFORMED,
 	METRIC_RETRIES,
+	METRIC_CLAIMS_REPLAYED,
+	METRIC_CLAIMS_CONFLICTS,
+	METRIC_CLAIMS_SWEPT,
+	METRIC_STREAMS_RESUMED,
 	METRIC_TOKENS,
 	METRIC_ANSWERS_BROKEN,
 	METRIC_PEER_SENT_BYTES,
@@ -28,6 +32,9 @@
 	METRIC_CONTROL_CPU_US,
 	METRIC_TABLES_ADOPTED,
 	METRIC_TABLES_INVALID,
+	METRIC_EDITS_ACCEPTED,
+	METRIC_EDITS_REFUSED,
+	METRIC_ADMIN_UNAUTHORIZED,
 	METRIC_WAITING,
 	METRIC_RUNNING,
 	METRIC_MEMBERS_LIVE,
@@ -38,6 +45,16 @@
 void metric_set(enum metric_id id, uint64_t value);
 uint64_t metric_get(enum metric_id id);
 
+enum histogram_id {
+	HISTOGRAM_QUEUE_WAIT,
+	HISTOGRAM_FIRST_BYTE,
+	HISTOGRAM_PLATFORM_CALL,
+	HISTOGRAM_COUNT
+};
+
+/** Counts one duration; may be called from any thread. */
+void metric_observe(enum histogram_id id, uint64_t duration_us);
+
 /** Appends all metrics in the Prometheus text format. */
 void metric_render(GString *out);
 
--- a/include/core/owner.h
+++ b/include/core/owner.h
@@ -31,6 +31,7 @@
 	uint32_t failures_count; /**< failed requests in a row */
 	uint32_t eject_ms; /**< length of the current ejection, 0 if none */
 	uint64_t ejected_until_ms;
+	uint64_t held_until_ms; /**< a daemon's tables excluded it */
 	bool probing; /**< one request runs to try an ejected endpoint */
 	uint32_t load_waiting_count; /**< as the endpoint itself reported */
 	uint64_t load_at_ms;
@@ -55,12 +56,14 @@
 	uint64_t sync_deadline_ms;
 	uint64_t resync_due_ms; /**< 0: no newer owner was heard of */
 	uint32_t resync_wait_ms;
+	uint64_t ticked_ms; /**< last tick, 0 before the first */
 	uint64_t report_mark;
 	struct fair_queue queue;
 	GHashTable *nodes; /**< node_id to struct owner_node */
 	GHashTable *requests; /**< (node, seq) to struct owner_request */
 	GHashTable *prefixes; /**< prefix_hash to its last endpoint */
 	GArray *waiting_max; /**< uint32_t, by account index; 0: no bound */
+	GArray *served_tokens; /**< int64_t, by account index */
 	GArray *endpoints; /**< struct owner_endpoint */
 	uint32_t estimate_tokens;
 	uint32_t request_max_tokens;
@@ -99,6 +102,9 @@
 void owner_set_load(struct owner *owner, uint64_t endpoint_id,
     uint32_t waiting_count, uint64_t now_ms);
 
+/** @return tokens charged here so far, by the account's index */
+int64_t owner_served_tokens(const struct owner *owner, size_t account_index);
+
 /** To be called at least every 100 ms. */
 void owner_tick(struct owner *owner, uint64_t now_ms, struct effects *effects);
 
--- a/tests/e2e/test_tables.cc
+++ b/tests/e2e/test_tables.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <memory>
 
 #include "fleet.h"
@@ -32,9 +33,15 @@
 	/* Whether a daemon has the table of that number in force. */
 	bool has(size_t index, int number)
 	{
-		return fleet.admin_call(index, "GET", "/v1/tables/routes")
-			   .body.find("\"weight\": " + std::to_string(number) +
-			       "}") != std::string::npos;
+		std::string body =
+		    fleet.admin_call(index, "GET", "/v1/tables/routes").body;
+		std::string mark = "\"weight\":" + std::to_string(number);
+
+		body.erase(std::remove(body.begin(), body.end(), ' '),
+		    body.end());
+		size_t at = body.find(mark);
+		return at != std::string::npos &&
+		    !isdigit(body[at + mark.size()]);
 	}
 
 	bool all_have(int number)
--- a/tests/torture/torture.cc
+++ b/tests/torture/torture.cc
@@ -342,7 +342,7 @@
 void
 Torture::measure_edit()
 {
-	std::string mark = "\"weight\": " + std::to_string(++edit_) + "}";
+	std::string mark = "\"weight\":" + std::to_string(++edit_);
 	auto begin = Clock::now();
 
 	if (!apply("routes", routes(edit_), draw(DAEMONS)))
@@ -350,11 +350,14 @@
 	for (size_t i = 0; i < DAEMONS; i++)
 		if (!eventually(
 			[&] {
-				return fleet_
-					   .admin_call(i, "GET",
-					       "/v1/tables/routes")
-					   .body.find(mark) !=
-				    std::string::npos;
+				std::string body = fleet_
+						       .admin_call(i, "GET",
+							   "/v1/tables/routes")
+						       .body;
+				body.erase(std::remove(body.begin(), body.end(),
+					       ' '),
+				    body.end());
+				return body.find(mark) != std::string::npos;
 			},
 			IN_FORCE_LIMIT_MS))
 			in_force_max_ms_ = IN_FORCE_LIMIT_MS;
