--- a/include/bamboorudderd/front.h
+++ b/include/bamboorudderd/front.h
@@ -8,12 +8,16 @@
 #include <civetweb.h>
 #include <glib.h>
 #include <pthread.h>
+#include <stdatomic.h>
+#include <stdint.h>
 
 #include "bamboorudderd/claimstore.h"
 #include "bamboorudderd/control.h"
 #include "bamboorudderd/relay.h"
 #include "core/retry.h"
 
+#define FRONT_KEEP_ALIVE_MS 5000u
+
 struct front {
 	const struct settings *settings;
 	struct control *control;
@@ -23,6 +27,9 @@
 	pthread_mutex_t retry_mutex;
 	struct retry retry; /**< held by retry_mutex */
 	struct mg_context *server;
+	_Atomic uint32_t connection_count; /**< of callers, now open */
+	_Atomic uint32_t earlier_count; /**< those of them from before drain */
+	_Atomic uint32_t draining;
 };
 
 #define FRONT_ERROR (front_error_quark())
