--- /dev/null
+++ b/bamboorudderd/control_dispatch.c
@@ -0,0 +1,218 @@
+#include "bamboorudderd/control_private.h"
+#include "common/codec.h"
+#include "common/log.h"
+#include "common/metric.h"
+#include "core/owner.h"
+
+static void
+ticket_settle(struct ticket *ticket, enum ticket_state state,
+    const struct effect *effect)
+{
+	pthread_mutex_lock(&ticket->mutex);
+	ticket->state = state;
+	ticket->endpoint_id = effect->endpoint_id;
+	ticket->reason = effect->reason;
+	ticket->retry_after_ms = effect->retry_after_ms;
+	pthread_cond_signal(&ticket->changed);
+	pthread_mutex_unlock(&ticket->mutex);
+}
+
+static void dispatch(struct control *control, const struct msg *msg,
+    uint64_t now_ms);
+
+static void
+send_msg(struct control *control, uint64_t to_node_id, struct msg *msg,
+    uint64_t now_ms)
+{
+	const struct member *member;
+
+	msg->from_node_id = control->members.config.self.node_id;
+	msg->from_incarnation = control->members.config.self.incarnation;
+	if (to_node_id == msg->from_node_id) {
+		dispatch(control, msg, now_ms);
+		return;
+	}
+	member = members_find(&control->members, to_node_id);
+	if (member == NULL)
+		return;
+	g_byte_array_set_size(control->encoded, 0);
+	codec_encode(msg, control->encoded);
+	control->peer.ops->send(&control->peer, member->address,
+	    control->encoded->data, control->encoded->len);
+}
+
+static void
+settle(struct control *control, const struct effect *effect)
+{
+	struct ticket *ticket = g_hash_table_lookup(control->tickets,
+	    &effect->seq);
+
+	if (ticket != NULL)
+		ticket_settle(ticket,
+		    effect->type == EFFECT_START ? TICKET_GRANTED
+						 : TICKET_REFUSED,
+		    effect);
+}
+
+static void
+member_down(struct control *control, uint64_t node_id, uint64_t now_ms)
+{
+	const struct member *member = members_find(&control->members, node_id);
+	GHashTableIter iter;
+	gpointer owner;
+
+	log_event(LOG_LEVEL_WARN, "member_down", "address",
+	    member == NULL ? "?" : member->address, NULL);
+	if (member != NULL)
+		control->peer.ops->forget(&control->peer, member->address);
+	g_hash_table_iter_init(&iter, control->owners);
+	while (g_hash_table_iter_next(&iter, NULL, &owner))
+		owner_node_down(owner, node_id, now_ms, &control->effects);
+}
+
+static void
+member_up(struct control *control, uint64_t node_id)
+{
+	const struct member *member = members_find(&control->members, node_id);
+
+	log_event(LOG_LEVEL_INFO, "member_up", "address",
+	    member == NULL ? "?" : member->address, NULL);
+}
+
+void
+control_run_effects(struct control *control, uint64_t now_ms)
+{
+	for (size_t i = 0; i < control->effects.count; i++) {
+		struct effect effect = control->effects.items[i];
+
+		switch (effect.type) {
+		case EFFECT_SEND:
+			send_msg(control, effect.to_node_id, &effect.msg,
+			    now_ms);
+			break;
+		case EFFECT_START:
+		case EFFECT_REFUSE:
+			settle(control, &effect);
+			break;
+		case EFFECT_MEMBER_UP:
+			member_up(control, effect.to_node_id);
+			break;
+		case EFFECT_MEMBER_DOWN:
+			member_down(control, effect.to_node_id, now_ms);
+			break;
+		}
+	}
+	effects_clear(&control->effects);
+}
+
+static void
+dispatch_to_owner(struct control *control, uint64_t pool_id,
+    const struct msg *msg, uint64_t now_ms)
+{
+	struct owner *owner = g_hash_table_lookup(control->owners, &pool_id);
+
+	if (owner != NULL)
+		owner_handle(owner, msg, now_ms, &control->effects);
+}
+
+static void
+handle_membership(struct control *control, const struct msg *msg,
+    uint64_t now_ms)
+{
+	const struct msg_heartbeat *heartbeat = &msg->u.heartbeat;
+
+	if (!members_handle(&control->members, msg, now_ms, &control->effects))
+		metric_add(METRIC_PEER_MALFORMED, 1);
+	else if (msg->type != MSG_MEMBER_LIST)
+		tablesync_learn(&control->tablesync, msg->from_node_id,
+		    heartbeat->routes_version, heartbeat->pools_version, now_ms,
+		    &control->effects);
+}
+
+static void
+handle_tables(struct control *control, const struct msg *msg, uint64_t now_ms)
+{
+	const struct msg_tables_data *data = &msg->u.tables_data;
+	struct tablesync_texts texts = {
+		{ control->snapshot->texts[TABLE_ROUTES],
+		    control->snapshot->texts[TABLE_POOLS] }
+	};
+
+	if (msg->type == MSG_TABLES_NEWS)
+		tablesync_learn(&control->tablesync, msg->from_node_id,
+		    msg->u.tables.routes_version, msg->u.tables.pools_version,
+		    now_ms, &control->effects);
+	else if (msg->type == MSG_TABLES_PULL)
+		tablesync_answer(&control->tablesync, msg, &texts,
+		    &control->effects);
+	else
+		tablestore_offer(control->store, (enum table_kind)data->kind,
+		    data->version, data->text);
+}
+
+static bool
+is_membership(enum msg_type type)
+{
+	return type <= MSG_MEMBER_LIST;
+}
+
+static void
+dispatch(struct control *control, const struct msg *msg, uint64_t now_ms)
+{
+	if (!is_membership(msg->type) &&
+	    !members_accept(&control->members, msg, now_ms, &control->effects))
+		return;
+	switch (msg->type) {
+	case MSG_HEARTBEAT:
+	case MSG_HEARTBEAT_ACK:
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
+	case MSG_MEMBER_LIST:
+		handle_membership(control, msg, now_ms);
+		break;
+	case MSG_TABLES_NEWS:
+	case MSG_TABLES_PULL:
+	case MSG_TABLES_DATA:
+		handle_tables(control, msg, now_ms);
+		break;
+	case MSG_ASK:
+		dispatch_to_owner(control, msg->u.ask.pool_id, msg, now_ms);
+		break;
+	case MSG_CANCEL:
+		dispatch_to_owner(control, msg->u.cancel.pool_id, msg, now_ms);
+		break;
+	case MSG_DONE:
+		dispatch_to_owner(control, msg->u.done.pool_id, msg, now_ms);
+		break;
+	case MSG_REPORT:
+		dispatch_to_owner(control, msg->u.report.pool_id, msg, now_ms);
+		break;
+	case MSG_STALE:
+		dispatch_to_owner(control, msg->u.stale.pool_id, msg, now_ms);
+		break;
+	case MSG_SYNC:
+	case MSG_GRANT:
+	case MSG_REFUSE:
+		entry_handle(&control->entry, msg, now_ms, &control->effects);
+		break;
+	default:
+		break;
+	}
+}
+
+void
+control_on_message(void *context, const void *bytes, size_t length_bytes)
+{
+	struct control *control = context;
+	uint64_t now_ms = clk_monotonic_ms(&control->clk);
+	struct msg msg;
+
+	if (!codec_decode(bytes, length_bytes, &msg)) {
+		metric_add(METRIC_PEER_MALFORMED, 1);
+		return;
+	}
+	dispatch(control, &msg, now_ms);
+	control_run_effects(control, now_ms);
+	codec_release(&msg);
+}
--- /dev/null
+++ b/common/codec_write.c
@@ -0,0 +1,244 @@
+#include <mpack.h>
+#include <string.h>
+
+#include "common/codec.h"
+#include "common/codec_form.h"
+
+static void
+write_token(GByteArray *out, mpack_token_t token)
+{
+	mpack_tokbuf_t tokbuf = MPACK_TOKBUF_INITIAL_VALUE;
+	char buffer[MPACK_MAX_TOKEN_LEN];
+	size_t left_bytes = sizeof(buffer);
+	char *end = buffer;
+
+	mpack_write(&tokbuf, &end, &left_bytes, &token);
+	g_byte_array_append(out, (const guint8 *)buffer, (guint)(end - buffer));
+}
+
+static void
+write_uint(GByteArray *out, uint64_t value)
+{
+	write_token(out, mpack_pack_uint(value));
+}
+
+static void
+write_int(GByteArray *out, int64_t value)
+{
+	if (value < 0)
+		write_token(out, mpack_pack_sint(value));
+	else
+		write_uint(out, (uint64_t)value);
+}
+
+static void
+write_text(GByteArray *out, const char *text, size_t length_bytes)
+{
+	write_token(out, mpack_pack_str((mpack_uint32_t)length_bytes));
+	g_byte_array_append(out, (const guint8 *)text, (guint)length_bytes);
+}
+
+/* The seq goes as its distance from the newest one, which is a small number. */
+static void
+write_report_item(GByteArray *out, const struct msg_report *report,
+    const struct report_item *item)
+{
+	write_token(out,
+	    mpack_pack_array(
+		report->full ? REPORT_ITEM_FIELDS : REPORT_SHORT_ITEM_FIELDS));
+	write_uint(out, report->seq_max - item->seq);
+	write_uint(out, item->tokens);
+	write_uint(out, item->state);
+	if (!report->full)
+		return;
+	write_uint(out, item->account_id);
+	write_uint(out, item->endpoint_id);
+	write_uint(out, item->prefix_hash);
+	write_uint(out, item->estimate_tokens);
+}
+
+static void
+write_report(GByteArray *out, const struct msg_report *report)
+{
+	write_uint(out, report->pool_id);
+	write_uint(out, report->epoch_seen);
+	write_uint(out, report->owner_seen);
+	write_uint(out, report->send_seq);
+	write_uint(out, report->seq_max);
+	write_uint(out, report->full);
+	write_uint(out, report->wants_answer);
+	write_token(out, mpack_pack_array(report->item_count));
+	for (uint32_t i = 0; i < report->item_count; i++)
+		write_report_item(out, report, &report->items[i]);
+	write_token(out, mpack_pack_array(report->vtime_count));
+	for (uint32_t i = 0; i < report->vtime_count; i++) {
+		write_token(out, mpack_pack_array(REPORT_VTIME_FIELDS));
+		write_uint(out, report->vtimes[i].account_id);
+		write_int(out, report->vtimes[i].vtime);
+	}
+}
+
+static void
+write_news(GByteArray *out, const struct member_news *news)
+{
+	write_uint(out, news->node_id);
+	write_text(out, news->address, strlen(news->address));
+	write_text(out, news->domain, strlen(news->domain));
+	write_uint(out, news->incarnation);
+	write_uint(out, news->revision);
+	write_uint(out, news->state);
+	write_uint(out, news->flags);
+}
+
+/* Most members have the versions of the sender: one byte then. */
+static void
+write_difference(GByteArray *out, uint64_t value, uint64_t base)
+{
+	write_int(out, (int64_t)(value - base));
+}
+
+static void
+write_heartbeat(GByteArray *out, const struct msg_heartbeat *heartbeat)
+{
+	write_uint(out, heartbeat->probe_seq);
+	write_uint(out, heartbeat->target_node_id);
+	write_news(out, &heartbeat->self);
+	write_uint(out, heartbeat->routes_version);
+	write_uint(out, heartbeat->pools_version);
+	write_token(out, mpack_pack_array(heartbeat->news_count));
+	for (uint32_t i = 0; i < heartbeat->news_count; i++)
+		write_news(out, &heartbeat->news[i]);
+	write_token(out, mpack_pack_array(heartbeat->versions_count));
+	for (uint32_t i = 0; i < heartbeat->versions_count; i++) {
+		const struct member_versions *versions = &heartbeat
+							      ->versions[i];
+		write_uint(out, versions->node_id_low);
+		write_uint(out, versions->incarnation_low);
+		write_difference(out, versions->routes_version,
+		    heartbeat->routes_version);
+		write_difference(out, versions->pools_version,
+		    heartbeat->pools_version);
+	}
+}
+
+static void
+write_member_list(GByteArray *out, const struct msg_member_list *list)
+{
+	write_token(out, mpack_pack_array(list->item_count));
+	for (uint32_t i = 0; i < list->item_count; i++)
+		write_news(out, &list->items[i]);
+}
+
+static void
+write_ask(GByteArray *out, const struct msg_ask *ask)
+{
+	write_uint(out, ask->pool_id);
+	write_uint(out, ask->account_id);
+	write_uint(out, ask->seq);
+	write_uint(out, ask->prefix_hash);
+	write_uint(out, ask->avoid_endpoint_id);
+	write_uint(out, ask->estimate_tokens);
+}
+
+static void
+write_grant(GByteArray *out, const struct msg_grant *grant)
+{
+	write_uint(out, grant->pool_id);
+	write_uint(out, grant->epoch);
+	write_uint(out, grant->seq);
+	write_uint(out, grant->endpoint_id);
+	write_int(out, grant->account_vtime);
+	write_uint(out, grant->grant_seq);
+}
+
+static void
+write_refuse(GByteArray *out, const struct msg_refuse *refuse)
+{
+	write_uint(out, refuse->pool_id);
+	write_uint(out, refuse->epoch);
+	write_uint(out, refuse->seq);
+	write_uint(out, refuse->retry_after_ms);
+	write_uint(out, refuse->reason);
+}
+
+static void
+write_done(GByteArray *out, const struct msg_done *done)
+{
+	write_uint(out, done->pool_id);
+	write_uint(out, done->seq);
+	write_uint(out, done->tokens);
+	write_uint(out, done->send_seq);
+	write_uint(out, done->outcome);
+}
+
+static void
+write_body(GByteArray *out, const struct msg *msg)
+{
+	switch (msg->type) {
+	case MSG_HEARTBEAT:
+	case MSG_HEARTBEAT_ACK:
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
+		write_heartbeat(out, &msg->u.heartbeat);
+		break;
+	case MSG_MEMBER_LIST:
+		write_member_list(out, &msg->u.member_list);
+		break;
+	case MSG_ASK:
+		write_ask(out, &msg->u.ask);
+		break;
+	case MSG_CANCEL:
+		write_uint(out, msg->u.cancel.pool_id);
+		write_uint(out, msg->u.cancel.seq);
+		write_uint(out, msg->u.cancel.send_seq);
+		write_uint(out, msg->u.cancel.endpoint_id);
+		write_uint(out, msg->u.cancel.grant_seq);
+		break;
+	case MSG_DONE:
+		write_done(out, &msg->u.done);
+		break;
+	case MSG_REPORT:
+		write_report(out, &msg->u.report);
+		break;
+	case MSG_SYNC:
+		write_uint(out, msg->u.sync.pool_id);
+		write_uint(out, msg->u.sync.epoch);
+		write_uint(out, msg->u.sync.wants_report);
+		break;
+	case MSG_GRANT:
+		write_grant(out, &msg->u.grant);
+		break;
+	case MSG_REFUSE:
+		write_refuse(out, &msg->u.refuse);
+		break;
+	case MSG_STALE:
+		write_uint(out, msg->u.stale.pool_id);
+		write_uint(out, msg->u.stale.epoch_seen);
+		write_uint(out, msg->u.stale.owner_seen);
+		break;
+	case MSG_TABLES_NEWS:
+	case MSG_TABLES_PULL:
+		write_uint(out, msg->u.tables.routes_version);
+		write_uint(out, msg->u.tables.pools_version);
+		break;
+	case MSG_TABLES_DATA:
+		write_uint(out, msg->u.tables_data.kind);
+		write_uint(out, msg->u.tables_data.version);
+		write_text(out, msg->u.tables_data.text,
+		    msg->u.tables_data.text_bytes);
+		break;
+	case MSG_TYPE_COUNT:
+		break;
+	}
+}
+
+void
+codec_encode(const struct msg *msg, GByteArray *out)
+{
+	write_uint(out, CODEC_VERSION);
+	write_uint(out, msg->type);
+	write_uint(out, msg->from_node_id);
+	write_uint(out, msg->from_incarnation);
+	write_body(out, msg);
+}
--- a/tests/unit/test_bench.cc
+++ b/tests/unit/test_bench.cc
@@ -3,8 +3,8 @@
 #include <string>
 
 extern "C" {
-#include "../bench/share.h"
-#include "../bench/stream.h"
+#include "../../bench/share.h"
+#include "../../bench/stream.h"
 }
 
 namespace
