--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -5,6 +5,7 @@
 
 #include "bamboorudderd/reply.h"
 #include "bamboorudderd/transfer.h"
+#include "common/curl_thread.h"
 #include "common/header.h"
 #include "common/metric.h"
 
@@ -12,25 +13,7 @@
 #define LOW_SPEED_BYTES_PER_S 1L
 #define MS_PER_S 1000u
 
-static void
-handle_free(gpointer handle)
-{
-	curl_easy_cleanup(handle);
-}
-
-static GPrivate thread_handle = G_PRIVATE_INIT(handle_free);
-
-static CURL *
-handle_of_thread(void)
-{
-	CURL *handle = g_private_get(&thread_handle);
-
-	if (handle == NULL) {
-		handle = curl_easy_init();
-		g_private_set(&thread_handle, handle);
-	}
-	return handle;
-}
+static GPrivate thread_handle = G_PRIVATE_INIT(curl_thread_free);
 
 static struct curl_slist *
 append_header(struct curl_slist *list, const char *name, const char *value)
@@ -206,7 +189,7 @@
 	struct transfer transfer;
 	enum relay_outcome outcome;
 
-	transfer_init(&transfer, relay, handle_of_thread());
+	transfer_init(&transfer, relay, curl_thread_handle(&thread_handle));
 	outcome = judge(&transfer, resume(&transfer, perform(&transfer)));
 	if (outcome == RELAY_BROKEN) {
 		/* the caller must not take the rest for a whole answer */
--- a/common/http.c
+++ b/common/http.c
@@ -1,15 +1,10 @@
 #include "common/http.h"
 
-#include <curl/curl.h>
 #include <string.h>
 
-static void
-handle_free(gpointer handle)
-{
-	curl_easy_cleanup(handle);
-}
+#include "common/curl_thread.h"
 
-static GPrivate thread_handle = G_PRIVATE_INIT(handle_free);
+static GPrivate thread_handle = G_PRIVATE_INIT(curl_thread_free);
 
 GQuark
 http_error_quark(void)
@@ -17,19 +12,6 @@
 	return g_quark_from_static_string("http-error");
 }
 
-static CURL *
-handle_of_thread(void)
-{
-	CURL *handle = g_private_get(&thread_handle);
-
-	if (handle == NULL) {
-		handle = curl_easy_init();
-		g_private_set(&thread_handle, handle);
-	}
-	curl_easy_reset(handle);
-	return handle;
-}
-
 static size_t
 collect_body(char *bytes, size_t size, size_t count, void *context)
 {
@@ -106,7 +88,7 @@
 http_perform(const struct http_call *call, struct http_answer *answer,
     GError **error)
 {
-	CURL *handle = handle_of_thread();
+	CURL *handle = curl_thread_handle(&thread_handle);
 	struct curl_slist *headers = call_headers(call);
 	CURLcode code;
 	long status = 0;
@@ -114,6 +96,7 @@
 
 	memset(answer, 0, sizeof(*answer));
 	answer->body = g_string_new(NULL);
+	curl_easy_reset(handle);
 	curl_easy_setopt(handle, CURLOPT_URL, call->url);
 	curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call->method);
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
