Fixed widths in the tool, no fixed folders in tests, a smaller test world

Moves and types only: the property tests, e2e-ctl and e2e-path passed after it with their assertions unchanged.

--- a/bamboorudderctl/accounts.c
+++ b/bamboorudderctl/accounts.c
@@ -50,7 +50,7 @@
 }
 
 enum exit_status
-command_accounts(const struct target *target, int word_count, char **words)
+command_accounts(const struct target *target, uint32_t word_count, char **words)
 {
 	json_t *accounts = json_array(), *elsewhere = json_array();
 	enum exit_status status = EXIT_DONE;
--- a/bamboorudderctl/drain.c
+++ b/bamboorudderctl/drain.c
@@ -3,7 +3,7 @@
 #include "bamboorudderctl/command.h"
 
 enum exit_status
-command_drain(const struct target *target, int word_count, char **words)
+command_drain(const struct target *target, uint32_t word_count, char **words)
 {
 	enum exit_status status = EXIT_DONE;
 	struct http_answer answer;
--- a/bamboorudderctl/dump.c
+++ b/bamboorudderctl/dump.c
@@ -1,7 +1,7 @@
 #include "bamboorudderctl/command.h"
 
 enum exit_status
-command_dump(const struct target *target, int word_count, char **words)
+command_dump(const struct target *target, uint32_t word_count, char **words)
 {
 	json_t *document;
 
--- a/bamboorudderctl/main.c
+++ b/bamboorudderctl/main.c
@@ -51,7 +51,7 @@
 }
 
 static enum exit_status
-run_command(const struct target *target, int word_count, char **words)
+run_command(const struct target *target, uint32_t word_count, char **words)
 {
 	const struct command *command = bsearch(words[0], commands,
 	    COMMANDS_COUNT, sizeof(commands[0]), compare_name);
@@ -121,7 +121,7 @@
 		target.watch = watch->count > 0;
 		target.if_match = if_match->count > 0 ? if_match->sval[0]
 						      : NULL;
-		status = run_command(&target, words->count,
+		status = run_command(&target, (uint32_t)words->count,
 		    (char **)(void *)words->sval);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/bamboorudderctl/members.c
+++ b/bamboorudderctl/members.c
@@ -2,7 +2,7 @@
 #include "bamboorudderctl/command.h"
 
 enum exit_status
-command_members(const struct target *target, int word_count, char **words)
+command_members(const struct target *target, uint32_t word_count, char **words)
 {
 	struct columns columns;
 	json_t *document, *daemon;
--- a/bamboorudderctl/status.c
+++ b/bamboorudderctl/status.c
@@ -84,7 +84,7 @@
 }
 
 enum exit_status
-command_status(const struct target *target, int word_count, char **words)
+command_status(const struct target *target, uint32_t word_count, char **words)
 {
 	struct timespec pause = { WATCH_PERIOD_S, 0 };
 	enum exit_status status;
--- a/bamboorudderctl/table.c
+++ b/bamboorudderctl/table.c
@@ -10,8 +10,8 @@
 struct table_call {
 	const char *name;
 	const char *words;
-	int words_min;
-	int words_max;
+	uint32_t words_min;
+	uint32_t words_max;
 	enum exit_status (*run)(const struct table_words *words);
 };
 
@@ -44,8 +44,8 @@
 }
 
 enum exit_status
-table_command(const struct target *target, enum table_kind kind, int word_count,
-    char **words)
+table_command(const struct target *target, enum table_kind kind,
+    uint32_t word_count, char **words)
 {
 	const char *table = kind == TABLE_ROUTES ? "routes" : "pools";
 	const struct table_call *call = word_count == 0
--- a/bamboorudderctl/table_edit.c
+++ b/bamboorudderctl/table_edit.c
@@ -131,7 +131,7 @@
 {
 	json_t *fields = json_object();
 
-	for (int i = 0; i < words->word_count; i++) {
+	for (uint32_t i = 0; i < words->word_count; i++) {
 		const char *equals = strchr(words->words[i], '=');
 		json_t *value;
 		char *name;
--- a/bamboorudderctl/target.c
+++ b/bamboorudderctl/target.c
@@ -168,7 +168,7 @@
 }
 
 bool
-command_takes_no_words(const char *name, int word_count)
+command_takes_no_words(const char *name, uint32_t word_count)
 {
 	if (word_count != 0)
 		fprintf(stderr, "usage: bamboorudderctl %s\n", name);
--- a/bamboorudderctl/version.c
+++ b/bamboorudderctl/version.c
@@ -4,7 +4,7 @@
 
 /* The tool's own version, and the daemon's if it answers. */
 enum exit_status
-command_version(const struct target *target, int word_count, char **words)
+command_version(const struct target *target, uint32_t word_count, char **words)
 {
 	json_t *document;
 
--- a/include/bamboorudderctl/command.h
+++ b/include/bamboorudderctl/command.h
@@ -7,6 +7,7 @@
 
 #include <jansson.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "common/http.h"
 #include "core/msg.h"
@@ -28,29 +29,29 @@
 	const char *name;
 	const char *words; /**< usage */
 	const char *help;
-	enum exit_status (
-	    *run)(const struct target *target, int word_count, char **words);
+	enum exit_status (*run)(const struct target *target,
+	    uint32_t word_count, char **words);
 };
 
-enum exit_status command_accounts(const struct target *target, int word_count,
+enum exit_status command_accounts(const struct target *target,
+    uint32_t word_count, char **words);
+enum exit_status command_drain(const struct target *target, uint32_t word_count,
     char **words);
-enum exit_status command_drain(const struct target *target, int word_count,
+enum exit_status command_dump(const struct target *target, uint32_t word_count,
     char **words);
-enum exit_status command_dump(const struct target *target, int word_count,
-    char **words);
-enum exit_status command_members(const struct target *target, int word_count,
-    char **words);
-enum exit_status command_pools(const struct target *target, int word_count,
-    char **words);
-enum exit_status command_routes(const struct target *target, int word_count,
-    char **words);
-enum exit_status command_status(const struct target *target, int word_count,
-    char **words);
-enum exit_status command_version(const struct target *target, int word_count,
+enum exit_status command_members(const struct target *target,
+    uint32_t word_count, char **words);
+enum exit_status command_pools(const struct target *target, uint32_t word_count,
     char **words);
+enum exit_status command_routes(const struct target *target,
+    uint32_t word_count, char **words);
+enum exit_status command_status(const struct target *target,
+    uint32_t word_count, char **words);
+enum exit_status command_version(const struct target *target,
+    uint32_t word_count, char **words);
 
 /** @return whether no words followed; else prints the usage */
-bool command_takes_no_words(const char *name, int word_count);
+bool command_takes_no_words(const char *name, uint32_t word_count);
 
 /**
  * Calls the administration API of the first address.
@@ -79,14 +80,14 @@
 
 /** The commands of one table: get, check, diff, apply and so on. */
 enum exit_status table_command(const struct target *target,
-    enum table_kind kind, int word_count, char **words);
+    enum table_kind kind, uint32_t word_count, char **words);
 
 /** One command of a table. */
 struct table_words {
 	const struct target *target;
 	enum table_kind kind;
 	const char *path; /**< of the table at the API */
-	int word_count;
+	uint32_t word_count;
 	char **words;
 };
 
--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -190,7 +190,8 @@
 static bool
 reserve_port(uint16_t port)
 {
-	std::string path = "/tmp/bamboorudder-port-" + std::to_string(port);
+	std::string path = ::testing::TempDir() + "bamboorudder-port-" +
+	    std::to_string(port);
 	int fd = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
 
 	if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0)
@@ -258,9 +259,8 @@
 Fleet::Fleet(const std::string &extra_settings)
     : extra_settings_(extra_settings), platform_port_(free_port())
 {
-	char name[] = "/tmp/bamboorudder-e2e-XXXXXX";
-
-	folder = mkdtemp(name);
+	folder = ::testing::TempDir() + "bamboorudder-e2e-XXXXXX";
+	mkdtemp(folder.data());
 	start_platform();
 }
 
--- /dev/null
+++ b/tests/property/share_checks.cc
@@ -0,0 +1,295 @@
+// Faults, the passing of time and the oracle of the world of owners and
+// entries.
+#include "share_world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+
+void
+World::tick(uint32_t index)
+{
+	Node &node = *nodes[index];
+
+	if (!node.alive || node.paused_until > now_ms)
+		return;
+	if (node.tables_due != 0 && now_ms >= node.tables_due)
+		take_tables(index);
+	if (node.view_due != 0 && now_ms >= node.view_due) {
+		node.view_due = 0;
+		take_view(index);
+	}
+	if (now_ms < node.tick_due)
+		return;
+	node.tick_due = now_ms + TICK_MS;
+	entry_tick(&node.entry, now_ms, &node.effects);
+	if (node.owner)
+		owner_tick(node.owner.get(), now_ms, &node.effects);
+	run_effects(index);
+}
+
+// Keeps work waiting for each account; account 0 enters at one node.
+void
+World::refill()
+{
+	for (uint32_t i = 0; i < config.account_count; i++)
+		if (waiting_count(i) < refill_to)
+			submit(i == 0 ? 0 : random(config.node_count), i,
+			    1 + random(config.max_tokens));
+}
+
+void
+World::advance(uint64_t ms)
+{
+	for (uint64_t end_ms = now_ms + ms; now_ms < end_ms;) {
+		now_ms += STEP_MS;
+		for (auto &node : nodes)
+			if (node->paused_until != 0 &&
+			    node->paused_until <= now_ms) {
+				node->paused_until = 0;
+				last_fault_ms = std::max(last_fault_ms, now_ms);
+				views_changed();
+			}
+		for (size_t i = 0; i < views_end_ms.size(); i++)
+			if (views_end_ms[i] <= now_ms) {
+				views_end_ms[i] = views_end_ms.back();
+				views_end_ms.pop_back();
+				views_changed();
+			}
+		if (healed_at_ms != 0 && now_ms >= healed_at_ms)
+			partition(0, 0);
+		refill();
+		deliver();
+		for (uint32_t i = 0; i < nodes.size(); i++)
+			tick(i);
+		run_engines();
+		check();
+	}
+}
+
+void
+World::set_noise(uint32_t drop, uint32_t doubled, uint32_t delay_ms)
+{
+	drop_pct = drop;
+	double_pct = doubled;
+	delay_max_ms = std::max(2u, delay_ms);
+	last_fault_ms = std::max(last_fault_ms, now_ms);
+}
+
+void
+World::crash(uint32_t node_index)
+{
+	if (!nodes[node_index]->alive)
+		return;
+	for (size_t i : live)
+		if (requests[i].node == node_index &&
+		    requests[i].state <= RUNNING)
+			requests[i].state = LOST;
+	halt(node_index);
+	boot(node_index);
+	last_fault_ms = std::max(last_fault_ms, now_ms);
+	views_changed();
+}
+
+void
+World::apart_for(uint64_t ms)
+{
+	apart_until_ms = std::max(apart_until_ms, now_ms + ms + SETTLE_MS);
+	last_fault_ms = std::max(last_fault_ms, now_ms + ms);
+}
+
+void
+World::cut(uint32_t from, uint32_t to, uint64_t ms)
+{
+	cut_until_ms[{ from, to }] = now_ms + ms;
+	apart_for(ms);
+}
+
+void
+World::suspect(uint32_t by, uint32_t whom, uint64_t ms)
+{
+	suspect_until_ms[{ by, whom }] = now_ms + ms;
+	nodes[by]->view_due = now_ms + 1;
+	views_end_ms.push_back(now_ms + ms);
+	apart_for(ms + VIEW_LAG_MAX_MS);
+}
+
+void
+World::pause(uint32_t node, uint64_t ms)
+{
+	nodes[node]->paused_until = now_ms + ms;
+	apart_for(ms);
+	views_changed();
+}
+
+void
+World::partition(uint32_t mask, uint64_t ms)
+{
+	for (uint32_t i = 0; i < nodes.size(); i++)
+		nodes[i]->group = (mask >> i) & 1;
+	healed_at_ms = mask == 0 ? 0 : now_ms + ms;
+	apart_for(ms);
+	views_changed();
+}
+
+void
+World::set_endpoint(uint32_t i, bool listed, bool leaving)
+{
+	bool closed = !listed || leaving;
+
+	endpoint_rows[i] = { listed, leaving };
+	if (!closed)
+		endpoint_closed_ms[i] = 0;
+	else if (endpoint_closed_ms[i] == 0)
+		endpoint_closed_ms[i] = now_ms;
+	for (auto &node : nodes)
+		node->tables_due = now_ms + 1 + random(1000);
+	last_fault_ms = std::max(last_fault_ms, now_ms + 1000);
+}
+
+void
+World::calm()
+{
+	set_noise(0, 0, 2);
+	failures_left = 0;
+	cut_until_ms.clear();
+	suspect_until_ms.clear();
+	partition(0, 0);
+	for (auto &node : nodes)
+		if (node->paused_until > now_ms)
+			node->paused_until = now_ms;
+	for (uint32_t i = 0; i < config.endpoint_count; i++)
+		set_endpoint(i, true, false);
+}
+
+bool
+World::drains(uint64_t ms)
+{
+	for (uint64_t end_ms = now_ms + ms; now_ms < end_ms && !live.empty();)
+		advance(100);
+	return live.empty();
+}
+
+uint32_t
+World::running_count() const
+{
+	uint32_t count = 0;
+
+	for (size_t i : live)
+		count += requests[i].state == RUNNING;
+	return count;
+}
+
+uint32_t
+World::waiting_count(uint32_t account) const
+{
+	uint32_t count = 0;
+
+	for (size_t i : live)
+		count += requests[i].state == WAITING &&
+		    requests[i].account == account &&
+		    nodes[requests[i].node]->paused_until <= now_ms;
+	return count;
+}
+
+// Slots that nothing runs at, of endpoints in service.
+uint64_t
+World::free_slots() const
+{
+	std::vector<uint32_t> running(config.endpoint_count, 0);
+	uint64_t free = 0;
+
+	for (size_t i : live)
+		if (requests[i].state == RUNNING)
+			running[requests[i].endpoint_id - endpoint_id(0)]++;
+	for (uint32_t i = 0; i < config.endpoint_count; i++)
+		if (endpoint_rows[i].first && !endpoint_rows[i].second &&
+		    now_ms >= ejected_until_ms[i] && running[i] < config.slots)
+			free += config.slots - running[i];
+	return free;
+}
+
+uint64_t
+World::started_in_fallback() const
+{
+	uint64_t count = 0;
+
+	for (const auto &node : nodes)
+		count += node->alive ? node->entry.fallback_count : 0;
+	return count;
+}
+
+// With one owner and no daemon lost, no endpoint runs more than it may.
+void
+World::check_admission()
+{
+	std::vector<uint32_t> running(config.endpoint_count, 0);
+
+	for (size_t i : live)
+		if (requests[i].state == RUNNING &&
+		    ++running[requests[i].endpoint_id - endpoint_id(0)] >
+			config.slots + config.extra_slots)
+			violate("an endpoint runs more than its slots");
+}
+
+uint64_t
+World::max_slots() const
+{
+	return (uint64_t)config.endpoint_count *
+	    (config.slots + config.extra_slots);
+}
+
+void
+World::check()
+{
+	uint64_t running = running_count(), waiting = 0;
+	bool is_calm = drop_pct == 0 && delay_max_ms <= 2 &&
+	    now_ms > last_fault_ms + SETTLE_MS;
+
+	for (uint32_t i = 0; i < config.account_count; i++)
+		waiting += waiting_count(i);
+	if (running > max_slots())
+		over_admission_max = std::max(over_admission_max,
+		    running - max_slots());
+	if (is_strict && started_in_fallback() == 0)
+		check_admission();
+	if (running > 3 * max_slots() + nodes.size())
+		violate("over-admission beyond its bound");
+	if (!is_calm || waiting == 0 || free_slots() == 0)
+		idle_since_ms = now_ms;
+	else if (now_ms > idle_since_ms + IDLE_MAX_MS)
+		violate("a slot idles beside waiting work");
+	check_gap();
+}
+
+// The gap between any two accounts that are backlogged without a break.
+void
+World::check_gap()
+{
+	bool apart = now_ms < apart_until_ms;
+
+	for (uint32_t f = 0; f < config.account_count; f++)
+		for (uint32_t g = f + 1; g < config.account_count; g++) {
+			Pair &pair = pairs[f * config.account_count + g];
+			fair_gap gap = { max_slots(), config.max_tokens,
+				std::min(weights[f], weights[g]),
+				owner_changes - pair.owner_changes };
+			double distance;
+
+			if (apart || waiting_count(f) == 0 ||
+			    waiting_count(g) == 0) {
+				pair.open = false;
+				continue;
+			}
+			if (!pair.open)
+				pair = { true, service(f), service(g),
+					owner_changes };
+			distance = std::fabs(
+			    (service(f) - pair.f) - (service(g) - pair.g));
+			gap_max = std::max(gap_max, (uint64_t)distance);
+			if (config.fair == &fair_vtc &&
+			    config.policy == &entry_fleet &&
+			    distance > (double)fair_gap_bound_tokens(&gap))
+				violate("the gap is beyond its bound");
+		}
+}
--- a/tests/property/share_world.h
+++ b/tests/property/share_world.h
@@ -19,6 +19,31 @@
 #include "core/owner.h"
 }
 
+constexpr uint64_t POOL = 21, STEP_MS = 10, TICK_MS = 50;
+constexpr uint64_t VIEW_LAG_MIN_MS = 100, VIEW_LAG_MAX_MS = 800;
+// Stated times: a slot idles beside waiting work, and a leaving endpoint gets
+// new work.
+constexpr uint64_t IDLE_MAX_MS = 1500, LEAVING_MAX_MS = 3000;
+constexpr uint64_t SETTLE_MS = 3000;
+
+inline uint64_t
+node_id(uint32_t index)
+{
+	return 1000 + index;
+}
+
+inline uint64_t
+account_id(uint32_t index)
+{
+	return 31 + index;
+}
+
+inline uint64_t
+endpoint_id(uint32_t index)
+{
+	return 41 + index;
+}
+
 struct WorldConfig {
 	uint64_t seed = 1;
 	uint32_t node_count = 4;
