Book under idempotency keys in the torture run

Cause: torture booked without keys only, so that claims were tried under faults by their own tests alone. Every second booking has a key now and is sent again through another daemon unless its answer came; a booking counts as refused only if every call for it said not run. Checks are as strict for the rest.

--- a/tests/torture/torture.cc
+++ b/tests/torture/torture.cc
@@ -151,18 +151,45 @@
 	return false;
 }
 
+static bool
+is_not_run(Answer &answer)
+{
+	return answer.whole && answer.headers["bamboorudder-run"] == "not-run";
+}
+
+static Answer
+book(const Daemon &daemon, const std::string &account, const std::string &id,
+    bool keyed)
+{
+	std::vector<std::string> headers = { "Authorization: Bearer key-" +
+		account };
+
+	if (keyed)
+		headers.push_back("Idempotency-Key: " + id);
+	return call("POST", daemon.url("/bookings"),
+	    "{\"booking\": \"" + id + "\"}", headers, CALL_MS);
+}
+
+/* Every second booking has a key; it is sent again through another daemon
+ * under the same key unless its answer came. */
 void
 Torture::send_booking(const std::string &account, uint64_t number)
 {
 	std::string id = account + std::to_string(number);
-	Answer answer = call("POST",
-	    fleet_.daemons[number % DAEMONS].url("/bookings"),
-	    "{\"booking\": \"" + id + "\"}",
-	    { "Authorization: Bearer key-" + account }, CALL_MS);
+	bool keyed = number / CALLERS % 2 == 0;
+	Answer answer = book(fleet_.daemons[number % DAEMONS], account, id,
+	    keyed);
+	bool refused = is_not_run(answer);
+
+	if (keyed && (!answer.whole || answer.status != 201)) {
+		answer = book(fleet_.daemons[(number + 1) % DAEMONS], account,
+		    id, true);
+		refused = refused && is_not_run(answer);
+	}
 	std::lock_guard<std::mutex> guard(mutex_);
 
 	requests_++;
-	if (answer.whole && answer.headers["bamboorudder-run"] == "not-run")
+	if (refused)
 		not_run_.insert(id);
 	if (!answer.whole || answer.status != 201)
 		return;
