Give the test calls' timeout a fixed width

Cause: found by reading the whole change: tests/e2e/fleet.h held a quantity, timeout_ms, as long. Ruled out: request_bytes in relay.c, which libcurl fills through a pointer to long; wait_for_ms, whose int is an exit status. Runs: the plain build has no warnings; format passed; e2e-path and e2e-tables passed. Conclusion: types only.

--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -128,7 +128,7 @@
 
 Answer
 call(const std::string &method, const std::string &url, const std::string &body,
-    const std::vector<std::string> &headers, long timeout_ms)
+    const std::vector<std::string> &headers, uint32_t timeout_ms)
 {
 	CURL *handle = curl_easy_init();
 	curl_slist *list = curl_slist_append(nullptr, "Expect:");
@@ -142,7 +142,7 @@
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, list);
 	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, timeout_ms);
+	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
 	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, collect);
 	curl_easy_setopt(handle, CURLOPT_WRITEDATA, &answer.body);
 	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, collect_header);
--- a/tests/e2e/fleet.h
+++ b/tests/e2e/fleet.h
@@ -64,7 +64,7 @@
 /** One HTTP call; headers are full lines. */
 Answer call(const std::string &method, const std::string &url,
     const std::string &body = "", const std::vector<std::string> &headers = {},
-    long timeout_ms = 30000);
+    uint32_t timeout_ms = 30000);
 
 std::string sha256(const std::string &text);
 
