--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -6,6 +6,7 @@
 #include "bamboorudderd/control_private.h"
 #include "common/log.h"
 #include "common/metric.h"
+#include "core/hash.h"
 #include "core/owner.h"
 
 #define TICK_MS 50u
@@ -49,6 +50,8 @@
 		period_ms =
 		    tablesync_poll_period_ms(control->members.peers->len + 1,
 			control->settings->watch_wait_ms);
+	if (control->watchers == NULL)
+		return;
 	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++) {
 		watcher_set_period(&control->watchers[kind], period_ms);
 		lost |= atomic_load(&control->watchers[kind].platform_lost);
@@ -69,6 +72,7 @@
 	update_watchers(control);
 	read_progress(control);
 	entry_tick(&control->entry, now_ms, &control->effects);
+	dispatch_tick(&control->dispatch, now_ms, &control->effects);
 	g_hash_table_iter_init(&iter, control->owners);
 	while (g_hash_table_iter_next(&iter, NULL, &owner))
 		owner_tick(owner, now_ms, &control->effects);
@@ -141,6 +145,13 @@
 		.report_period_ms = settings->report_period_ms,
 		.fallback_after_ms = settings->fallback_after_ms,
 	};
+	struct dispatch_config dispatch_config = {
+		.domain_id = hash_name(settings->failure_domain),
+		.report_period_ms = settings->load_period_ms,
+		.repeat_percent = settings->repeat_ratio_milli / 10,
+		.repeat_slack_count = settings->repeat_slack_count,
+		.repeat_window_ms = settings->repeat_window_milli,
+	};
 
 	g_strlcpy(members_config.self.address, settings->peer_address,
 	    ADDRESS_MAX_BYTES);
@@ -154,6 +165,8 @@
 	control->members.changed = true;
 	entry_config.node_id = control->members.config.self.node_id;
 	entry_init(&control->entry, &entry_config);
+	dispatch_config.node_id = entry_config.node_id;
+	dispatch_init(&control->dispatch, &dispatch_config);
 }
 
 gboolean
@@ -216,6 +229,8 @@
 	g_hash_table_destroy(control->owners);
 	g_hash_table_destroy(control->tickets);
 	entry_finish(&control->entry);
+	dispatch_finish(&control->dispatch);
+	catalog_unref(control->catalog);
 	members_finish(&control->members);
 	effects_finish(&control->effects);
 	g_byte_array_free(control->encoded, TRUE);
--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -176,6 +176,9 @@
 	case MSG_TABLES_DATA:
 		handle_tables(control, msg, now_ms);
 		break;
+	case MSG_LOAD:
+		dispatch_handle(&control->dispatch, msg, now_ms);
+		break;
 	case MSG_ASK:
 		dispatch_to_owner(control, msg->u.ask.pool_id, msg, now_ms);
 		break;
--- a/bamboorudderd/control_mailbox.c
+++ b/bamboorudderd/control_mailbox.c
@@ -42,6 +42,17 @@
 	mailbox_push(control, command);
 }
 
+void
+mailbox_post_work(struct control *control,
+    void (*run)(struct control *, struct command *), void *context)
+{
+	struct command *command = g_new0(struct command, 1);
+
+	command->run = run;
+	command->context = context;
+	mailbox_push(control, command);
+}
+
 /* Runs a function on the control thread and waits for its end. */
 static void
 mailbox_call(struct control *control, struct command *command)
--- a/bamboorudderd/control_owners.c
+++ b/bamboorudderd/control_owners.c
@@ -74,6 +74,7 @@
 
 	control->members.changed = false;
 	metric_set(METRIC_MEMBERS_LIVE, live_count);
+	dispatch_set_live(&control->dispatch, live_ids, live_count);
 	entry_set_view(&control->entry, live_ids, live_count, now_ms,
 	    &control->effects);
 	control_update_owners(control, now_ms);
--- /dev/null
+++ b/bamboorudderd/gateway.c
@@ -0,0 +1,209 @@
+#include "bamboorudderd/gateway.h"
+
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "bamboorudderd/gateway_private.h"
+#include "common/log.h"
+
+#define EVENTS_PER_WAIT 64
+#define CHECK_PERIOD_MS 50u
+/* The platform still sends new connections until it has asked twice. */
+#define DRAIN_ACCEPT_MS 2600u
+/* Nothing ran for so long before the process ends. */
+#define DRAIN_QUIET_MS 300u
+/* Before the platform's own kill. */
+#define DRAIN_MARGIN_MS 500u
+
+uint64_t
+gw_now_ms(const struct gateway *gateway)
+{
+	return clk_monotonic_ms(&gateway->clk);
+}
+
+void
+gw_watch_add(struct gateway *gateway, struct gw_watch *watch, uint32_t events)
+{
+	struct epoll_event event = { .events = events, .data.ptr = watch };
+
+	if (epoll_ctl(gateway->epoll_fd, EPOLL_CTL_ADD, watch->fd, &event) != 0)
+		log_event(LOG_LEVEL_ERROR, "watch_failed", NULL);
+}
+
+static void
+on_event(struct gateway *gateway, const struct epoll_event *event)
+{
+	const struct gw_watch *watch = event->data.ptr;
+
+	switch (watch->kind) {
+	case GW_WATCH_SERVER:
+		gateway->resumed = true;
+		break;
+	case GW_WATCH_PROBE:
+		MHD_run(gateway->probe);
+		break;
+	case GW_WATCH_MAIL:
+		gw_mail_run(gateway);
+		break;
+	case GW_WATCH_CURL:
+		gw_calls_on_event(gateway, watch->fd, event->events);
+		break;
+	case GW_WATCH_CALLER:
+		gw_request_gone(watch->request);
+		break;
+	}
+}
+
+static void
+check_requests(struct gateway *gateway, uint64_t now_ms)
+{
+	struct gw_request *request, *next;
+
+	for (request = LIST_FIRST(&gateway->requests); request != NULL;
+	     request = next) {
+		next = LIST_NEXT(request, entries);
+		gw_request_check(request, now_ms);
+	}
+}
+
+/* Ends the process's service once everything read has been answered. */
+static void
+check_drain(struct gateway *gateway, uint64_t now_ms)
+{
+	uint64_t drained_ms = now_ms - gateway->drain_ms;
+
+	if (gateway->active_count > 0)
+		gateway->quiet_ms = now_ms;
+	if ((drained_ms >= DRAIN_ACCEPT_MS &&
+		now_ms >= gateway->quiet_ms + DRAIN_QUIET_MS) ||
+	    drained_ms + DRAIN_MARGIN_MS >= gateway->settings->grace_milli)
+		atomic_store(&gateway->drained, 1);
+}
+
+static int
+wait_timeout_ms(struct gateway *gateway, uint64_t now_ms)
+{
+	uint64_t due_ms = gateway->check_due_ms;
+	MHD_UNSIGNED_LONG_LONG server_ms;
+
+	if (gateway->calls_due_ms != 0)
+		due_ms = MIN(due_ms, gateway->calls_due_ms);
+	if (MHD_get_timeout(gateway->server, &server_ms) == MHD_YES)
+		due_ms = MIN(due_ms, now_ms + server_ms);
+	return due_ms <= now_ms ? 0 : (int)(due_ms - now_ms);
+}
+
+static void
+run_timers(struct gateway *gateway, uint64_t now_ms)
+{
+	if (gateway->calls_due_ms != 0 && gateway->calls_due_ms <= now_ms)
+		gw_calls_on_timer(gateway);
+	if (gateway->check_due_ms > now_ms)
+		return;
+	gateway->check_due_ms = now_ms + CHECK_PERIOD_MS;
+	check_requests(gateway, now_ms);
+	if (gateway->draining)
+		check_drain(gateway, now_ms);
+	/* the server's own time-outs */
+	gateway->resumed = true;
+}
+
+static void *
+gateway_main(void *pointer)
+{
+	struct gateway *gateway = pointer;
+	struct epoll_event events[EVENTS_PER_WAIT];
+
+	while (!gateway->stopping) {
+		uint64_t now_ms = gw_now_ms(gateway);
+		int count = epoll_wait(gateway->epoll_fd, events,
+		    EVENTS_PER_WAIT, wait_timeout_ms(gateway, now_ms));
+
+		for (int i = 0; i < count; i++)
+			on_event(gateway, &events[i]);
+		run_timers(gateway, gw_now_ms(gateway));
+		if (gateway->resumed) {
+			gateway->resumed = false;
+			MHD_run(gateway->server);
+		}
+	}
+	return NULL;
+}
+
+gboolean
+gateway_init(struct gateway *gateway, const struct settings *settings,
+    struct control *control, GError **error)
+{
+	struct feed_config feed_config = { .url = settings->platform_url,
+		.watch_wait_ms = settings->watch_wait_ms,
+		.timeout_ms = settings->platform_timeout_ms };
+
+	memset(gateway, 0, sizeof(*gateway));
+	gateway->settings = settings;
+	gateway->control = control;
+	control->gateway = gateway;
+	clk_init_system(&gateway->clk);
+	pthread_mutex_init(&gateway->mail_mutex, NULL);
+	STAILQ_INIT(&gateway->mail);
+	LIST_INIT(&gateway->requests);
+	gateway->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	gateway->mail_watch.kind = GW_WATCH_MAIL;
+	gateway->mail_watch.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	gw_watch_add(gateway, &gateway->mail_watch, EPOLLIN);
+	if (!gw_calls_init(gateway) || !gw_front_init(gateway, error))
+		return FALSE;
+	pthread_create(&gateway->thread, NULL, gateway_main, gateway);
+	feed_init(&gateway->feed, &feed_config, &gw_feed_sink, gateway);
+	return TRUE;
+}
+
+static void
+run_drain(struct gateway *gateway, void *context)
+{
+	(void)context;
+	gateway->draining = true;
+	gateway->drain_ms = gw_now_ms(gateway);
+	gateway->quiet_ms = gateway->drain_ms;
+}
+
+void
+gateway_drain(struct gateway *gateway)
+{
+	gw_mail_post(gateway, run_drain, NULL);
+}
+
+bool
+gateway_drained(struct gateway *gateway)
+{
+	return atomic_load(&gateway->drained) != 0;
+}
+
+static void
+run_stop(struct gateway *gateway, void *context)
+{
+	struct gw_request *request;
+
+	(void)context;
+	/* the server must not be stopped with suspended connections */
+	LIST_FOREACH(request, &gateway->requests, entries)
+	gw_request_gone(request);
+	MHD_run(gateway->server);
+	gateway->stopping = true;
+}
+
+void
+gateway_finish(struct gateway *gateway)
+{
+	feed_finish(&gateway->feed);
+	gw_mail_post(gateway, run_stop, NULL);
+	pthread_join(gateway->thread, NULL);
+	gw_front_finish(gateway);
+	gw_mail_run(gateway);
+	gw_calls_finish(gateway);
+	catalog_unref(gateway->catalog);
+	pthread_mutex_destroy(&gateway->mail_mutex);
+	close(gateway->mail_watch.fd);
+	close(gateway->epoll_fd);
+}
--- /dev/null
+++ b/bamboorudderd/gateway_mail.c
@@ -0,0 +1,243 @@
+#include <unistd.h>
+
+#include "bamboorudderd/control_private.h"
+#include "bamboorudderd/gateway_private.h"
+#include "common/log.h"
+
+void
+gw_mail_post(struct gateway *gateway, void (*run)(struct gateway *, void *),
+    void *context)
+{
+	struct gw_mail *mail = g_new0(struct gw_mail, 1);
+	uint64_t one = 1;
+	bool first;
+
+	mail->run = run;
+	mail->context = context;
+	pthread_mutex_lock(&gateway->mail_mutex);
+	first = STAILQ_EMPTY(&gateway->mail);
+	STAILQ_INSERT_TAIL(&gateway->mail, mail, entries);
+	pthread_mutex_unlock(&gateway->mail_mutex);
+	if (first && write(gateway->mail_watch.fd, &one, sizeof(one)) < 0)
+		log_event(LOG_LEVEL_ERROR, "wake_failed", NULL);
+}
+
+void
+gw_mail_run(struct gateway *gateway)
+{
+	STAILQ_HEAD(, gw_mail) mail = STAILQ_HEAD_INITIALIZER(mail);
+	struct gw_mail *item;
+	uint64_t wakes;
+
+	if (read(gateway->mail_watch.fd, &wakes, sizeof(wakes)) < 0)
+		return;
+	pthread_mutex_lock(&gateway->mail_mutex);
+	STAILQ_CONCAT(&mail, &gateway->mail);
+	pthread_mutex_unlock(&gateway->mail_mutex);
+	while ((item = STAILQ_FIRST(&mail)) != NULL) {
+		STAILQ_REMOVE_HEAD(&mail, entries);
+		item->run(gateway, item->context);
+		g_free(item);
+	}
+}
+
+/* A decision on its way between the threads. */
+struct decision_mail {
+	struct gw_request *request;
+	struct dispatch_ask ask;
+	struct dispatch_decision decision;
+	bool allowed; /**< a repeat was within the budget */
+};
+
+static void
+take_decision(struct gateway *gateway, void *context)
+{
+	struct decision_mail *mail = context;
+
+	(void)gateway;
+	mail->request->decision = mail->decision;
+	gw_request_decided(mail->request);
+	g_free(mail);
+}
+
+static void
+run_decide(struct control *control, struct command *command)
+{
+	struct decision_mail *mail = command->context;
+	uint64_t now_ms = clk_monotonic_ms(&control->clk);
+
+	if (mail->ask.tried_count > 0 &&
+	    !dispatch_allow_repeat(&control->dispatch, now_ms))
+		mail->decision.reason = REFUSE_NO_ENDPOINT;
+	else
+		dispatch_decide(&control->dispatch, &mail->ask, now_ms,
+		    &mail->decision);
+	gw_mail_post(control->gateway, take_decision, mail);
+}
+
+void
+gw_ask(struct gw_request *request)
+{
+	struct decision_mail *mail = g_new0(struct decision_mail, 1);
+
+	mail->request = request;
+	mail->ask = request->ask;
+	request->deciding = true;
+	mailbox_post_work(request->gateway->control, run_decide, mail);
+}
+
+/* News of an attempt. */
+struct attempt_mail {
+	uint64_t seq;
+	enum dispatch_outcome outcome;
+};
+
+static void
+run_first(struct control *control, struct command *command)
+{
+	struct attempt_mail *mail = command->context;
+
+	dispatch_first(&control->dispatch, mail->seq,
+	    clk_monotonic_ms(&control->clk));
+	g_free(mail);
+}
+
+static void
+run_done(struct control *control, struct command *command)
+{
+	struct attempt_mail *mail = command->context;
+
+	dispatch_done(&control->dispatch, mail->seq, mail->outcome,
+	    clk_monotonic_ms(&control->clk));
+	g_free(mail);
+}
+
+void
+gw_tell_first(struct gw_request *request)
+{
+	struct attempt_mail *mail = g_new0(struct attempt_mail, 1);
+
+	request->first_told = true;
+	mail->seq = request->decision.seq;
+	mailbox_post_work(request->gateway->control, run_first, mail);
+}
+
+void
+gw_tell_done(struct gw_request *request, enum dispatch_outcome outcome)
+{
+	struct attempt_mail *mail = g_new0(struct attempt_mail, 1);
+
+	mail->seq = request->decision.seq;
+	mail->outcome = outcome;
+	mailbox_post_work(request->gateway->control, run_done, mail);
+}
+
+static void
+run_catalog(struct control *control, struct command *command)
+{
+	struct catalog *catalog = command->context;
+
+	dispatch_set_catalog(&control->dispatch, catalog);
+	catalog_unref(control->catalog);
+	control->catalog = catalog;
+}
+
+static void
+take_catalog(struct gateway *gateway, void *context)
+{
+	struct catalog *catalog = context;
+	char version[24];
+
+	g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT,
+	    catalog->version);
+	log_event(LOG_LEVEL_INFO, "configuration_in_force", "version", version,
+	    NULL);
+	catalog_unref(gateway->catalog);
+	gateway->catalog = catalog;
+}
+
+static void
+on_catalog(void *context, struct catalog *catalog)
+{
+	struct gateway *gateway = context;
+
+	mailbox_post_work(gateway->control, run_catalog, catalog_ref(catalog));
+	gw_mail_post(gateway, take_catalog, catalog);
+}
+
+static void
+take_proof(struct gateway *gateway, void *context)
+{
+	uint64_t *as_of_ms = context;
+
+	gateway->proof_ms = MAX(gateway->proof_ms, *as_of_ms);
+	g_free(as_of_ms);
+}
+
+static void
+on_proof(void *context, uint64_t as_of_ms)
+{
+	gw_mail_post(context, take_proof,
+	    g_memdup2(&as_of_ms, sizeof(as_of_ms)));
+}
+
+static void
+run_endpoint(struct control *control, struct command *command)
+{
+	struct dispatch_listing *listing = command->context;
+
+	log_event(LOG_LEVEL_INFO, "endpoint", "name", listing->name, "address",
+	    listing->address, "state", listing->leaving ? "leaving" : "ready",
+	    NULL);
+	dispatch_put_endpoint(&control->dispatch, listing,
+	    clk_monotonic_ms(&control->clk));
+	g_free(listing);
+}
+
+static void
+on_endpoint(void *context, const struct dispatch_listing *listing)
+{
+	struct gateway *gateway = context;
+
+	mailbox_post_work(gateway->control, run_endpoint,
+	    g_memdup2(listing, sizeof(*listing)));
+}
+
+static void
+run_endpoint_gone(struct control *control, struct command *command)
+{
+	char *name = command->context;
+
+	log_event(LOG_LEVEL_INFO, "endpoint", "name", name, "state", "gone",
+	    NULL);
+	dispatch_remove_endpoint(&control->dispatch, name);
+	g_free(name);
+}
+
+static void
+on_endpoint_gone(void *context, const char *name)
+{
+	struct gateway *gateway = context;
+
+	mailbox_post_work(gateway->control, run_endpoint_gone, g_strdup(name));
+}
+
+static void
+take_endpoints_known(struct gateway *gateway, void *context)
+{
+	(void)context;
+	gateway->endpoints_known = true;
+}
+
+static void
+on_endpoints_known(void *context)
+{
+	struct gateway *gateway = context;
+
+	if (!gateway->feed.endpoints.told)
+		gw_mail_post(gateway, take_endpoints_known, NULL);
+	gateway->feed.endpoints.told = true;
+}
+
+const struct feed_sink_ops gw_feed_sink = { on_catalog, on_proof, on_endpoint,
+	on_endpoint_gone, on_endpoints_known };
--- /dev/null
+++ b/bamboorudderd/gateway_request.c
@@ -0,0 +1,467 @@
+#include <string.h>
+
+#include "bamboorudderd/gateway_private.h"
+#include "common/log.h"
+#include "common/metric.h"
+#include "core/hash.h"
+
+#define UNREACHED_MAX_COUNT 3u
+#define NOT_READY_RETRY_MS 500u
+/* Requests that begin so late in a shutdown might not end in time. */
+#define DRAIN_SERVE_MS 3000u
+#define DRAIN_RETRY_MS 100u
+/* Between the caller's sending and the check of its key's freshness. */
+#define PROOF_MARGIN_MS 400u
+#define TEXT_BYTES 24
+
+struct gw_request *
+gw_request_new(struct gateway *gateway, const char *target)
+{
+	struct gw_request *request = g_new0(struct gw_request, 1);
+
+	request->gateway = gateway;
+	request->target = g_strdup(target);
+	request->body = g_byte_array_new();
+	request->reply_headers = g_array_new(FALSE, FALSE,
+	    sizeof(struct gw_header));
+	request->answer_headers = g_array_new(FALSE, FALSE,
+	    sizeof(struct gw_header));
+	request->reply_body = g_byte_array_new();
+	request->out = g_byte_array_new();
+	request->outcome = "unread";
+	sse_counter_init(&request->sse);
+	LIST_INSERT_HEAD(&gateway->requests, request, entries);
+	return request;
+}
+
+void
+gw_request_release(struct gw_request *request)
+{
+	if (!request->finished || request->deciding)
+		return;
+	LIST_REMOVE(request, entries);
+	gw_headers_clear(request->reply_headers);
+	gw_headers_clear(request->answer_headers);
+	g_array_free(request->reply_headers, TRUE);
+	g_array_free(request->answer_headers, TRUE);
+	g_byte_array_free(request->body, TRUE);
+	g_byte_array_free(request->reply_body, TRUE);
+	g_byte_array_free(request->out, TRUE);
+	catalog_unref(request->catalog);
+	g_free(request->method);
+	g_free(request->target);
+	g_free(request);
+}
+
+static void
+log_end(const struct gw_request *request)
+{
+	char status[TEXT_BYTES], taken[TEXT_BYTES], attempts[TEXT_BYTES];
+	char ahead[TEXT_BYTES], own[TEXT_BYTES], limit[TEXT_BYTES];
+	char age[TEXT_BYTES], version[TEXT_BYTES], running[TEXT_BYTES];
+	const struct dispatch_forecast *forecast = &request->decision.forecast;
+
+	g_snprintf(status, TEXT_BYTES, "%u", request->status);
+	g_snprintf(taken, TEXT_BYTES, "%" G_GUINT64_FORMAT,
+	    gw_now_ms(request->gateway) - request->arrived_ms);
+	g_snprintf(attempts, TEXT_BYTES, "%u", request->attempts_count);
+	g_snprintf(ahead, TEXT_BYTES, "%u", forecast->ahead_ms);
+	g_snprintf(own, TEXT_BYTES, "%u", forecast->own_ms);
+	g_snprintf(limit, TEXT_BYTES, "%u", forecast->limit_ms);
+	g_snprintf(running, TEXT_BYTES, "%u", forecast->running_count);
+	g_snprintf(age, TEXT_BYTES, "%u", forecast->peers_age_ms);
+	g_snprintf(version, TEXT_BYTES, "%" G_GUINT64_FORMAT,
+	    request->catalog == NULL ? 0 : request->catalog->version);
+	log_event(LOG_LEVEL_INFO, "request", "id", request->head.request_id,
+	    "route", request->route == NULL ? "-" : request->route->name,
+	    "account", request->account == NULL ? "-" : request->account->name,
+	    "outcome", request->outcome, "status", status, "taken_ms", taken,
+	    "endpoint",
+	    request->decision.name[0] == '\0' ? "-" : request->decision.name,
+	    "attempts", attempts, "ahead_ms", ahead, "own_ms", own, "limit_ms",
+	    limit, "running", running, "over_share",
+	    forecast->over_share ? "1" : "0", "peers_age_ms", age,
+	    "configuration", version, NULL);
+}
+
+/* The answer is complete, or there will be none. */
+static void
+end(struct gw_request *request)
+{
+	if (request->state == GW_ENDED)
+		return;
+	if (request->submitted)
+		request->gateway->active_count--;
+	request->state = GW_ENDED;
+	request->out_ended = true;
+	log_end(request);
+}
+
+static void
+add_answer_header(struct gw_request *request, const char *name,
+    const char *value)
+{
+	struct gw_header header = { g_strdup(name), g_strdup(value) };
+
+	g_array_append_val(request->answer_headers, header);
+}
+
+void
+gw_request_refuse(struct gw_request *request, uint32_t status,
+    const char *outcome, uint32_t retry_after_ms)
+{
+	char text[TEXT_BYTES];
+
+	request->outcome = outcome;
+	if (request->streaming) {
+		/* the head has gone: only a cut tells the caller */
+		request->out_broken = true;
+		metric_add(METRIC_ANSWERS_BROKEN, 1);
+	} else {
+		request->status = status;
+		gw_headers_clear(request->answer_headers);
+		g_byte_array_set_size(request->out, 0);
+		if (retry_after_ms > 0) {
+			g_snprintf(text, sizeof(text), "%u.%03u",
+			    retry_after_ms / 1000, retry_after_ms % 1000);
+			add_answer_header(request, "Retry-After", text);
+		}
+		metric_add(status == 502 || status == 504
+			? METRIC_REQUESTS_UNKNOWN
+			: METRIC_REQUESTS_REFUSED,
+		    1);
+	}
+	end(request);
+	gw_resume(request);
+}
+
+/* A key can be trusted only while no newer configuration can have taken it
+ * away for too long. */
+static bool
+is_fresh(const struct gateway *gateway)
+{
+	uint32_t revoke_ms = gateway->settings->revoke_ms;
+
+	return revoke_ms == 0 ||
+	    feed_clock_ms() + PROOF_MARGIN_MS < gateway->proof_ms + revoke_ms;
+}
+
+static bool
+refuse_head(struct gw_request *request, uint32_t status, const char *outcome,
+    uint32_t retry_after_ms)
+{
+	gw_request_refuse(request, status, outcome, retry_after_ms);
+	return false;
+}
+
+static bool
+find_account(struct gw_request *request)
+{
+	struct gateway *gateway = request->gateway;
+
+	if (request->route->anonymous || request->catalog->accounts->len == 0)
+		return true;
+	request->account = catalog_find_key(request->catalog,
+	    request->head.key);
+	if (!is_fresh(gateway))
+		return refuse_head(request, 503, "configuration_too_old",
+		    NOT_READY_RETRY_MS);
+	if (request->account != NULL)
+		return true;
+	metric_add(METRIC_REQUESTS_UNAUTHORIZED, 1);
+	return refuse_head(request, 401, "unknown_key", 0);
+}
+
+static void
+set_times(struct gw_request *request, uint64_t now_ms)
+{
+	uint32_t left_ms = request->head.left_ms == 0
+	    ? request->route->timeout_ms
+	    : request->head.left_ms;
+
+	request->left_until_ms = now_ms + left_ms;
+	request->ends_ms = now_ms + MIN(left_ms, request->route->timeout_ms);
+}
+
+bool
+gw_request_begin(struct gw_request *request)
+{
+	struct gateway *gateway = request->gateway;
+	uint64_t now_ms = gw_now_ms(gateway);
+
+	request->begun = true;
+	request->arrived_ms = now_ms;
+	request->ends_ms = UINT64_MAX;
+	metric_add(METRIC_REQUESTS, 1);
+	if (gateway->catalog == NULL)
+		return refuse_head(request, 503, "no_configuration",
+		    NOT_READY_RETRY_MS);
+	request->catalog = catalog_ref(gateway->catalog);
+	if (request->target[0] != '/')
+		return refuse_head(request, 400, "bad_target", 0);
+	request->route = catalog_find_route(request->catalog,
+	    request->head.host, request->target);
+	if (request->route == NULL) {
+		metric_add(METRIC_REQUESTS_UNAUTHORIZED, 1);
+		return refuse_head(request, 404, "no_route", 0);
+	}
+	if (!find_account(request))
+		return false;
+	set_times(request, now_ms);
+	if (gateway->draining && now_ms > gateway->drain_ms + DRAIN_SERVE_MS)
+		return refuse_head(request, 503, "shutting_down",
+		    DRAIN_RETRY_MS);
+	return true;
+}
+
+static void
+fill_ask(struct gw_request *request)
+{
+	struct dispatch_ask *ask = &request->ask;
+	const struct wire_request *head = &request->head;
+
+	ask->request_hash = hash_bytes(head->request_id,
+	    strlen(head->request_id));
+	ask->pool_id = catalog_pick_pool(request->route, ask->request_hash);
+	ask->account_id = request->account == NULL
+	    ? 0
+	    : request->account->account_id;
+	memcpy(ask->parts, head->parts, sizeof(ask->parts));
+	ask->parts_count = head->parts_count;
+	ask->prompt_tokens = head->prompt_tokens;
+	ask->answer_tokens = head->answer_tokens;
+	ask->aim_ms = request->route->aim_ms;
+}
+
+static void
+decide(struct gw_request *request)
+{
+	uint64_t now_ms = gw_now_ms(request->gateway);
+
+	request->ask.left_ms = request->left_until_ms > now_ms
+	    ? (uint32_t)(request->left_until_ms - now_ms)
+	    : 0;
+	if (!request->streaming)
+		request->state = GW_DECIDING;
+	gw_ask(request);
+}
+
+void
+gw_request_submit(struct gw_request *request)
+{
+	request->submitted = true;
+	request->gateway->active_count++;
+	fill_ask(request);
+	decide(request);
+}
+
+/* Whether a failed attempt of the request may be followed by another one. */
+static bool
+may_repeat(const struct gw_request *request)
+{
+	return request->route->kind == CALL_SAFE ||
+	    (request->route->kind == CALL_STREAM && request->route->resumable);
+}
+
+static void
+refuse_decided(struct gw_request *request)
+{
+	const struct dispatch_decision *decision = &request->decision;
+
+	if (request->may_have_run)
+		gw_request_refuse(request, 502, "no_answer", 0);
+	else if (decision->reason == REFUSE_QUEUE_FULL)
+		gw_request_refuse(request, 503, "overloaded",
+		    MAX(decision->retry_after_ms, 1u));
+	else
+		gw_request_refuse(request, 503, "no_endpoint",
+		    MAX(decision->retry_after_ms, 1u));
+}
+
+void
+gw_request_decided(struct gw_request *request)
+{
+	request->deciding = false;
+	if (request->finished || request->state == GW_ENDED || request->gone) {
+		if (request->decision.start)
+			gw_tell_done(request, OUTCOME_CANCELLED);
+		gw_request_release(request);
+	} else if (request->decision.start)
+		gw_call_start(request);
+	else
+		refuse_decided(request);
+}
+
+static bool
+attempts_left(const struct gw_request *request)
+{
+	return request->attempts_count < request->route->attempts_max_count &&
+	    request->ask.tried_count < TRIED_MAX_COUNT &&
+	    gw_now_ms(request->gateway) < request->ends_ms;
+}
+
+/* Asks for another endpoint. */
+static void
+repeat(struct gw_request *request)
+{
+	request->ask.tried_ids[request->ask.tried_count++] = request->decision
+								 .endpoint_id;
+	metric_add(METRIC_RETRIES, 1);
+	decide(request);
+}
+
+/* The endpoint's answer is whole and its own. */
+static void
+pass_answer(struct gw_request *request)
+{
+	GArray *headers = request->answer_headers;
+
+	request->outcome = "answered";
+	request->status = request->reply.status;
+	request->answer_headers = request->reply_headers;
+	request->reply_headers = headers;
+	g_byte_array_append(request->out, request->reply_body->data,
+	    request->reply_body->len);
+	end(request);
+	gw_resume(request);
+}
+
+static void
+on_not_run(struct gw_request *request, bool moved)
+{
+	gw_tell_done(request, moved ? OUTCOME_MOVED : OUTCOME_REFUSED);
+	if (attempts_left(request))
+		repeat(request);
+	else if (request->may_have_run)
+		gw_request_refuse(request, 502, "no_answer", 0);
+	else
+		gw_request_refuse(request, 503, "endpoint_full",
+		    NOT_READY_RETRY_MS);
+}
+
+static void
+on_no_answer(struct gw_request *request)
+{
+	request->may_have_run = true;
+	gw_tell_done(request, OUTCOME_BROKEN);
+	if (may_repeat(request) && attempts_left(request)) {
+		if (request->streaming)
+			metric_add(METRIC_STREAMS_RESUMED, 1);
+		repeat(request);
+	} else
+		gw_request_refuse(request, 502, "no_answer", 0);
+}
+
+static void
+on_unreached(struct gw_request *request)
+{
+	gw_tell_done(request, OUTCOME_BROKEN);
+	request->attempts_count--;
+	if (++request->unreached_count <= UNREACHED_MAX_COUNT &&
+	    request->ask.tried_count < TRIED_MAX_COUNT)
+		repeat(request);
+	else if (request->may_have_run)
+		gw_request_refuse(request, 502, "no_answer", 0);
+	else
+		gw_request_refuse(request, 503, "endpoint_unreachable",
+		    NOT_READY_RETRY_MS);
+}
+
+/* A whole answer in a live stream ends the caller's answer as well. */
+static void
+on_stream_end(struct gw_request *request)
+{
+	g_byte_array_append(request->out, request->reply_body->data,
+	    request->reply_body->len);
+	request->outcome = "answered";
+	gw_tell_done(request, OUTCOME_WHOLE);
+	end(request);
+	gw_resume(request);
+}
+
+static void
+on_whole(struct gw_request *request)
+{
+	bool failed = request->reply.status >= 500;
+
+	if (request->streaming && request->reply.status != 200) {
+		on_no_answer(request);
+		return;
+	}
+	if (request->streaming) {
+		on_stream_end(request);
+		return;
+	}
+	if (failed && may_repeat(request) && attempts_left(request)) {
+		request->may_have_run = true;
+		gw_tell_done(request, OUTCOME_FAILED);
+		repeat(request);
+		return;
+	}
+	gw_tell_done(request, failed ? OUTCOME_FAILED : OUTCOME_WHOLE);
+	pass_answer(request);
+}
+
+void
+gw_request_attempt_ended(struct gw_request *request, CURLcode code)
+{
+	bool sent = gw_call_was_sent(request);
+
+	gw_call_stop(request);
+	request->attempts_count++;
+	if (!sent)
+		on_unreached(request);
+	else if (code == CURLE_OK && wire_reply_refused(&request->reply))
+		on_not_run(request, false);
+	else if (code == CURLE_OK && wire_reply_moved(&request->reply))
+		on_not_run(request, true);
+	else if (code == CURLE_OK && request->reply_head_ended &&
+	    wire_reply_matches(&request->reply, &request->head))
+		on_whole(request);
+	else
+		on_no_answer(request);
+}
+
+/* Ends an attempt that runs, if one does. */
+static void
+cancel(struct gw_request *request)
+{
+	if (request->call == NULL)
+		return;
+	request->may_have_run |= gw_call_was_sent(request);
+	gw_call_stop(request);
+	gw_tell_done(request, OUTCOME_CANCELLED);
+}
+
+void
+gw_request_gone(struct gw_request *request)
+{
+	if (request->gone)
+		return;
+	request->gone = true;
+	if (request->state == GW_ENDED)
+		return;
+	cancel(request);
+	request->outcome = "caller_left";
+	request->out_broken = true;
+	if (request->begun)
+		end(request);
+	gw_resume(request);
+}
+
+void
+gw_request_check(struct gw_request *request, uint64_t now_ms)
+{
+	bool ran;
+
+	if (!request->submitted || request->state == GW_ENDED ||
+	    now_ms < request->ends_ms)
+		return;
+	cancel(request);
+	ran = request->may_have_run || request->attempts_count > 0;
+	if (ran)
+		gw_request_refuse(request, 504, "timeout", 0);
+	else
+		gw_request_refuse(request, 503, "timeout_not_run",
+		    NOT_READY_RETRY_MS);
+}
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -11,12 +11,14 @@
 #include "bamboorudderd/control.h"
 #include "bamboorudderd/drain.h"
 #include "bamboorudderd/front.h"
+#include "bamboorudderd/gateway.h"
 #include "bamboorudderd/reload.h"
 #include "bamboorudderd/settings.h"
 #include "bamboorudderd/watcher.h"
 #include "common/log.h"
 
 #define EXIT_USAGE 2
+#define SETTINGS_PATH_VARIABLE "BAMBOORUDDER_CONFIG"
 #define SOURCES_MAX_COUNT 128
 
 /* All parts of the process. */
@@ -28,6 +30,7 @@
 	struct control control;
 	struct watcher watchers[TABLE_KIND_COUNT];
 	struct front front;
+	struct gateway gateway;
 	struct admin admin;
 	struct reload reload;
 };
@@ -57,6 +60,25 @@
 	g_string_free(text, TRUE);
 }
 
+static bool
+has_gateway(const struct daemon *daemon)
+{
+	return strcmp(daemon->settings.platform_form, "objects") == 0;
+}
+
+/* The platform keeps the configuration: no tables are watched here. */
+static gboolean
+start_gateway(struct daemon *daemon, GError **error)
+{
+	const struct settings *settings = &daemon->settings;
+
+	if (!gateway_init(&daemon->gateway, settings, &daemon->control, error))
+		return FALSE;
+	control_start(&daemon->control, NULL);
+	return admin_init(&daemon->admin, settings, &daemon->control,
+	    &daemon->store, &daemon->platform, error);
+}
+
 static gboolean
 daemon_start(struct daemon *daemon, GError **error)
 {
@@ -71,6 +93,8 @@
 	if (!control_init(&daemon->control, settings, &daemon->store,
 		settings->test_hooks ? &daemon->hook : NULL, error))
 		return FALSE;
+	if (has_gateway(daemon))
+		return start_gateway(daemon, error);
 	daemon->store.on_change = control_tables_changed;
 	daemon->store.on_change_context = &daemon->control;
 	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++)
@@ -127,6 +151,34 @@
 	log_event(LOG_LEVEL_INFO, "stopped", NULL);
 }
 
+#define DRAIN_POLL_MS 50u
+#define NS_PER_MS 1000000L
+
+/* Waits until all that was read is answered, or a second signal. */
+static int
+stop_gateway(struct daemon *daemon, const sigset_t *signals)
+{
+	struct timespec pause = { 0, DRAIN_POLL_MS * NS_PER_MS };
+	int signal_number = 0;
+
+	log_event(LOG_LEVEL_INFO, "draining", NULL);
+	gateway_drain(&daemon->gateway);
+	while (!gateway_drained(&daemon->gateway) && signal_number != SIGTERM &&
+	    signal_number != SIGINT)
+		signal_number = sigtimedwait(signals, NULL, &pause);
+	control_drain(&daemon->control);
+	platform_stop(&daemon->platform);
+	gateway_finish(&daemon->gateway);
+	admin_finish(&daemon->admin);
+	control_stop(&daemon->control);
+	control_finish(&daemon->control);
+	hook_finish(&daemon->hook);
+	platform_finish(&daemon->platform);
+	tablestore_finish(&daemon->store);
+	log_event(LOG_LEVEL_INFO, "stopped", NULL);
+	return EXIT_SUCCESS;
+}
+
 static void
 write_dump(struct daemon *daemon)
 {
@@ -166,6 +218,8 @@
 			write_dump(daemon);
 		else if (signal_number == SIGHUP)
 			reload_run(&daemon->reload);
+	if (has_gateway(daemon))
+		return stop_gateway(daemon, &signals);
 	atomic_store(&daemon->admin.draining, 1);
 	if (!drain_run(&daemon->front, &daemon->control, &signals))
 		daemon_abort(daemon);
@@ -234,6 +288,7 @@
 	    "settings in TOML");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, check, print, generate, file, end };
+	const char *path = g_getenv(SETTINGS_PATH_VARIABLE);
 	int errors = arg_parse(argc, argv, table), status;
 
 	if (help->count > 0) {
@@ -243,15 +298,16 @@
 		status = EXIT_SUCCESS;
 	} else if (errors == 0 && generate->count > 0)
 		status = print_keys();
-	else if (errors == 0 && file->count == 0) {
+	else if (errors == 0 && file->count == 0 && path == NULL) {
 		fprintf(stderr, "bamboorudderd: missing FILE\n");
 		status = EXIT_USAGE;
 	} else if (errors > 0) {
 		arg_print_errors(stderr, end, "bamboorudderd");
 		status = EXIT_USAGE;
 	} else
-		status = run_with_file(file->filename[0], check->count > 0,
-		    print->count > 0);
+		status = run_with_file(file->count > 0 ? file->filename[0]
+						       : path,
+		    check->count > 0, print->count > 0);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return status;
 }
--- a/bamboorudderd/settings.c
+++ b/bamboorudderd/settings.c
@@ -8,9 +8,11 @@
 #include "common/toml_read.h"
 
 static const char *check_address(const char *text);
+static const char *check_optional_address(const char *text);
 static const char *check_operator(const char *text);
 static const char *check_url(const char *text);
 
+#define MILLI 1000.0
 #define AT(member) offsetof(struct settings, member)
 #define TEXT(name, member, preset, check)                                      \
 	{                                                                      \
@@ -32,6 +34,11 @@
 		name, SETTINGS_UINT32, AT(member), unit, low, high, preset,    \
 		    "", NULL, NULL, NULL, false, false                         \
 	}
+#define DECIMAL(name, member, unit, low, high, preset)                         \
+	{                                                                      \
+		name, SETTINGS_MILLI, AT(member), unit, low, high, preset, "", \
+		    NULL, NULL, NULL, false, false                             \
+	}
 #define SWITCH(name, member)                                                   \
 	{                                                                      \
 		name, SETTINGS_BOOL, AT(member), "", 0, 0, 0, "", NULL, NULL,  \
@@ -49,6 +56,10 @@
 	    2048, 128),
 	NUMBER("listen.body_max_bytes", body_max_bytes, "bytes", 1024, 16777216,
 	    1048576),
+	TEXT("listen.readiness_address", readiness_address, "",
+	    check_optional_address),
+	NUMBER("listen.connections_max", connections_max_count, "connections",
+	    16, 65536, 1000),
 	TEXT("admin.address", admin_address, NULL, check_address),
 	LIST("admin.tokens", operator_tokens, check_operator, true, true),
 	TEXT("peer.address", peer_address, NULL, check_address),
@@ -60,6 +71,8 @@
 	NUMBER("peer.heartbeat_period_ms", heartbeat_period_ms, "ms", 50, 60000,
 	    500),
 	NUMBER("peer.down_after_ms", down_after_ms, "ms", 200, 120000, 2000),
+	WORD("platform.form", platform_form, "tables", "tables,objects", false),
+	NUMBER("platform.revoke_ms", revoke_ms, "ms", 0, 600000, 0),
 	TEXT("platform.url", platform_url, NULL, check_url),
 	NUMBER("platform.timeout_ms", platform_timeout_ms, "ms", 50, 60000,
 	    1000),
@@ -73,6 +86,12 @@
 	    1500),
 	NUMBER("share.sync_timeout_ms", sync_timeout_ms, "ms", 50, 10000, 800),
 	NUMBER("share.grant_settle_ms", grant_settle_ms, "ms", 10, 10000, 400),
+	NUMBER("share.load_period_ms", load_period_ms, "ms", 20, 10000, 100),
+	DECIMAL("retry.ratio", repeat_ratio_milli, "thousandths", 0, 10000,
+	    200),
+	DECIMAL("retry.window_s", repeat_window_milli, "thousandths", 100,
+	    3600000, 10000),
+	NUMBER("retry.slack", repeat_slack_count, "requests", 0, 1000000, 0),
 	NUMBER("request.queue_timeout_ms", queue_timeout_ms, "ms", 100, 600000,
 	    60000),
 	NUMBER("request.connect_timeout_ms", connect_timeout_ms, "ms", 50,
@@ -83,6 +102,8 @@
 	    600000),
 	NUMBER("shutdown.drain_timeout_ms", drain_timeout_ms, "ms", 0, 3600000,
 	    60000),
+	DECIMAL("shutdown.grace_s", grace_milli, "thousandths", 500, 3600000,
+	    8000),
 	NUMBER("claims.keep_ms", claim_keep_ms, "ms", 1000, 604800000,
 	    86400000),
 	NUMBER("claims.clock_margin_ms", claim_clock_margin_ms, "ms", 0, 600000,
@@ -117,7 +138,7 @@
 static void
 set_default(struct settings *settings, const struct settings_key *key)
 {
-	if (key->type == SETTINGS_UINT32)
+	if (key->type == SETTINGS_UINT32 || key->type == SETTINGS_MILLI)
 		*(uint32_t *)key_target(settings, key) = key->default_number;
 	else if (key->type == SETTINGS_TEXT && key->default_text != NULL)
 		g_strlcpy(key_target(settings, key), key->default_text,
@@ -153,6 +174,12 @@
 	return NULL;
 }
 
+static const char *
+check_optional_address(const char *text)
+{
+	return text[0] == '\0' ? NULL : check_address(text);
+}
+
 static const char *
 check_operator(const char *text)
 {
@@ -219,6 +246,24 @@
 		*out = (uint32_t)value->integer;
 }
 
+static void
+read_decimal(struct read_context *context, const struct settings_key *key,
+    const struct toml_value *value, uint32_t *out)
+{
+	double milli = value->decimal * MILLI;
+
+	if ((value->type != TOML_INTEGER && value->type != TOML_DECIMAL) ||
+	    value->in_list)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s must be a number", key->name);
+	else if (!(milli >= key->low && milli <= key->high))
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s is %g, allowed is %g to %g", key->name,
+		    value->decimal, key->low / MILLI, key->high / MILLI);
+	else
+		*out = (uint32_t)milli;
+}
+
 static void
 read_switch(struct read_context *context, const struct settings_key *key,
     const struct toml_value *value, bool *out)
@@ -266,6 +311,8 @@
 			read_text(context, &keys[i], value, target);
 		else if (keys[i].type == SETTINGS_UINT32)
 			read_number(context, &keys[i], value, target);
+		else if (keys[i].type == SETTINGS_MILLI)
+			read_decimal(context, &keys[i], value, target);
 		else if (keys[i].type == SETTINGS_BOOL)
 			read_switch(context, &keys[i], value, target);
 		else
@@ -377,6 +424,9 @@
 		if (key->type == SETTINGS_UINT32)
 			g_string_append_printf(out, "%u",
 			    *(const uint32_t *)target);
+		else if (key->type == SETTINGS_MILLI)
+			g_string_append_printf(out, "%g",
+			    *(const uint32_t *)target / MILLI);
 		else if (key->type == SETTINGS_BOOL)
 			g_string_append(out,
 			    *(const bool *)target ? "true" : "false");
@@ -392,7 +442,7 @@
 static size_t
 key_size_bytes(const struct settings_key *key)
 {
-	if (key->type == SETTINGS_UINT32)
+	if (key->type == SETTINGS_UINT32 || key->type == SETTINGS_MILLI)
 		return sizeof(uint32_t);
 	if (key->type == SETTINGS_BOOL)
 		return sizeof(bool);
--- a/common/codec_read.c
+++ b/common/codec_read.c
@@ -251,6 +251,45 @@
 	cancel->grant_seq = read_uint(reader, UINT64_MAX);
 }
 
+static void
+read_load_endpoint(struct reader *reader, struct load_endpoint *endpoint)
+{
+	if (read_count(reader, LOAD_ENDPOINT_FIELDS) != LOAD_ENDPOINT_FIELDS)
+		reader->failed = true;
+	endpoint->endpoint_id = read_uint(reader, UINT64_MAX);
+	endpoint->running_count = (uint32_t)read_uint(reader, UINT32_MAX);
+	endpoint->reading_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
+	endpoint->memory_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
+}
+
+static void
+read_load_account(struct reader *reader, struct load_account *account)
+{
+	if (read_count(reader, LOAD_ACCOUNT_FIELDS) != LOAD_ACCOUNT_FIELDS)
+		reader->failed = true;
+	account->account_id = read_uint(reader, UINT64_MAX);
+	account->asked_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
+	account->served_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
+}
+
+static void
+read_load(struct reader *reader, struct msg_load *load)
+{
+	struct load_endpoint *endpoints;
+	struct load_account *accounts;
+
+	load->endpoints_count = read_count(reader, ENDPOINTS_MAX_COUNT);
+	endpoints = g_new0(struct load_endpoint, load->endpoints_count);
+	load->endpoints = endpoints;
+	for (uint32_t i = 0; i < load->endpoints_count; i++)
+		read_load_endpoint(reader, &endpoints[i]);
+	load->accounts_count = read_count(reader, LOAD_ACCOUNTS_MAX_COUNT);
+	accounts = g_new0(struct load_account, load->accounts_count);
+	load->accounts = accounts;
+	for (uint32_t i = 0; i < load->accounts_count; i++)
+		read_load_account(reader, &accounts[i]);
+}
+
 static void
 read_body(struct reader *reader, struct msg *msg)
 {
@@ -306,6 +345,9 @@
 	case MSG_TABLES_DATA:
 		read_tables_data(reader, &msg->u.tables_data);
 		break;
+	case MSG_LOAD:
+		read_load(reader, &msg->u.load);
+		break;
 	case MSG_TYPE_COUNT:
 		reader->failed = true;
 		break;
@@ -368,6 +410,11 @@
 	} else if (msg->type == MSG_MEMBER_LIST) {
 		g_free((gpointer)msg->u.member_list.items);
 		msg->u.member_list.items = NULL;
+	} else if (msg->type == MSG_LOAD) {
+		g_free((gpointer)msg->u.load.endpoints);
+		g_free((gpointer)msg->u.load.accounts);
+		msg->u.load.endpoints = NULL;
+		msg->u.load.accounts = NULL;
 	} else if (msg->type == MSG_TABLES_DATA) {
 		g_free((gpointer)msg->u.tables_data.text);
 		msg->u.tables_data.text = NULL;
--- a/common/codec_write.c
+++ b/common/codec_write.c
@@ -171,6 +171,26 @@
 	write_uint(out, done->outcome);
 }
 
+static void
+write_load(GByteArray *out, const struct msg_load *load)
+{
+	write_token(out, mpack_pack_array(load->endpoints_count));
+	for (uint32_t i = 0; i < load->endpoints_count; i++) {
+		write_token(out, mpack_pack_array(LOAD_ENDPOINT_FIELDS));
+		write_uint(out, load->endpoints[i].endpoint_id);
+		write_uint(out, load->endpoints[i].running_count);
+		write_uint(out, load->endpoints[i].reading_tokens);
+		write_uint(out, load->endpoints[i].memory_tokens);
+	}
+	write_token(out, mpack_pack_array(load->accounts_count));
+	for (uint32_t i = 0; i < load->accounts_count; i++) {
+		write_token(out, mpack_pack_array(LOAD_ACCOUNT_FIELDS));
+		write_uint(out, load->accounts[i].account_id);
+		write_uint(out, load->accounts[i].asked_tokens);
+		write_uint(out, load->accounts[i].served_tokens);
+	}
+}
+
 static void
 write_body(GByteArray *out, const struct msg *msg)
 {
@@ -228,6 +248,9 @@
 		write_text(out, msg->u.tables_data.text,
 		    msg->u.tables_data.text_bytes);
 		break;
+	case MSG_LOAD:
+		write_load(out, &msg->u.load);
+		break;
 	case MSG_TYPE_COUNT:
 		break;
 	}
--- a/common/toml_read.cc
+++ b/common/toml_read.cc
@@ -45,6 +45,10 @@
 	} else if (const auto *integer = node.as_integer()) {
 		value.type = TOML_INTEGER;
 		value.integer = integer->get();
+		value.decimal = static_cast<double>(integer->get());
+	} else if (const auto *number = node.as_floating_point()) {
+		value.type = TOML_DECIMAL;
+		value.decimal = number->get();
 	} else if (const auto *boolean = node.as_boolean()) {
 		value.type = TOML_BOOLEAN;
 		value.boolean = boolean->get();
--- /dev/null
+++ b/core/dispatch.c
@@ -0,0 +1,568 @@
+#include "core/dispatch.h"
+
+#include <string.h>
+
+#include "core/dispatch_private.h"
+#include "core/hash.h"
+
+/* Tokens of a prompt that an engine reads in a second, before its own speed
+ * is known from its first tokens. */
+#define READ_TOKENS_PER_MS 50u
+/* From the last token read to the first one made. */
+#define FIRST_TOKEN_MS 30u
+/* Engines drop what was used least lately; what is older counts as dropped. */
+#define KEPT_MS 9000u
+#define KEPT_MAX_COUNT 2048u
+#define KEPT_PART_MIN_TOKENS 64u
+/* Endpoints that all daemons expect to keep a shared part. */
+#define HOMES_COUNT 2u
+#define OTHER_DOMAIN_MS 4u
+/* Work ahead of a request beyond which it is refused: a quarter of its aim
+ * above a base, of which an account over its share gets a third. */
+#define AHEAD_BASE_MS 150u
+#define AHEAD_AIM_PERCENT 25u
+#define AHEAD_OVER_SHARE_PERCENT 30u
+/* Of the request's own reading, so that large prompts are not shut out. */
+#define AHEAD_OWN_MAX_MS 100u
+#define MEMORY_FULL_PERCENT 85u
+#define DURATION_FIRST_MS 1000u
+#define AVERAGE_WEIGHT 16u
+#define SLOW_NORMAL_PERMILLE 1000u
+#define SLOW_MIN_PERMILLE 500u
+#define SLOW_MAX_PERMILLE 8000u
+#define WARMUP_SLOW_FACTOR 2u
+#define FULL_HOLD_MS 100u
+#define RETRY_AFTER_MIN_MS 500u
+#define RETRY_AFTER_SPREAD_MS 2500u
+/* Callers wait at most a third of the time that they have left. */
+#define RETRY_AFTER_LEFT_PARTS 3u
+#define NO_ENDPOINT_RETRY_MS 1000u
+
+static void
+endpoint_free(gpointer pointer)
+{
+	struct dispatch_endpoint *endpoint = pointer;
+
+	g_hash_table_destroy(endpoint->kept);
+	g_free(endpoint);
+}
+
+void
+dispatch_init(struct dispatch *dispatch, const struct dispatch_config *config)
+{
+	memset(dispatch, 0, sizeof(*dispatch));
+	dispatch->config = *config;
+	dispatch->endpoints = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    NULL, endpoint_free);
+	dispatch->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    NULL, g_free);
+	dispatch->accounts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    NULL, g_free);
+	dispatch->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    NULL, dispatch_peer_free);
+	dispatch->live = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	dispatch->daemons_most_count = 1;
+	dispatch->seq_next = 1;
+	dispatch->duration_ms = DURATION_FIRST_MS;
+	dispatch->level_tokens = UINT64_MAX;
+}
+
+void
+dispatch_finish(struct dispatch *dispatch)
+{
+	g_hash_table_destroy(dispatch->endpoints);
+	g_hash_table_destroy(dispatch->attempts);
+	g_hash_table_destroy(dispatch->accounts);
+	g_hash_table_destroy(dispatch->peers);
+	g_array_free(dispatch->live, TRUE);
+}
+
+void
+dispatch_set_catalog(struct dispatch *dispatch, const struct catalog *catalog)
+{
+	dispatch->catalog = catalog;
+}
+
+/* A new process behind a known name holds nothing of before. */
+static void
+endpoint_reset(struct dispatch_endpoint *endpoint)
+{
+	g_hash_table_remove_all(endpoint->kept);
+	endpoint->full_until_ms = 0;
+	endpoint->ejected_until_ms = 0;
+	endpoint->eject_ms = 0;
+	endpoint->failing_permille = 0;
+	endpoint->results_count = 0;
+	endpoint->slow_permille = SLOW_NORMAL_PERMILLE;
+	endpoint->probing = false;
+}
+
+void
+dispatch_put_endpoint(struct dispatch *dispatch,
+    const struct dispatch_listing *listing, uint64_t now_ms)
+{
+	uint64_t endpoint_id = hash_name(listing->name);
+	struct dispatch_endpoint *endpoint =
+	    g_hash_table_lookup(dispatch->endpoints, &endpoint_id);
+
+	if (endpoint == NULL) {
+		endpoint = g_new0(struct dispatch_endpoint, 1);
+		endpoint->endpoint_id = endpoint_id;
+		endpoint->kept = g_hash_table_new_full(g_int64_hash,
+		    g_int64_equal, g_free, NULL);
+		endpoint_reset(endpoint);
+		g_hash_table_insert(dispatch->endpoints, &endpoint->endpoint_id,
+		    endpoint);
+	} else if (endpoint->listing.born_ms != listing->born_ms)
+		endpoint_reset(endpoint);
+	endpoint->listing = *listing;
+	endpoint->listed = true;
+	endpoint->warm_at_ms = now_ms + listing->warmup_left_ms;
+}
+
+void
+dispatch_remove_endpoint(struct dispatch *dispatch, const char *name)
+{
+	uint64_t endpoint_id = hash_name(name);
+	struct dispatch_endpoint *endpoint =
+	    g_hash_table_lookup(dispatch->endpoints, &endpoint_id);
+
+	if (endpoint == NULL)
+		return;
+	if (endpoint->own.running_count == 0)
+		g_hash_table_remove(dispatch->endpoints, &endpoint_id);
+	else
+		endpoint->listed = false;
+}
+
+void
+dispatch_set_live(struct dispatch *dispatch, const uint64_t *node_ids,
+    size_t count)
+{
+	g_array_set_size(dispatch->live, 0);
+	for (size_t i = 0; i < count; i++)
+		if (node_ids[i] != dispatch->config.node_id)
+			g_array_append_val(dispatch->live, node_ids[i]);
+	dispatch->daemons_most_count = MAX(dispatch->daemons_most_count,
+	    dispatch->live->len + 1);
+}
+
+static bool
+was_tried(const struct dispatch_ask *ask, uint64_t endpoint_id)
+{
+	for (uint32_t i = 0; i < ask->tried_count; i++)
+		if (ask->tried_ids[i] == endpoint_id)
+			return true;
+	return false;
+}
+
+/* The part that a request shares with others: the last but its own. */
+static uint64_t
+subject_of(const struct dispatch_ask *ask)
+{
+	return ask->parts_count < 2 ? 0
+				    : ask->parts[ask->parts_count - 2].part_id;
+}
+
+static uint64_t
+home_score(const struct dispatch_endpoint *endpoint, uint64_t subject)
+{
+	uint64_t words[] = { subject, endpoint->endpoint_id };
+
+	return hash_bytes(words, sizeof(words));
+}
+
+/* Tokens of the prompt that an endpoint has to read. A part counts as kept
+ * only if all before it are. */
+static uint64_t
+unread_tokens(const struct dispatch_endpoint *endpoint,
+    const struct dispatch_ask *ask, bool home, uint64_t now_ms)
+{
+	uint64_t kept_tokens = 0;
+	uint32_t shared_count = ask->parts_count == 0 ? 0
+						      : ask->parts_count - 1;
+
+	for (uint32_t i = 0; i < ask->parts_count; i++) {
+		uint64_t *used_ms = g_hash_table_lookup(endpoint->kept,
+		    &ask->parts[i].part_id);
+		bool kept = used_ms != NULL && now_ms < *used_ms + KEPT_MS;
+		if (!kept && !(home && i < shared_count))
+			break;
+		kept_tokens += ask->parts[i].tokens;
+	}
+	return ask->prompt_tokens > kept_tokens
+	    ? ask->prompt_tokens - kept_tokens
+	    : 1;
+}
+
+static gboolean
+kept_expired(gpointer key, gpointer value, gpointer now_ms)
+{
+	(void)key;
+	return *(uint64_t *)value + KEPT_MS < *(uint64_t *)now_ms;
+}
+
+static void
+note_kept(struct dispatch_endpoint *endpoint, const struct dispatch_ask *ask,
+    uint64_t now_ms)
+{
+	if (g_hash_table_size(endpoint->kept) > KEPT_MAX_COUNT)
+		g_hash_table_foreach_remove(endpoint->kept, kept_expired,
+		    &now_ms);
+	for (uint32_t i = 0; i < ask->parts_count; i++) {
+		uint64_t *entry,
+		    *used_ms = g_hash_table_lookup(endpoint->kept,
+			&ask->parts[i].part_id);
+
+		if (used_ms != NULL) {
+			*used_ms = now_ms;
+			continue;
+		}
+		if (ask->parts[i].tokens < KEPT_PART_MIN_TOKENS)
+			continue;
+		/* key and value in one block, which the key frees */
+		entry = g_new(uint64_t, 2);
+		entry[0] = ask->parts[i].part_id;
+		entry[1] = now_ms;
+		g_hash_table_insert(endpoint->kept, entry, entry + 1);
+	}
+}
+
+/* An endpoint weighed for one request. */
+struct candidate {
+	struct dispatch_endpoint *endpoint;
+	uint64_t home_score;
+	uint64_t read_tokens;
+	uint64_t ahead_ms;
+	uint64_t cost_ms; /**< what is compared */
+};
+
+static uint64_t
+running_of(const struct dispatch_endpoint *endpoint)
+{
+	return (uint64_t)endpoint->own.running_count +
+	    endpoint->others.running_count;
+}
+
+static uint64_t
+slots_of(const struct dispatch_endpoint *endpoint)
+{
+	return MAX(endpoint->listing.slots, 1u);
+}
+
+/* Time until one of the requests beyond the slots has gone. */
+static uint64_t
+slot_wait_ms(const struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint)
+{
+	uint64_t running = running_of(endpoint), slots = slots_of(endpoint);
+
+	if (running < slots)
+		return 0;
+	return (running - slots + 1) * dispatch->duration_ms / slots;
+}
+
+static uint64_t
+memory_of(const struct dispatch_endpoint *endpoint)
+{
+	return endpoint->own.memory_tokens + endpoint->others.memory_tokens;
+}
+
+static void
+weigh_engine(const struct dispatch *dispatch, const struct catalog_pool *pool,
+    const struct dispatch_ask *ask, uint64_t now_ms, bool home,
+    struct candidate *candidate)
+{
+	const struct dispatch_endpoint *endpoint = candidate->endpoint;
+	uint64_t reading = endpoint->own.reading_tokens +
+	    endpoint->others.reading_tokens;
+	uint64_t slow = endpoint->slow_permille, needed;
+
+	if (now_ms < endpoint->warm_at_ms)
+		slow *= WARMUP_SLOW_FACTOR;
+	candidate->read_tokens = unread_tokens(endpoint, ask, home, now_ms);
+	candidate->ahead_ms = reading * slow / READ_TOKENS_PER_MS / 1000 +
+	    slot_wait_ms(dispatch, endpoint);
+	needed = memory_of(endpoint) + ask->prompt_tokens + ask->answer_tokens;
+	if (pool->memory_tokens > 0 &&
+	    needed * 100 > pool->memory_tokens * MEMORY_FULL_PERCENT)
+		candidate->ahead_ms += dispatch->duration_ms;
+	candidate->cost_ms = candidate->ahead_ms +
+	    candidate->read_tokens * slow / READ_TOKENS_PER_MS / 1000;
+}
+
+/* A plain service: how full it is stands for the wait. */
+static void
+weigh_service(const struct dispatch *dispatch, struct candidate *candidate)
+{
+	const struct dispatch_endpoint *endpoint = candidate->endpoint;
+
+	candidate->read_tokens = 0;
+	candidate->ahead_ms = slot_wait_ms(dispatch, endpoint);
+	candidate->cost_ms = running_of(endpoint) * 100 / slots_of(endpoint);
+}
+
+static void
+collect(struct dispatch *dispatch, const struct dispatch_ask *ask,
+    uint64_t now_ms, bool ejected_too, GArray *candidates)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct dispatch_endpoint *endpoint = value;
+		struct candidate candidate = { .endpoint = endpoint };
+
+		if (endpoint->listing.pool_id != ask->pool_id ||
+		    !endpoint->listed || endpoint->listing.leaving ||
+		    was_tried(ask, endpoint->endpoint_id) ||
+		    (!ejected_too && !dispatch_usable(endpoint, now_ms)))
+			continue;
+		candidate.home_score = home_score(endpoint, subject_of(ask));
+		g_array_append_val(candidates, candidate);
+	}
+}
+
+/* Score that the homes of a shared part reach, by rendezvous hashing. */
+static uint64_t
+home_bar(const GArray *candidates)
+{
+	uint64_t best[HOMES_COUNT] = { 0 };
+
+	for (guint i = 0; i < candidates->len; i++) {
+		uint64_t score = g_array_index(candidates, struct candidate, i)
+				     .home_score;
+		for (uint32_t rank = 0; rank < HOMES_COUNT; rank++)
+			if (score > best[rank]) {
+				uint64_t lower = best[rank];
+				best[rank] = score;
+				score = lower;
+			}
+	}
+	return best[HOMES_COUNT - 1];
+}
+
+static struct candidate *
+choose(struct dispatch *dispatch, const struct catalog_pool *pool,
+    const struct dispatch_ask *ask, uint64_t now_ms, GArray *candidates)
+{
+	uint64_t bar = home_bar(candidates);
+	struct candidate *best = NULL;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		struct candidate *candidate = &g_array_index(candidates,
+		    struct candidate, i);
+		const struct dispatch_endpoint *endpoint = candidate->endpoint;
+		bool home = ask->parts_count > 1 &&
+		    candidate->home_score >= bar;
+
+		if (pool->engine)
+			weigh_engine(dispatch, pool, ask, now_ms, home,
+			    candidate);
+		else
+			weigh_service(dispatch, candidate);
+		if (endpoint->listing.domain_id != dispatch->config.domain_id)
+			candidate->cost_ms += OTHER_DOMAIN_MS;
+		if (now_ms < endpoint->full_until_ms)
+			candidate->cost_ms += FULL_HOLD_MS;
+		if (best == NULL || candidate->cost_ms < best->cost_ms ||
+		    (candidate->cost_ms == best->cost_ms &&
+			candidate->home_score > best->home_score))
+			best = candidate;
+	}
+	return best;
+}
+
+static void
+refuse(struct dispatch *dispatch, const struct dispatch_ask *ask,
+    enum refuse_reason reason, uint32_t retry_after_ms,
+    struct dispatch_decision *decision)
+{
+	decision->start = false;
+	decision->reason = reason;
+	decision->retry_after_ms = MIN(retry_after_ms,
+	    ask->left_ms / RETRY_AFTER_LEFT_PARTS);
+	dispatch->refusals_count++;
+}
+
+static void
+start(struct dispatch *dispatch, const struct dispatch_ask *ask,
+    const struct candidate *candidate, bool engine, uint64_t now_ms,
+    struct dispatch_decision *decision)
+{
+	struct dispatch_endpoint *endpoint = candidate->endpoint;
+	struct dispatch_attempt *attempt = g_new0(struct dispatch_attempt, 1);
+
+	attempt->seq = dispatch->seq_next++;
+	attempt->endpoint_id = endpoint->endpoint_id;
+	attempt->started_ms = now_ms;
+	attempt->engine = engine;
+	if (engine) {
+		attempt->reading_tokens = candidate->read_tokens;
+		attempt->memory_tokens = (uint64_t)ask->prompt_tokens +
+		    ask->answer_tokens;
+		attempt->forecast_ms = (uint32_t)candidate->cost_ms +
+		    FIRST_TOKEN_MS;
+		note_kept(endpoint, ask, now_ms);
+	}
+	endpoint->own.running_count++;
+	endpoint->own.reading_tokens += attempt->reading_tokens;
+	endpoint->own.memory_tokens += attempt->memory_tokens;
+	if (now_ms >= endpoint->ejected_until_ms && endpoint->eject_ms > 0)
+		endpoint->probing = true;
+	g_hash_table_insert(dispatch->attempts, &attempt->seq, attempt);
+	decision->start = true;
+	decision->seq = attempt->seq;
+	decision->endpoint_id = endpoint->endpoint_id;
+	memcpy(decision->name, endpoint->listing.name, NAME_MAX_BYTES);
+	memcpy(decision->address, endpoint->listing.address, ADDRESS_MAX_BYTES);
+}
+
+/* What a request costs its account: each token made is worth two read. */
+static uint64_t
+charge_tokens(const struct dispatch_ask *ask)
+{
+	return (uint64_t)ask->prompt_tokens + 2 * (uint64_t)ask->answer_tokens;
+}
+
+static void
+admit(struct dispatch *dispatch, const struct dispatch_ask *ask,
+    const struct candidate *best, uint64_t now_ms,
+    struct dispatch_decision *decision)
+{
+	struct dispatch_forecast *forecast = &decision->forecast;
+	struct dispatch_account *account = dispatch_account(dispatch,
+	    ask->account_id);
+	uint64_t own_ms = best->cost_ms - best->ahead_ms;
+	uint64_t limit_ms = AHEAD_BASE_MS +
+	    (uint64_t)ask->aim_ms * AHEAD_AIM_PERCENT / 100;
+
+	account->asked_tokens += charge_tokens(ask);
+	forecast->over_share = dispatch_over_share(dispatch, account);
+	if (forecast->over_share)
+		limit_ms = limit_ms * AHEAD_OVER_SHARE_PERCENT / 100;
+	forecast->ahead_ms = (uint32_t)best->ahead_ms;
+	forecast->own_ms = (uint32_t)own_ms;
+	forecast->limit_ms = (uint32_t)limit_ms;
+	if (best->ahead_ms + MIN(own_ms, AHEAD_OWN_MAX_MS) > limit_ms &&
+	    best->ahead_ms > 0) {
+		refuse(dispatch, ask, REFUSE_QUEUE_FULL,
+		    RETRY_AFTER_MIN_MS +
+			(uint32_t)(ask->request_hash % RETRY_AFTER_SPREAD_MS),
+		    decision);
+		return;
+	}
+	account->served_tokens += charge_tokens(ask);
+	start(dispatch, ask, best, true, now_ms, decision);
+}
+
+void
+dispatch_decide(struct dispatch *dispatch, const struct dispatch_ask *ask,
+    uint64_t now_ms, struct dispatch_decision *decision)
+{
+	const struct catalog_pool *pool = dispatch->catalog == NULL
+	    ? NULL
+	    : catalog_find_pool(dispatch->catalog, ask->pool_id);
+	GArray *candidates = g_array_new(FALSE, FALSE,
+	    sizeof(struct candidate));
+	struct candidate *best = NULL;
+
+	memset(decision, 0, sizeof(*decision));
+	if (ask->tried_count == 0)
+		dispatch_count_request(dispatch, now_ms);
+	if (pool != NULL) {
+		collect(dispatch, ask, now_ms, false, candidates);
+		if (candidates->len == 0)
+			collect(dispatch, ask, now_ms, true, candidates);
+		best = choose(dispatch, pool, ask, now_ms, candidates);
+	}
+	decision->forecast.peers_age_ms = dispatch_peers_age_ms(dispatch,
+	    now_ms);
+	if (best == NULL)
+		refuse(dispatch, ask, REFUSE_NO_ENDPOINT, NO_ENDPOINT_RETRY_MS,
+		    decision);
+	else {
+		decision->forecast.running_count = (uint32_t)running_of(
+		    best->endpoint);
+		if (pool->engine)
+			admit(dispatch, ask, best, now_ms, decision);
+		else
+			start(dispatch, ask, best, false, now_ms, decision);
+	}
+	g_array_free(candidates, TRUE);
+}
+
+static void
+learn_speed(struct dispatch_endpoint *endpoint,
+    const struct dispatch_attempt *attempt, uint64_t now_ms)
+{
+	uint64_t taken_ms = now_ms - attempt->started_ms;
+	uint64_t sample = endpoint->slow_permille * taken_ms /
+	    MAX(attempt->forecast_ms, 1u);
+
+	sample = CLAMP(sample, SLOW_MIN_PERMILLE, SLOW_MAX_PERMILLE);
+	endpoint->slow_permille = (uint32_t)((endpoint->slow_permille *
+						     (uint64_t)(AVERAGE_WEIGHT -
+							 1) +
+						 sample) /
+	    AVERAGE_WEIGHT);
+}
+
+void
+dispatch_first(struct dispatch *dispatch, uint64_t seq, uint64_t now_ms)
+{
+	struct dispatch_attempt *attempt =
+	    g_hash_table_lookup(dispatch->attempts, &seq);
+	struct dispatch_endpoint *endpoint;
+
+	if (attempt == NULL || attempt->first)
+		return;
+	attempt->first = true;
+	endpoint = g_hash_table_lookup(dispatch->endpoints,
+	    &attempt->endpoint_id);
+	if (endpoint == NULL)
+		return;
+	endpoint->own.reading_tokens -= attempt->reading_tokens;
+	if (attempt->engine)
+		learn_speed(endpoint, attempt, now_ms);
+}
+
+static void
+release(struct dispatch_endpoint *endpoint,
+    const struct dispatch_attempt *attempt)
+{
+	endpoint->own.running_count--;
+	endpoint->own.memory_tokens -= attempt->memory_tokens;
+	if (!attempt->first)
+		endpoint->own.reading_tokens -= attempt->reading_tokens;
+}
+
+void
+dispatch_done(struct dispatch *dispatch, uint64_t seq,
+    enum dispatch_outcome outcome, uint64_t now_ms)
+{
+	struct dispatch_attempt *attempt =
+	    g_hash_table_lookup(dispatch->attempts, &seq);
+	struct dispatch_endpoint *endpoint;
+
+	if (attempt == NULL)
+		return;
+	endpoint = g_hash_table_lookup(dispatch->endpoints,
+	    &attempt->endpoint_id);
+	if (endpoint != NULL) {
+		release(endpoint, attempt);
+		dispatch_judge(endpoint, outcome, now_ms);
+		if (outcome == OUTCOME_REFUSED)
+			endpoint->full_until_ms = now_ms + FULL_HOLD_MS;
+		if (!endpoint->listed && endpoint->own.running_count == 0)
+			g_hash_table_remove(dispatch->endpoints,
+			    &attempt->endpoint_id);
+	}
+	if (outcome == OUTCOME_WHOLE && attempt->engine)
+		dispatch->duration_ms = (dispatch->duration_ms *
+						(AVERAGE_WEIGHT - 1) +
+					    now_ms - attempt->started_ms) /
+		    AVERAGE_WEIGHT;
+	g_hash_table_remove(dispatch->attempts, &seq);
+}
--- a/core/effect.c
+++ b/core/effect.c
@@ -18,6 +18,10 @@
 			continue;
 		if (effect->msg.type == MSG_MEMBER_LIST)
 			g_free((gpointer)effect->msg.u.member_list.items);
+		if (effect->msg.type == MSG_LOAD) {
+			g_free((gpointer)effect->msg.u.load.endpoints);
+			g_free((gpointer)effect->msg.u.load.accounts);
+		}
 		if (effect->msg.type != MSG_REPORT)
 			continue;
 		g_free((gpointer)effect->msg.u.report.items);
--- a/include/bamboorudderd/control.h
+++ b/include/bamboorudderd/control.h
@@ -20,6 +20,7 @@
 #include "bamboorudderd/tablestore.h"
 #include "bamboorudderd/watcher.h"
 #include "common/clk.h"
+#include "core/dispatch.h"
 #include "core/entry.h"
 #include "core/members.h"
 #include "core/tablesync.h"
@@ -40,12 +41,14 @@
 };
 
 struct command;
+struct gateway;
 
 struct control {
 	const struct settings *settings;
 	struct clk clk;
 	struct peer peer;
 	struct tablestore *store;
+	struct gateway *gateway; /**< NULL without one */
 	struct hook *hook; /**< NULL unless test.hooks is set */
 	struct watcher *watchers; /**< TABLE_KIND_COUNT of them, or NULL */
 	uint64_t incarnation;
@@ -59,6 +62,8 @@
 	struct members members;
 	struct tablesync tablesync;
 	struct entry entry;
+	struct dispatch dispatch;
+	struct catalog *catalog; /**< that dispatch uses, or NULL */
 	GHashTable *owners; /**< pool_id to struct owner */
 	GHashTable *tickets; /**< seq to struct ticket */
 	struct effects effects;
--- a/include/bamboorudderd/control_private.h
+++ b/include/bamboorudderd/control_private.h
@@ -12,6 +12,7 @@
 	STAILQ_ENTRY(command) entries;
 	void (*run)(struct control *control, struct command *command);
 	struct ticket *ticket;
+	void *context; /**< of mailbox_post_work */
 	enum done_outcome outcome;
 	/* for a caller that waits: */
 	pthread_mutex_t mutex;
@@ -27,6 +28,10 @@
     void (*run)(struct control *, struct command *), struct ticket *ticket,
     enum done_outcome outcome);
 
+/** Posts work with a context of its own. */
+void mailbox_post_work(struct control *control,
+    void (*run)(struct control *, struct command *), void *context);
+
 /** Runs all posted work; on the control thread. */
 void mailbox_run(struct control *control);
 
--- /dev/null
+++ b/include/bamboorudderd/gateway.h
@@ -0,0 +1,160 @@
+/**
+ * @file
+ * The traffic thread before the platform's callers: one event loop that reads
+ * requests, asks the control thread where each runs, and relays the answers.
+ * libmicrohttpd serves and libcurl calls, both within the loop.
+ */
+#ifndef BAMBOORUDDERD_GATEWAY_H
+#define BAMBOORUDDERD_GATEWAY_H
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "bamboorudderd/control.h"
+#include "bamboorudderd/settings.h"
+#include "common/clk.h"
+#include "common/sse.h"
+#include "core/catalog.h"
+#include "core/dispatch.h"
+#include "platform/feed.h"
+#include "platform/wire.h"
+
+struct gateway;
+struct gw_request;
+
+enum gw_watch_kind {
+	GW_WATCH_SERVER, /**< the server's own event queue */
+	GW_WATCH_PROBE,
+	GW_WATCH_MAIL,
+	GW_WATCH_CURL,
+	GW_WATCH_CALLER
+};
+
+/** What the event loop waits for. */
+struct gw_watch {
+	enum gw_watch_kind kind;
+	int fd;
+	struct gw_request *request; /**< of GW_WATCH_CALLER */
+};
+
+/** Work for the traffic thread. */
+struct gw_mail {
+	STAILQ_ENTRY(gw_mail) entries;
+	void (*run)(struct gateway *gateway, void *context);
+	void *context;
+};
+
+enum gw_state {
+	GW_READING, /**< the caller still sends */
+	GW_DECIDING, /**< the control thread decides */
+	GW_CALLING, /**< an endpoint has it */
+	GW_ANSWERING, /**< the answer is passed on as it comes, or is whole */
+	GW_ENDED
+};
+
+/** A header of an answer. */
+struct gw_header {
+	char *name;
+	char *value;
+};
+
+/** One request of a caller. */
+struct gw_request {
+	LIST_ENTRY(gw_request) entries;
+	struct gateway *gateway;
+	struct MHD_Connection *connection;
+	struct gw_watch watch; /**< sees the caller leave */
+	struct catalog *catalog;
+	const struct catalog_route *route;
+	const struct catalog_account *account;
+	struct wire_request head;
+	char *method;
+	char *target; /**< path and query as they came */
+	GByteArray *body;
+	uint64_t arrived_ms;
+	uint64_t left_until_ms; /**< the caller's own deadline */
+	uint64_t ends_ms; /**< when an answer is due at the latest */
+	enum gw_state state;
+	bool begun; /**< the head was read */
+	bool submitted;
+	bool close_after; /**< the connection can't be used again */
+	bool suspended;
+	bool gone; /**< the caller left */
+	bool finished; /**< the server has let go of it */
+	bool deciding; /**< the control thread holds a decision of it */
+	bool watched;
+	/* attempts */
+	struct dispatch_ask ask;
+	struct dispatch_decision decision;
+	uint32_t attempts_count; /**< endpoints that it was sent to */
+	uint32_t unreached_count;
+	bool may_have_run;
+	bool first_told;
+	CURL *call; /**< the transfer that runs, or NULL */
+	struct curl_slist *call_headers;
+	char call_error[CURL_ERROR_SIZE];
+	struct wire_reply reply;
+	GArray *reply_headers; /**< struct gw_header of the current attempt */
+	GByteArray *reply_body;
+	bool reply_head_ended;
+	/* the answer to the caller */
+	uint32_t status;
+	GArray *answer_headers; /**< struct gw_header */
+	GByteArray *out; /**< bytes not yet given to the server */
+	gsize out_at;
+	bool streaming;
+	bool out_ended;
+	bool out_broken; /**< the answer ends without its proper end */
+	struct sse_counter sse;
+	const char *outcome; /**< for the log */
+};
+
+struct gateway {
+	const struct settings *settings;
+	struct control *control;
+	struct feed feed;
+	struct clk clk;
+	pthread_t thread;
+	int epoll_fd;
+	struct gw_watch server_watch;
+	struct gw_watch probe_watch;
+	struct gw_watch mail_watch;
+	struct MHD_Daemon *server;
+	struct MHD_Daemon *probe; /**< readiness, on its own address */
+	CURLM *calls;
+	GPtrArray *idle_calls; /**< CURL handles for reuse */
+	uint64_t calls_due_ms; /**< libcurl's timer, 0: none */
+	uint64_t check_due_ms;
+	pthread_mutex_t mail_mutex;
+	STAILQ_HEAD(, gw_mail) mail;
+	LIST_HEAD(, gw_request) requests;
+	uint32_t active_count; /**< requests that were read and not ended */
+	struct catalog *catalog;
+	uint64_t proof_ms; /**< feed_clock_ms as of which it was the newest */
+	bool endpoints_known;
+	bool resumed; /**< the server has to look at its connections */
+	bool draining;
+	bool stopping;
+	uint64_t drain_ms; /**< when draining began */
+	uint64_t quiet_ms; /**< since when nothing ran, while draining */
+	_Atomic uint32_t drained; /**< all ended, for the main thread */
+};
+
+/** Binds the addresses and starts the traffic thread and the feed. */
+gboolean gateway_init(struct gateway *gateway, const struct settings *settings,
+    struct control *control, GError **error);
+
+/** Takes no new connections once what is told to leave has been served. */
+void gateway_drain(struct gateway *gateway);
+
+/** @return whether everything has ended */
+bool gateway_drained(struct gateway *gateway);
+
+void gateway_finish(struct gateway *gateway);
+
+#endif
--- /dev/null
+++ b/include/bamboorudderd/gateway_private.h
@@ -0,0 +1,73 @@
+/**
+ * @file
+ * What the files of the traffic thread share.
+ */
+#ifndef BAMBOORUDDERD_GATEWAY_PRIVATE_H
+#define BAMBOORUDDERD_GATEWAY_PRIVATE_H
+
+#include "bamboorudderd/gateway.h"
+
+uint64_t gw_now_ms(const struct gateway *gateway);
+
+/** Adds a file descriptor to the event loop. */
+void gw_watch_add(struct gateway *gateway, struct gw_watch *watch,
+    uint32_t events);
+
+/* gateway_mail.c: between the traffic thread and the control thread */
+
+void gw_mail_post(struct gateway *gateway,
+    void (*run)(struct gateway *, void *), void *context);
+void gw_mail_run(struct gateway *gateway);
+extern const struct feed_sink_ops gw_feed_sink;
+
+/** Asks the control thread where a request runs. */
+void gw_ask(struct gw_request *request);
+/** Tells the control thread of an attempt's first token. */
+void gw_tell_first(struct gw_request *request);
+/** Tells the control thread that an attempt ended. */
+void gw_tell_done(struct gw_request *request, enum dispatch_outcome outcome);
+
+/* gateway_front.c: the server's side */
+
+gboolean gw_front_init(struct gateway *gateway, GError **error);
+void gw_front_finish(struct gateway *gateway);
+/** Makes the server go on with a request. */
+void gw_resume(struct gw_request *request);
+
+/* gateway_request.c: the way of one request */
+
+struct gw_request *gw_request_new(struct gateway *gateway, const char *target);
+/** Frees a request once the server and the control thread let go of it. */
+void gw_request_release(struct gw_request *request);
+/** Checks the head. @return false if the request is refused */
+bool gw_request_begin(struct gw_request *request);
+/** The whole request was read. */
+void gw_request_submit(struct gw_request *request);
+/** The control thread decided. */
+void gw_request_decided(struct gw_request *request);
+/** An attempt ended. */
+void gw_request_attempt_ended(struct gw_request *request, CURLcode code);
+/** The caller left. */
+void gw_request_gone(struct gw_request *request);
+/** Ends what is past its time. */
+void gw_request_check(struct gw_request *request, uint64_t now_ms);
+/** Answers with an error of the daemon's own; retry_after_ms 0: none. */
+void gw_request_refuse(struct gw_request *request, uint32_t status,
+    const char *outcome, uint32_t retry_after_ms);
+
+/* gateway_call.c: the endpoints' side */
+
+gboolean gw_calls_init(struct gateway *gateway);
+void gw_calls_finish(struct gateway *gateway);
+/** Sends a request to the endpoint that was decided. */
+void gw_call_start(struct gw_request *request);
+/** Ends the transfer, if one runs, and frees what it holds. */
+void gw_call_stop(struct gw_request *request);
+/** @return whether a byte of the request may have left */
+bool gw_call_was_sent(struct gw_request *request);
+void gw_calls_on_event(struct gateway *gateway, int fd, uint32_t events);
+void gw_calls_on_timer(struct gateway *gateway);
+
+void gw_headers_clear(GArray *headers);
+
+#endif
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -21,12 +21,20 @@
 
 struct settings {
 	char listen_address[SETTINGS_TEXT_MAX_BYTES];
+	char readiness_address[SETTINGS_TEXT_MAX_BYTES];
+	uint32_t connections_max_count;
 	char admin_address[SETTINGS_TEXT_MAX_BYTES];
 	char peer_address[SETTINGS_TEXT_MAX_BYTES];
 	char failure_domain[SETTINGS_TEXT_MAX_BYTES];
 	struct settings_list peer_seeds;
 	char peer_public_key[SETTINGS_TEXT_MAX_BYTES];
 	char peer_secret_key[SETTINGS_TEXT_MAX_BYTES];
+	char platform_form[SETTINGS_TEXT_MAX_BYTES];
+	uint32_t revoke_ms;
+	uint32_t load_period_ms;
+	uint32_t repeat_ratio_milli; /**< repeats for each request */
+	uint32_t repeat_window_milli; /**< seconds */
+	uint32_t repeat_slack_count;
 	char platform_url[SETTINGS_TEXT_MAX_BYTES];
 	uint32_t platform_timeout_ms;
 	uint32_t watch_wait_ms;
@@ -46,6 +54,7 @@
 	uint32_t heartbeat_period_ms;
 	uint32_t down_after_ms;
 	uint32_t drain_timeout_ms;
+	uint32_t grace_milli; /**< seconds until the platform kills */
 	uint32_t claim_keep_ms;
 	uint32_t claim_clock_margin_ms;
 	uint32_t claim_sweep_round_ms;
@@ -60,6 +69,7 @@
 enum settings_type {
 	SETTINGS_TEXT,
 	SETTINGS_UINT32,
+	SETTINGS_MILLI, /**< a decimal number, kept in thousandths */
 	SETTINGS_BOOL,
 	SETTINGS_LIST
 };
--- a/include/common/toml_read.h
+++ b/include/common/toml_read.h
@@ -12,7 +12,13 @@
 extern "C" {
 #endif
 
-enum toml_value_type { TOML_TEXT, TOML_INTEGER, TOML_BOOLEAN, TOML_OTHER };
+enum toml_value_type {
+	TOML_TEXT,
+	TOML_INTEGER,
+	TOML_BOOLEAN,
+	TOML_DECIMAL,
+	TOML_OTHER
+};
 
 /** One value with its dotted key; list items share the key of the list. */
 struct toml_value {
@@ -20,6 +26,7 @@
 	enum toml_value_type type;
 	const char *text;
 	int64_t integer;
+	double decimal; /**< also of an integer */
 	bool boolean;
 	bool in_list;
 	uint32_t line;
--- /dev/null
+++ b/include/core/dispatch.h
@@ -0,0 +1,185 @@
+/**
+ * @file
+ * Decides where a request runs, or that it is refused at once. Every daemon
+ * decides for itself from what it runs and from the load that its peers report
+ * several times a second, so that no decision waits for another daemon.
+ */
+#ifndef CORE_DISPATCH_H
+#define CORE_DISPATCH_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/catalog.h"
+#include "core/effect.h"
+#include "core/msg.h"
+
+#define PROMPT_PARTS_MAX_COUNT 16u
+#define TRIED_MAX_COUNT 4u
+
+/** What discovery tells of an endpoint. */
+struct dispatch_listing {
+	char name[NAME_MAX_BYTES]; /**< expected by the endpoint itself */
+	char address[ADDRESS_MAX_BYTES];
+	uint64_t pool_id;
+	uint64_t domain_id; /**< hash of its failure domain */
+	uint64_t born_ms; /**< start of its process, 0 if untold */
+	uint32_t slots;
+	uint32_t warmup_left_ms;
+	bool leaving;
+};
+
+/** A part of a prompt, which an engine may keep for later requests. */
+struct prompt_part {
+	uint64_t part_id;
+	uint32_t tokens;
+};
+
+/** One request, or one more attempt of it. */
+struct dispatch_ask {
+	uint64_t pool_id;
+	uint64_t account_id; /**< 0: none */
+	uint64_t request_hash;
+	struct prompt_part parts[PROMPT_PARTS_MAX_COUNT];
+	uint32_t parts_count;
+	uint32_t prompt_tokens;
+	uint32_t answer_tokens; /**< expected */
+	uint32_t aim_ms;
+	uint32_t left_ms; /**< until the caller's deadline */
+	uint64_t tried_ids[TRIED_MAX_COUNT]; /**< endpoints not to try again */
+	uint32_t tried_count;
+};
+
+/** The forecast that a decision was made from; for the log. */
+struct dispatch_forecast {
+	uint32_t ahead_ms; /**< work ahead of the request at its endpoint */
+	uint32_t own_ms; /**< reading the request's own prompt */
+	uint32_t limit_ms;
+	uint32_t running_count; /**< at the endpoint, as far as known */
+	uint32_t peers_age_ms; /**< of the oldest report that counts */
+	bool over_share; /**< the account has more than its share */
+};
+
+struct dispatch_decision {
+	bool start; /**< else the request is refused */
+	enum refuse_reason reason;
+	uint32_t retry_after_ms;
+	uint64_t seq; /**< names the attempt in later calls */
+	uint64_t endpoint_id;
+	char name[NAME_MAX_BYTES];
+	char address[ADDRESS_MAX_BYTES];
+	struct dispatch_forecast forecast;
+};
+
+/** How an attempt ended, as far as its endpoint is concerned. */
+enum dispatch_outcome {
+	OUTCOME_WHOLE,
+	OUTCOME_CANCELLED, /**< says nothing of the endpoint */
+	OUTCOME_REFUSED, /**< the endpoint is full */
+	OUTCOME_MOVED, /**< another endpoint has the address */
+	OUTCOME_FAILED, /**< the endpoint answered with a failure */
+	OUTCOME_BROKEN /**< no answer, or a spoilt one */
+};
+
+struct dispatch_config {
+	uint64_t node_id;
+	uint64_t domain_id;
+	uint32_t report_period_ms;
+	uint32_t repeat_percent; /**< repeats allowed for each 100 requests */
+	uint32_t repeat_slack_count; /**< repeats allowed besides */
+	uint32_t repeat_window_ms;
+};
+
+/** Load of one endpoint, from one daemon or from all. */
+struct dispatch_work {
+	uint64_t reading_tokens; /**< of prompts whose first token is due */
+	uint64_t memory_tokens;
+	uint32_t running_count;
+};
+
+struct dispatch_endpoint {
+	uint64_t endpoint_id;
+	struct dispatch_listing listing;
+	struct dispatch_work own;
+	struct dispatch_work others;
+	GHashTable *kept; /**< part_id to time of its last use in ms */
+	uint64_t warm_at_ms;
+	uint64_t full_until_ms; /**< it refused work lately */
+	uint64_t ejected_until_ms;
+	uint32_t eject_ms; /**< length of the last ejection */
+	uint32_t failing_permille; /**< moving average */
+	uint32_t results_count; /**< since it came or came back */
+	uint32_t slow_permille; /**< first tokens against their forecast */
+	bool probing; /**< one request tries it after an ejection */
+	bool listed;
+};
+
+struct dispatch_account {
+	uint64_t account_id;
+	uint64_t asked_tokens; /**< decaying sums of this daemon */
+	uint64_t served_tokens;
+	uint64_t others_asked_tokens;
+	uint64_t others_served_tokens;
+};
+
+struct dispatch {
+	struct dispatch_config config;
+	const struct catalog *catalog; /**< belongs to the caller */
+	GHashTable *endpoints; /**< endpoint_id to struct dispatch_endpoint */
+	GHashTable *attempts; /**< seq to its attempt */
+	GHashTable *accounts; /**< account_id to struct dispatch_account */
+	GHashTable *peers; /**< node_id to its last report */
+	GArray *live; /**< node_ids of the other daemons */
+	uint32_t daemons_most_count; /**< daemons ever live at once */
+	uint64_t seq_next;
+	uint64_t report_due_ms;
+	uint64_t decay_due_ms;
+	uint64_t level_tokens; /**< share of an account, as a decaying sum */
+	uint64_t duration_ms; /**< moving average of whole answers */
+	uint64_t window_start_ms; /**< of the repeat budget */
+	uint32_t window_requests[2]; /**< this window, the one before */
+	uint32_t window_repeats[2];
+	uint64_t refusals_count;
+};
+
+void dispatch_init(struct dispatch *dispatch,
+    const struct dispatch_config *config);
+void dispatch_finish(struct dispatch *dispatch);
+
+/** The catalog must outlive the next call. */
+void dispatch_set_catalog(struct dispatch *dispatch,
+    const struct catalog *catalog);
+
+/** Takes a new or changed endpoint. */
+void dispatch_put_endpoint(struct dispatch *dispatch,
+    const struct dispatch_listing *listing, uint64_t now_ms);
+
+/** An endpoint is gone: it gets no new work. */
+void dispatch_remove_endpoint(struct dispatch *dispatch, const char *name);
+
+/** Tells which other daemons are live. */
+void dispatch_set_live(struct dispatch *dispatch, const uint64_t *node_ids,
+    size_t count);
+
+void dispatch_decide(struct dispatch *dispatch, const struct dispatch_ask *ask,
+    uint64_t now_ms, struct dispatch_decision *decision);
+
+/** Takes one repeat from this daemon's part of the fleet's budget. */
+bool dispatch_allow_repeat(struct dispatch *dispatch, uint64_t now_ms);
+
+/** The first token of an attempt's answer came. */
+void dispatch_first(struct dispatch *dispatch, uint64_t seq, uint64_t now_ms);
+
+void dispatch_done(struct dispatch *dispatch, uint64_t seq,
+    enum dispatch_outcome outcome, uint64_t now_ms);
+
+/** Takes a peer's report. */
+void dispatch_handle(struct dispatch *dispatch, const struct msg *msg,
+    uint64_t now_ms);
+
+/** To be called at least every 50 ms; reports to the peers. */
+void dispatch_tick(struct dispatch *dispatch, uint64_t now_ms,
+    struct effects *effects);
+
+#endif
--- /dev/null
+++ b/include/core/dispatch_private.h
@@ -0,0 +1,62 @@
+/**
+ * @file
+ * For the parts of dispatch: its attempts and its peers' reports.
+ */
+#ifndef CORE_DISPATCH_PRIVATE_H
+#define CORE_DISPATCH_PRIVATE_H
+
+#include "core/dispatch.h"
+
+/** An attempt that runs at an endpoint. */
+struct dispatch_attempt {
+	uint64_t seq;
+	uint64_t endpoint_id;
+	uint64_t started_ms;
+	uint64_t reading_tokens;
+	uint64_t memory_tokens;
+	uint32_t forecast_ms; /**< until its first token */
+	bool engine;
+	bool first; /**< its first token came */
+};
+
+/** The last report of one peer; the arrays are its own. */
+struct dispatch_peer {
+	uint64_t node_id;
+	uint64_t heard_ms;
+	struct load_endpoint *endpoints;
+	struct load_account *accounts;
+	uint32_t endpoints_count;
+	uint32_t accounts_count;
+};
+
+/** @return the account's counters, added at first use */
+struct dispatch_account *dispatch_account(struct dispatch *dispatch,
+    uint64_t account_id);
+
+/** Whether an account has had more than its max-min share lately. */
+bool dispatch_over_share(const struct dispatch *dispatch,
+    const struct dispatch_account *account);
+
+void dispatch_peer_free(gpointer peer);
+
+/** Sums up what the peers reported. */
+void dispatch_sum_peers(struct dispatch *dispatch);
+
+/** @return age of the oldest report that counts, in ms */
+uint32_t dispatch_peers_age_ms(const struct dispatch *dispatch,
+    uint64_t now_ms);
+
+/** Decays the accounts' counters and computes the share level. */
+void dispatch_update_shares(struct dispatch *dispatch, uint64_t now_ms);
+
+/** Counts a request that is no repeat. */
+void dispatch_count_request(struct dispatch *dispatch, uint64_t now_ms);
+
+/** Takes the result of an attempt into an endpoint's health. */
+void dispatch_judge(struct dispatch_endpoint *endpoint,
+    enum dispatch_outcome outcome, uint64_t now_ms);
+
+/** Whether an endpoint may get work now. */
+bool dispatch_usable(const struct dispatch_endpoint *endpoint, uint64_t now_ms);
+
+#endif
--- a/include/core/limits.h
+++ b/include/core/limits.h
@@ -12,6 +12,7 @@
 #define GOSSIP_VERSIONS_MAX_COUNT 24u
 #define POOLS_MAX_COUNT 256u
 #define ENDPOINTS_MAX_COUNT 1024u
+#define LOAD_ACCOUNTS_MAX_COUNT 1024u
 /** Requests that a daemon holds for all pools. */
 #define REPORT_ITEMS_MAX_COUNT 4096u
 
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -27,6 +27,7 @@
 	MSG_TABLES_NEWS,
 	MSG_TABLES_PULL,
 	MSG_TABLES_DATA,
+	MSG_LOAD,
 	MSG_TYPE_COUNT
 };
 
@@ -212,6 +213,29 @@
 	uint64_t pools_version;
 };
 
+/** What one daemon runs at an endpoint. */
+struct load_endpoint {
+	uint64_t endpoint_id;
+	uint32_t running_count;
+	uint32_t reading_tokens; /**< of prompts whose first token is due */
+	uint32_t memory_tokens;
+};
+
+/** What an account asked and got at one daemon, as decaying sums. */
+struct load_account {
+	uint64_t account_id;
+	uint32_t asked_tokens;
+	uint32_t served_tokens;
+};
+
+/** Load that the sender causes; owned as the arrays of a report. */
+struct msg_load {
+	const struct load_endpoint *endpoints;
+	const struct load_account *accounts;
+	uint32_t endpoints_count;
+	uint32_t accounts_count;
+};
+
 enum table_kind { TABLE_ROUTES, TABLE_POOLS, TABLE_KIND_COUNT };
 
 /** The text of one table at a version; belongs to the sender of the effect. */
@@ -239,6 +263,7 @@
 		struct msg_stale stale;
 		struct msg_tables tables;
 		struct msg_tables_data tables_data;
+		struct msg_load load;
 	} u;
 };
 
--- /dev/null
+++ b/include/platform/wire.h
@@ -0,0 +1,85 @@
+/**
+ * @file
+ * Names of the users' platform in requests and answers, decoded into fields
+ * that say what they hold. No other folder knows these names.
+ */
+#ifndef PLATFORM_WIRE_H
+#define PLATFORM_WIRE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/dispatch.h"
+
+#define WIRE_ID_MAX_BYTES 64u
+#define WIRE_KEY_MAX_BYTES 256u
+#define WIRE_EVENT_ID_MAX_BYTES 64u
+
+/** What a caller's head says, beside method, path and body. */
+struct wire_request {
+	char request_id[WIRE_ID_MAX_BYTES + 1];
+	char host[NAME_MAX_BYTES]; /**< lower case, without a port */
+	char key[WIRE_KEY_MAX_BYTES + 1]; /**< secret; "" for none */
+	char resume_after[WIRE_EVENT_ID_MAX_BYTES + 1]; /**< "" for none */
+	uint32_t left_ms; /**< until the caller gives up; 0 if untold */
+	struct prompt_part parts[PROMPT_PARTS_MAX_COUNT];
+	uint32_t parts_count;
+	uint32_t prompt_tokens;
+	uint32_t answer_max_tokens;
+	uint32_t answer_tokens; /**< expected: the caller's hint, or the most */
+};
+
+/** What an endpoint's head says. */
+struct wire_reply {
+	char request_id[WIRE_ID_MAX_BYTES + 1];
+	uint32_t status;
+	bool id_seen;
+	bool signature_seen; /**< the answer is an endpoint's own */
+	bool not_executed; /**< the endpoint did not run the request */
+	bool encoded; /**< the body is not as the endpoint made it */
+	bool event_stream;
+	bool length_seen;
+	uint64_t length_bytes;
+};
+
+/** What the daemon tells the endpoint of a request. */
+struct wire_forward {
+	const char *endpoint_name;
+	const char *account_name; /**< NULL for none */
+	const char *resume_after; /**< NULL: the caller's own goes on */
+	uint32_t left_ms;
+};
+
+typedef void (
+    *wire_header_fn)(void *context, const char *name, const char *value);
+
+/** Takes one header of a caller. */
+void wire_take_request_header(struct wire_request *request, const char *name,
+    const char *value);
+
+/** @return whether a caller's header goes on to the endpoint */
+bool wire_passes_to_endpoint(const char *name, bool resumes);
+
+/** Calls back for each header that the daemon adds for the endpoint. */
+void wire_forward_headers(const struct wire_forward *forward,
+    wire_header_fn add, void *context);
+
+/** Takes one header of an endpoint. */
+void wire_take_reply_header(struct wire_reply *reply, const char *name,
+    const char *value);
+
+/** @return whether an endpoint's header goes on to the caller */
+bool wire_passes_to_caller(const char *name);
+
+/** Whether an answer's head belongs to a request and is an endpoint's own. */
+bool wire_reply_matches(const struct wire_reply *reply,
+    const struct wire_request *request);
+
+/** Whether the endpoint says that it did not run the request. */
+bool wire_reply_refused(const struct wire_reply *reply);
+
+/** Whether another endpoint has the address now. */
+bool wire_reply_moved(const struct wire_reply *reply);
+
+#endif
