Grade an account's limit by its share of what was served

Every account over its share met the same lower limit, so that of two such accounts each got a part in proportion to what it asked; and the share was computed from the configured rate, which is two thirds of what engines with kept parts give. Ruled out: counters out of date (the logs show both accounts as over their share all through).

Now the limit falls in steps with what an account got against its max-min share of what was served fleet-wide.

Also end-to-end tests of the gateway before a store and scripted endpoints, and unit tests of dispatch and the decoders; ties between idle endpoints no longer all go to the same one.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -18,10 +18,16 @@
 #define HOMES_COUNT 2u
 #define OTHER_DOMAIN_MS 4u
 /* Work ahead of a request beyond which it is refused: a quarter of its aim
- * above a base, of which an account over its share gets a third. */
+ * above a base. */
 #define AHEAD_BASE_MS 150u
 #define AHEAD_AIM_PERCENT 25u
-#define AHEAD_OVER_SHARE_PERCENT 30u
+/* An account gets the whole limit up to this part of its share, a part of it
+ * at its share, and nothing far above it, with even slopes between. Accounts
+ * that ask for more than there is settle near their share. */
+#define SHARE_WHOLE_PERMILLE 600u
+#define SHARE_EVEN_PERMILLE 1000u
+#define SHARE_NONE_PERMILLE 1600u
+#define LIMIT_AT_EVEN_PERCENT 30u
 /* Of the request's own reading, so that large prompts are not shut out. */
 #define AHEAD_OWN_MAX_MS 100u
 #define MEMORY_FULL_PERCENT 85u
@@ -156,11 +162,12 @@
 	return false;
 }
 
-/* The part that a request shares with others: the last but its own. */
+/* The part that a request shares with others: the last but its own. Requests
+ * without one are spread evenly. */
 static uint64_t
 subject_of(const struct dispatch_ask *ask)
 {
-	return ask->parts_count < 2 ? 0
+	return ask->parts_count < 2 ? ask->request_hash
 				    : ask->parts[ask->parts_count - 2].part_id;
 }
 
@@ -426,6 +433,23 @@
 	return (uint64_t)ask->prompt_tokens + 2 * (uint64_t)ask->answer_tokens;
 }
 
+/* The part of the limit for an account with so much of its share. */
+static uint64_t
+limit_percent(uint64_t share_permille)
+{
+	if (share_permille <= SHARE_WHOLE_PERMILLE)
+		return 100;
+	if (share_permille <= SHARE_EVEN_PERMILLE)
+		return 100 -
+		    (100 - LIMIT_AT_EVEN_PERCENT) *
+		    (share_permille - SHARE_WHOLE_PERMILLE) /
+		    (SHARE_EVEN_PERMILLE - SHARE_WHOLE_PERMILLE);
+	if (share_permille >= SHARE_NONE_PERMILLE)
+		return 0;
+	return LIMIT_AT_EVEN_PERCENT * (SHARE_NONE_PERMILLE - share_permille) /
+	    (SHARE_NONE_PERMILLE - SHARE_EVEN_PERMILLE);
+}
+
 static void
 admit(struct dispatch *dispatch, const struct dispatch_ask *ask,
     const struct candidate *best, uint64_t now_ms,
@@ -434,14 +458,14 @@
 	struct dispatch_forecast *forecast = &decision->forecast;
 	struct dispatch_account *account = dispatch_account(dispatch,
 	    ask->account_id);
-	uint64_t own_ms = best->cost_ms - best->ahead_ms;
+	uint64_t own_ms = best->cost_ms - best->ahead_ms, share;
 	uint64_t limit_ms = AHEAD_BASE_MS +
 	    (uint64_t)ask->aim_ms * AHEAD_AIM_PERCENT / 100;
 
 	account->asked_tokens += charge_tokens(ask);
-	forecast->over_share = dispatch_over_share(dispatch, account);
-	if (forecast->over_share)
-		limit_ms = limit_ms * AHEAD_OVER_SHARE_PERCENT / 100;
+	share = dispatch_share_permille(dispatch, account);
+	forecast->over_share = share > SHARE_EVEN_PERMILLE;
+	limit_ms = limit_ms * limit_percent(share) / 100;
 	forecast->ahead_ms = (uint32_t)best->ahead_ms;
 	forecast->own_ms = (uint32_t)own_ms;
 	forecast->limit_ms = (uint32_t)limit_ms;
--- a/core/dispatch_share.c
+++ b/core/dispatch_share.c
@@ -9,9 +9,6 @@
 /* A decaying sum holds this much of a steady rate. */
 #define DECAY_SPAN_MS 2885u
 #define PEER_COUNTS_MS 3000u
-#define MS_PER_S 1000u
-/* An account counts as over its share from here on. */
-#define LEVEL_PERCENT 100u
 
 struct dispatch_account *
 dispatch_account(struct dispatch *dispatch, uint64_t account_id)
@@ -34,15 +31,19 @@
 	return account->asked_tokens + account->others_asked_tokens;
 }
 
-bool
-dispatch_over_share(const struct dispatch *dispatch,
-    const struct dispatch_account *account)
+static uint64_t
+served_of(const struct dispatch_account *account)
 {
-	uint64_t served_tokens = account->served_tokens +
-	    account->others_served_tokens;
+	return account->served_tokens + account->others_served_tokens;
+}
 
-	return dispatch->level_tokens != UINT64_MAX &&
-	    served_tokens * 100 > dispatch->level_tokens * LEVEL_PERCENT;
+uint64_t
+dispatch_share_permille(const struct dispatch *dispatch,
+    const struct dispatch_account *account)
+{
+	if (dispatch->level_tokens == UINT64_MAX)
+		return 0;
+	return served_of(account) * 1000 / MAX(dispatch->level_tokens, 1);
 }
 
 static gint
@@ -71,25 +72,24 @@
 	return UINT64_MAX;
 }
 
+/* What the engines give is what was served lately: the configuration's figure
+ * knows neither of lost engines nor of kept parts. */
 static void
 update_level(struct dispatch *dispatch)
 {
-	uint64_t rate = dispatch->catalog == NULL
-	    ? 0
-	    : dispatch->catalog->limits.tokens_per_s;
 	GArray *asked = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	uint64_t served_tokens = 0;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, dispatch->accounts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		uint64_t tokens = asked_by(value);
+		served_tokens += served_of(value);
 		if (tokens > 0)
 			g_array_append_val(asked, tokens);
 	}
-	dispatch->level_tokens = rate == 0
-	    ? UINT64_MAX
-	    : max_min_level(asked, rate * DECAY_SPAN_MS / MS_PER_S);
+	dispatch->level_tokens = max_min_level(asked, served_tokens);
 	g_array_free(asked, TRUE);
 }
 
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -33,8 +33,9 @@
 struct dispatch_account *dispatch_account(struct dispatch *dispatch,
     uint64_t account_id);
 
-/** Whether an account has had more than its max-min share lately. */
-bool dispatch_over_share(const struct dispatch *dispatch,
+/** @return what an account got lately, in thousandths of its max-min share;
+ * 0 while there is enough for all */
+uint64_t dispatch_share_permille(const struct dispatch *dispatch,
     const struct dispatch_account *account);
 
 void dispatch_peer_free(gpointer peer);
--- /dev/null
+++ b/tests/e2e/gateway_world.h
@@ -0,0 +1,368 @@
+/**
+ * @file
+ * A stand-in of the platform's object store in the test's own process, and a
+ * daemon whose gateway follows it.
+ */
+#ifndef TESTS_E2E_GATEWAY_WORLD_H
+#define TESTS_E2E_GATEWAY_WORLD_H
+
+#include <civetweb.h>
+#include <gtest/gtest.h>
+#include <jansson.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "fleet.h"
+#include "scripted_endpoint.h"
+
+namespace e2e
+{
+
+/** Lists in pages, watches with resume, a history that may be dropped. */
+class ObjectStore
+{
+      public:
+	ObjectStore() : port_(free_port())
+	{
+		std::string port = "127.0.0.1:" + std::to_string(port_);
+		const char *options[] = { "listening_ports", port.c_str(),
+			"num_threads", "12", "enable_keep_alive", "yes",
+			nullptr };
+		mg_callbacks callbacks = {};
+
+		callbacks.begin_request = on_request;
+		server_ = mg_start(&callbacks, this, options);
+		EXPECT_NE(server_, nullptr);
+	}
+
+	~ObjectStore()
+	{
+		{
+			std::lock_guard<std::mutex> lock(mutex_);
+			stopping_ = true;
+			changed_.notify_all();
+		}
+		mg_stop(server_);
+	}
+
+	ObjectStore(const ObjectStore &) = delete;
+	ObjectStore &operator=(const ObjectStore &) = delete;
+
+	std::string url() const
+	{
+		return "http://127.0.0.1:" + std::to_string(port_);
+	}
+
+	/** Writes an object; its spec is JSON text. */
+	void put(const std::string &kind, const std::string &name,
+	    const std::string &spec)
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+		std::string object = "{\"metadata\":{\"name\":\"" + name +
+		    "\",\"revision\":" + std::to_string(++revision_) +
+		    ",\"created\":1,\"finalizers\":[],"
+		    "\"deletion_pending\":false},\"spec\":" +
+		    spec + ",\"status\":null}";
+
+		objects_[kind][name] = object;
+		events_.push_back({ revision_, kind, object, false });
+		changed_.notify_all();
+	}
+
+	void remove(const std::string &kind, const std::string &name)
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		++revision_;
+		events_.push_back(
+		    { revision_, kind, objects_[kind][name], true });
+		objects_[kind].erase(name);
+		changed_.notify_all();
+	}
+
+	/** Drops the history: later watches from before are told 410. */
+	void compact()
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		events_.clear();
+		oldest_ = ++revision_;
+		changed_.notify_all();
+	}
+
+	/** Answers all calls with a status from now on; 0: normally again. */
+	void fail_with(int status)
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		failing_ = status;
+		changed_.notify_all();
+	}
+
+	/** Objects a page of a list holds. */
+	size_t page_count = 500;
+
+      private:
+	struct Event {
+		uint64_t revision;
+		std::string kind;
+		std::string object;
+		bool deleted;
+	};
+
+	static int on_request(mg_connection *connection)
+	{
+		auto *info = mg_get_request_info(connection);
+		auto *store = static_cast<ObjectStore *>(info->user_data);
+		std::string uri = info->local_uri;
+		std::string query = info->query_string == nullptr
+		    ? ""
+		    : info->query_string;
+		std::string body;
+		int status = store->answer(uri.substr(uri.rfind('/') + 1),
+		    query, &body);
+
+		mg_printf(connection,
+		    "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+		    "Content-Length: %zu\r\n\r\n%s",
+		    status, body.size(), body.c_str());
+		return 1;
+	}
+
+	static std::string parameter(const std::string &query,
+	    const std::string &name)
+	{
+		char value[128];
+
+		return mg_get_var(query.c_str(), query.size(), name.c_str(),
+			   value, sizeof(value)) > 0
+		    ? value
+		    : "";
+	}
+
+	int answer(const std::string &kind, const std::string &query,
+	    std::string *body)
+	{
+		std::unique_lock<std::mutex> lock(mutex_);
+		std::string from = parameter(query, "watch");
+
+		if (failing_ != 0)
+			return failing_;
+		if (!from.empty())
+			return watch(lock, kind, std::stoull(from),
+			    std::stoul(parameter(query, "wait_ms")), body);
+		list(kind, parameter(query, "after"), body);
+		return 200;
+	}
+
+	void list(const std::string &kind, const std::string &after,
+	    std::string *body)
+	{
+		std::string entries;
+		size_t count = 0;
+		bool more = false;
+
+		for (const auto &[name, object] : objects_[kind]) {
+			if (name <= after)
+				continue;
+			if (count == page_count) {
+				more = true;
+				break;
+			}
+			entries += (count++ == 0 ? "" : ",") + object;
+		}
+		*body = "{\"entries\":[" + entries +
+		    "],\"has_more\":" + (more ? "true" : "false") +
+		    ",\"at\":" + std::to_string(revision_) + "}";
+	}
+
+	int watch(std::unique_lock<std::mutex> &lock, const std::string &kind,
+	    uint64_t from, unsigned long wait_ms, std::string *body)
+	{
+		std::string events;
+		auto find = [&] {
+			events.clear();
+			for (const auto &event : events_)
+				if (event.revision > from && event.kind == kind)
+					events += std::string(events.empty()
+							  ? ""
+							  : ",") +
+					    "{\"deleted\":" +
+					    (event.deleted ? "true" : "false") +
+					    ",\"object\":" + event.object + "}";
+			return stopping_ || failing_ != 0 || from < oldest_ ||
+			    !events.empty();
+		};
+
+		changed_.wait_for(lock, std::chrono::milliseconds(wait_ms),
+		    find);
+		if (failing_ != 0)
+			return failing_;
+		if (from < oldest_)
+			return 410;
+		*body = "{\"events\":[" + events +
+		    "],\"at\":" + std::to_string(revision_) + "}";
+		return 200;
+	}
+
+	uint16_t port_;
+	mg_context *server_;
+	std::mutex mutex_;
+	std::condition_variable changed_;
+	std::map<std::string, std::map<std::string, std::string>> objects_;
+	std::deque<Event> events_;
+	uint64_t revision_ = 10;
+	uint64_t oldest_ = 0;
+	int failing_ = 0;
+	bool stopping_ = false;
+};
+
+/** What an endpoint writes of itself. */
+inline std::string
+entry_text(const std::string &backend, const std::string &address,
+    const std::string &phase = "ready", uint32_t slots = 4)
+{
+	return "{\"backend\":\"" + backend + "\",\"address\":\"" + address +
+	    "\",\"zone\":\"z1\",\"version\":\"v1\",\"batch_slots\":" +
+	    std::to_string(slots) + ",\"phase\":\"" + phase +
+	    "\",\"warmup_remaining_ms\":0,\"sequence\":1,\"born\":5}";
+}
+
+struct RouteText {
+	std::string prefix, kind;
+	uint32_t attempts = 1;
+	bool anonymous = true;
+	bool resumable = false;
+	uint32_t timeout_ms = 10000;
+	std::string backend = "app";
+};
+
+inline std::string
+configuration_text(uint64_t version, const std::vector<RouteText> &routes,
+    const std::string &tenants = "")
+{
+	std::string text = "{\"version\":" + std::to_string(version) +
+	    ",\"routes\":[";
+
+	for (size_t i = 0; i < routes.size(); i++) {
+		const RouteText &route = routes[i];
+		text += std::string(i == 0 ? "" : ",") + "{\"name\":\"r" +
+		    std::to_string(i) +
+		    "\",\"hostname\":\"a.example\",\"path_prefix\":\"" +
+		    route.prefix + "\",\"route_type\":\"" + route.kind +
+		    "\",\"timeout_ms\":" + std::to_string(route.timeout_ms) +
+		    ",\"target_latency_ms\":400,\"priority\":1,\"backend\":\"" +
+		    route.backend +
+		    "\",\"max_attempts\":" + std::to_string(route.attempts) +
+		    ",\"anonymous\":" + (route.anonymous ? "true" : "false") +
+		    ",\"stream_resume\":" +
+		    (route.resumable ? "true" : "false") + "}";
+	}
+	return text +
+	    "],\"backends\":[{\"name\":\"app\",\"health_path\":\"/h\"}],"
+	    "\"limits\":{\"max_body_bytes\":65536,\"idle_timeout_ms\":15000},"
+	    "\"tenants\":[" +
+	    tenants + "]}";
+}
+
+/** A whole answer of an endpoint to a request. */
+inline std::string
+answer_text(const std::string &request, const std::string &body,
+    const std::string &status = "200 OK", const std::string &more = "")
+{
+	size_t at = request.find("X-Bamboorudder-Request-Id: ") + 27;
+	std::string id = request.substr(at, request.find("\r\n", at) - at);
+
+	return "HTTP/1.1 " + status + "\r\nX-Bamboorudder-Request-Id: " + id +
+	    "\r\nX-Bamboorudder-Replica-Signature: sig\r\n" + more +
+	    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	    body;
+}
+
+/** A store, a daemon, and endpoints that the test adds. */
+class GatewayWorld
+{
+      public:
+	explicit GatewayWorld(const std::string &platform_settings = "",
+	    const std::string &more_settings = "")
+	    : listen_port(free_port()), readiness_port(free_port()),
+	      admin_port(free_port()), peer_port(free_port()),
+	      folder(::testing::TempDir() + "gateway-" +
+		  std::to_string(listen_port))
+	{
+		std::ofstream file(folder + ".toml");
+
+		file << "[listen]\naddress = \"127.0.0.1:" << listen_port
+		     << "\"\nreadiness_address = \"127.0.0.1:" << readiness_port
+		     << "\"\n[admin]\naddress = \"127.0.0.1:" << admin_port
+		     << "\"\n[peer]\naddress = \"127.0.0.1:" << peer_port
+		     << "\"\nfailure_domain = \"z1\"\n[platform]\n"
+		     << "form = \"objects\"\nurl = \"" << store.url()
+		     << "\"\nwatch_wait_ms = 300\n"
+		     << platform_settings << "\n[retry]\nslack = 100\n"
+		     << more_settings;
+		file.close();
+		daemon = std::make_unique<
+		    Process>(std::vector<std::string>{ getenv("BAMBOORUDDERD"),
+				 folder + ".toml" },
+		    folder + ".log");
+	}
+
+	void add(const std::string &name, const ScriptedEndpoint &endpoint)
+	{
+		store.put("servers", name,
+		    entry_text("app", endpoint.address()));
+	}
+
+	bool ready()
+	{
+		return call("GET",
+			   "http://127.0.0.1:" +
+			       std::to_string(readiness_port) + "/readyz")
+			   .status == 200;
+	}
+
+	Answer send(const std::string &method, const std::string &path,
+	    std::vector<std::string> headers = {}, const std::string &body = "",
+	    uint32_t timeout_ms = 10000)
+	{
+		headers.push_back("Host: a.example");
+		headers.push_back("X-Bamboorudder-Request-Id: id" +
+		    std::to_string(++last_id));
+		headers.push_back("X-Bamboorudder-Deadline-Ms: 8000");
+		return call(method,
+		    "http://127.0.0.1:" + std::to_string(listen_port) + path,
+		    body, headers, timeout_ms);
+	}
+
+	/** Lines of the log that name the request sent last. */
+	bool logged(const std::string &words)
+	{
+		std::string id = "id=id" + std::to_string(last_id) + " ";
+
+		return eventually([&] {
+			std::string log = daemon->log();
+			size_t at = log.find(id);
+			return at != std::string::npos &&
+			    log.substr(at, log.find('\n', at) - at)
+				.find(words) != std::string::npos;
+		});
+	}
+
+	ObjectStore store;
+	uint16_t listen_port, readiness_port, admin_port, peer_port;
+	std::string folder;
+	std::unique_ptr<Process> daemon;
+	uint32_t last_id = 0;
+};
+
+} // namespace e2e
+
+#endif
--- /dev/null
+++ b/tests/unit/test_platform.cc
@@ -0,0 +1,218 @@
+#include <gtest/gtest.h>
+#include <jansson.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "core/hash.h"
+#include "platform/decode.h"
+#include "platform/wire.h"
+}
+
+namespace
+{
+
+json_t *
+parse(const std::string &text)
+{
+	return json_loads(text.c_str(), JSON_DECODE_ANY, nullptr);
+}
+
+struct catalog *
+decode(const std::string &text)
+{
+	json_t *spec = parse(text);
+	char *error = nullptr;
+	struct catalog *catalog = decode_configuration(spec, &error);
+
+	EXPECT_EQ(catalog == nullptr, error != nullptr);
+	g_free(error);
+	json_decref(spec);
+	return catalog;
+}
+
+const char CONFIGURATION[] = R"({"version": 7, "routes": [
+  {"name": "r1", "hostname": "A.example", "path_prefix": "/a/",
+   "route_type": "streaming", "timeout_ms": 15000, "target_latency_ms": 800,
+   "traffic_split": [{"backend": "p", "weight": 90},
+                     {"backend": "q", "weight": 10}],
+   "max_attempts": 2, "anonymous": false, "stream_resume": true},
+  {"name": "r2", "hostname": "a.example", "path_prefix": "/a/b/",
+   "route_type": "safe", "backend": "q", "anonymous": true, "new": [1]}],
+ "backends": [
+  {"name": "p", "runtime": {"batch_slots": 32, "kv_capacity": 588101}},
+  {"name": "q"}],
+ "limits": {"max_body_bytes": 100, "tokens_per_s": 480000},
+ "tenants": [{"name": "t1", "api_keys": ["k1", "k2"], "priority": 1}]})";
+
+TEST(Platform, DecodesAConfiguration)
+{
+	struct catalog *catalog = decode(CONFIGURATION);
+	ASSERT_NE(catalog, nullptr);
+	const catalog_route *route = catalog_find_route(catalog, "a.example",
+	    "/a/x");
+	ASSERT_NE(route, nullptr);
+	EXPECT_STREQ(route->name, "r1");
+	EXPECT_EQ(route->kind, CALL_STREAM);
+	EXPECT_EQ(route->attempts_max_count, 2u);
+	EXPECT_TRUE(route->resumable);
+	EXPECT_FALSE(route->anonymous);
+	EXPECT_EQ(route->targets_count, 2u);
+	EXPECT_STREQ(catalog_find_route(catalog, "a.example", "/a/b/c")->name,
+	    "r2");
+	EXPECT_EQ(catalog_find_route(catalog, "a.example", "/b/"), nullptr);
+	EXPECT_EQ(catalog_find_route(catalog, "b.example", "/a/"), nullptr);
+	EXPECT_STREQ(catalog_find_key(catalog, "k2")->name, "t1");
+	EXPECT_EQ(catalog_find_key(catalog, ""), nullptr);
+	EXPECT_TRUE(catalog_find_pool(catalog, hash_name("p"))->engine);
+	EXPECT_FALSE(catalog_find_pool(catalog, hash_name("q"))->engine);
+	EXPECT_EQ(catalog->limits.tokens_per_s, 480000u);
+	catalog_unref(catalog);
+}
+
+TEST(Platform, SplitsARouteByWeight)
+{
+	struct catalog *catalog = decode(CONFIGURATION);
+	const catalog_route *route = catalog_find_route(catalog, "a.example",
+	    "/a/x");
+	uint32_t first = 0;
+
+	for (uint64_t hash = 0; hash < 1000; hash++)
+		first += catalog_pick_pool(route, hash) == hash_name("p");
+	EXPECT_EQ(first, 900u);
+	catalog_unref(catalog);
+}
+
+TEST(Platform, ReadsNoConfigurationInPart)
+{
+	for (const char *text : { "5", "{}", R"({"routes": []})",
+		 R"({"version": "7", "routes": []})",
+		 R"({"version": 7, "routes": [{"hostname": "h"}]})",
+		 R"({"version": 7, "routes": [], "backends": [{}]})" })
+		EXPECT_EQ(decode(text), nullptr) << text;
+	struct catalog *catalog = decode(R"({"version": 7, "routes": []})");
+	EXPECT_NE(catalog, nullptr);
+	catalog_unref(catalog);
+}
+
+bool
+reads_endpoint(const std::string &text, dispatch_listing *listing)
+{
+	json_t *spec = parse(text);
+	bool read = decode_endpoint("i-1", spec, listing);
+
+	json_decref(spec);
+	return read;
+}
+
+TEST(Platform, DecodesAnEndpoint)
+{
+	dispatch_listing listing;
+
+	ASSERT_TRUE(reads_endpoint(R"({"backend": "p", "address": "1.2.3.4:5",
+	    "zone": "z", "version": "v1", "batch_slots": 32,
+	    "phase": "draining", "warmup_remaining_ms": 12.5, "sequence": 4,
+	    "born": 99})",
+	    &listing));
+	EXPECT_STREQ(listing.name, "i-1");
+	EXPECT_EQ(listing.pool_id, hash_name("p"));
+	EXPECT_TRUE(listing.leaving);
+	EXPECT_EQ(listing.slots, 32u);
+	EXPECT_EQ(listing.warmup_left_ms, 12u);
+	EXPECT_EQ(listing.born_ms, 99u);
+}
+
+TEST(Platform, AnEntryOfAnotherWriterNamesNoEndpoint)
+{
+	const std::string head = R"({"backend": "p", "zone": "z", )";
+	const std::string tail =
+	    R"("phase": "ready", "warmup_remaining_ms": 0})";
+	dispatch_listing listing;
+
+	EXPECT_TRUE(reads_endpoint(head +
+		R"("address": "1.2.3.4:5", "batch_slots": 1, )" + tail,
+	    &listing));
+	for (const char *middle : { R"("batch_slots": 1, )",
+		 R"("address": "1.2.3.4", "batch_slots": 1, )",
+		 R"("address": "host:5", "batch_slots": 1, )",
+		 R"("address": "1.2.3.4:5", "batch_slots": "1", )",
+		 R"("address": "1.2.3.4:5", "batch_slots": -1, )",
+		 R"("address": 5, "batch_slots": 1, )" })
+		EXPECT_FALSE(reads_endpoint(head + middle + tail, &listing))
+		    << middle;
+	EXPECT_FALSE(reads_endpoint(head +
+		R"("address": "1.2.3.4:5", "batch_slots": 1,
+		"phase": "lost", "warmup_remaining_ms": 0})",
+	    &listing));
+	EXPECT_FALSE(reads_endpoint("null", &listing));
+	EXPECT_FALSE(reads_endpoint("[]", &listing));
+}
+
+wire_request
+take(const std::vector<std::pair<const char *, const char *>> &headers)
+{
+	wire_request request = {};
+
+	for (const auto &[name, value] : headers)
+		wire_take_request_header(&request, name, value);
+	return request;
+}
+
+TEST(Platform, DecodesARequestsHead)
+{
+	wire_request request = take({ { "host", "A.Example:80" },
+	    { "x-bamboorudder-request-id", "9c41" },
+	    { "X-Bamboorudder-Token-Count", "1460,80" },
+	    { "X-Bamboorudder-Length-Hint", "40" },
+	    { "X-Bamboorudder-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410" },
+	    { "X-Bamboorudder-Deadline-Ms", "15000" } });
+
+	EXPECT_STREQ(request.host, "a.example");
+	EXPECT_STREQ(request.request_id, "9c41");
+	EXPECT_EQ(request.prompt_tokens, 1460u);
+	EXPECT_EQ(request.answer_max_tokens, 80u);
+	EXPECT_EQ(request.answer_tokens, 40u);
+	ASSERT_EQ(request.parts_count, 2u);
+	EXPECT_EQ(request.parts[1].part_id, 0x91bd3f06u);
+	EXPECT_EQ(request.parts[1].tokens, 410u);
+	EXPECT_EQ(request.left_ms, 15000u);
+}
+
+TEST(Platform, ReadsWhatItCanOfABadHead)
+{
+	wire_request request = take({ { "X-Bamboorudder-Token-Count", "x" },
+	    { "X-Bamboorudder-Prompt-Prefix", "1:2,zz,3:4" },
+	    { "X-Bamboorudder-Deadline-Ms", "-5" } });
+
+	EXPECT_EQ(request.prompt_tokens, 0u);
+	EXPECT_EQ(request.parts_count, 1u);
+	EXPECT_EQ(request.left_ms, 0u);
+}
+
+TEST(Platform, KeepsItsOwnHeadersFromCallers)
+{
+	for (const char *name : { "X-Bamboorudder-Credential",
+		 "x-bamboorudder-tenant", "X-Bamboorudder-Kv-Retention",
+		 "X-Bamboorudder-Pin-Ms", "X-Bamboorudder-Kv-Backup", "Kv-From",
+		 "Kv-Fetch", "Transfer-Encoding", "Connection" })
+		EXPECT_FALSE(wire_passes_to_endpoint(name, false)) << name;
+	EXPECT_TRUE(wire_passes_to_endpoint("X-Bamboorudder-Model", false));
+	EXPECT_TRUE(wire_passes_to_endpoint("Last-Event-Id", false));
+	EXPECT_FALSE(wire_passes_to_endpoint("Last-Event-Id", true));
+}
+
+TEST(Platform, AReplyBelongsToItsRequestAlone)
+{
+	wire_request request = take({ { "X-Bamboorudder-Request-Id", "a" } });
+	wire_reply reply = {};
+
+	EXPECT_FALSE(wire_reply_matches(&reply, &request));
+	wire_take_reply_header(&reply, "X-Bamboorudder-Replica-Signature", "s");
+	wire_take_reply_header(&reply, "X-Bamboorudder-Request-Id", "a");
+	EXPECT_TRUE(wire_reply_matches(&reply, &request));
+	wire_take_reply_header(&reply, "X-Bamboorudder-Request-Id", "b");
+	EXPECT_FALSE(wire_reply_matches(&reply, &request));
+}
+
+} // namespace
