Weigh shared parts that would be read again threefold; one home a part

A tag's parts are 568 tokens: 11 ms of reading, so that the slightest difference in load sent it away from the engine that keeps them.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -15,7 +15,10 @@
 #define KEPT_MAX_COUNT 2048u
 #define KEPT_PART_MIN_TOKENS 64u
 /* Endpoints that all daemons expect to keep a shared part. */
-#define HOMES_COUNT 2u
+#define HOMES_COUNT 1u
+/* A shared part that is read again takes engine time from others, too, and
+ * memory from the parts that are kept there. */
+#define SHARED_READ_WEIGHT 3u
 #define OTHER_DOMAIN_MS 4u
 /* Work ahead of a request beyond which it is refused: a quarter of its aim
  * above a base. */
@@ -241,6 +244,7 @@
 	uint64_t home_score;
 	uint64_t read_tokens;
 	uint64_t ahead_ms;
+	uint64_t own_ms; /**< reading its own prompt */
 	uint64_t cost_ms; /**< what is compared */
 };
 
@@ -275,6 +279,20 @@
 	return endpoint->own.memory_tokens + endpoint->others.memory_tokens;
 }
 
+/* Tokens of the shared parts that the endpoint would read again. */
+static uint64_t
+missing_shared_tokens(const struct dispatch_ask *ask,
+    const struct candidate *candidate)
+{
+	uint64_t own_tokens = ask->parts_count == 0
+	    ? ask->prompt_tokens
+	    : ask->parts[ask->parts_count - 1].tokens;
+
+	return candidate->read_tokens > own_tokens
+	    ? candidate->read_tokens - own_tokens
+	    : 0;
+}
+
 static void
 weigh_engine(const struct dispatch *dispatch, const struct catalog_pool *pool,
     const struct dispatch_ask *ask, uint64_t now_ms, bool home,
@@ -294,8 +312,11 @@
 	if (pool->memory_tokens > 0 &&
 	    needed * 100 > pool->memory_tokens * MEMORY_FULL_PERCENT)
 		candidate->ahead_ms += dispatch->duration_ms;
-	candidate->cost_ms = candidate->ahead_ms +
-	    candidate->read_tokens * slow / READ_TOKENS_PER_MS / 1000;
+	candidate->own_ms = candidate->read_tokens * slow /
+	    READ_TOKENS_PER_MS / 1000;
+	candidate->cost_ms = candidate->ahead_ms + candidate->own_ms +
+	    SHARED_READ_WEIGHT * missing_shared_tokens(ask, candidate) /
+		READ_TOKENS_PER_MS;
 }
 
 /* A plain service: how full it is stands for the wait. */
@@ -409,7 +430,8 @@
 		attempt->reading_tokens = candidate->read_tokens;
 		attempt->memory_tokens = (uint64_t)ask->prompt_tokens +
 		    ask->answer_tokens;
-		attempt->forecast_ms = (uint32_t)candidate->cost_ms +
+		attempt->forecast_ms = (uint32_t)(candidate->ahead_ms +
+		    candidate->own_ms) +
 		    FIRST_TOKEN_MS;
 		note_kept(endpoint, ask, now_ms);
 	}
@@ -458,7 +480,7 @@
 	struct dispatch_forecast *forecast = &decision->forecast;
 	struct dispatch_account *account = dispatch_account(dispatch,
 	    ask->account_id);
-	uint64_t own_ms = best->cost_ms - best->ahead_ms, share;
+	uint64_t share;
 	uint64_t limit_ms = AHEAD_BASE_MS +
 	    (uint64_t)ask->aim_ms * AHEAD_AIM_PERCENT / 100;
 
@@ -467,9 +489,9 @@
 	forecast->over_share = share > SHARE_EVEN_PERMILLE;
 	limit_ms = limit_ms * limit_percent(share) / 100;
 	forecast->ahead_ms = (uint32_t)best->ahead_ms;
-	forecast->own_ms = (uint32_t)own_ms;
+	forecast->own_ms = (uint32_t)best->own_ms;
 	forecast->limit_ms = (uint32_t)limit_ms;
-	if (best->ahead_ms + MIN(own_ms, AHEAD_OWN_MAX_MS) > limit_ms &&
+	if (best->ahead_ms + MIN(best->own_ms, AHEAD_OWN_MAX_MS) > limit_ms &&
 	    best->ahead_ms > 0) {
 		refuse(dispatch, ask, REFUSE_QUEUE_FULL,
 		    RETRY_AFTER_MIN_MS +
