Two homes for each shared part

Cause: with one home and a weight of 3 the home of a popular part refuses while other engines are idle.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -15,7 +15,7 @@
 #define KEPT_MAX_COUNT 2048u
 #define KEPT_PART_MIN_TOKENS 64u
 /* Endpoints that all daemons expect to keep a shared part. */
-#define HOMES_COUNT 1u
+#define HOMES_COUNT 2u
 /* A shared part that is read again takes engine time from others, too, and
  * memory from the parts that are kept there. */
 #define SHARED_READ_WEIGHT 3u
