Report load through hubs, prove freshness through peers, log to standard output

Ruled out: longer watches alone, since a key has to stop working within 5 s. Tests: unit-hubs.

Logs go to standard output, never block, and are bounded by a rate.

--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -4,12 +4,15 @@
 #include <unistd.h>
 
 #include "bamboorudderd/control_private.h"
+#include "bamboorudderd/gateway.h"
 #include "common/log.h"
 #include "common/metric.h"
 #include "core/hash.h"
 #include "core/owner.h"
 
 #define TICK_MS 50u
+/* A hub's messages take about a hundredth of a core. */
+#define STRONG_CPU_MILLI 200u
 #define SEQ_INCARNATION_SHIFT 20
 
 static void
@@ -50,9 +53,13 @@
 		period_ms =
 		    tablesync_poll_period_ms(control->members.peers->len + 1,
 			control->settings->watch_wait_ms);
-	if (control->watchers == NULL)
-		return;
-	for (int kind = 0; kind < TABLE_KIND_COUNT; kind++) {
+	if (control->gateway != NULL) {
+		feed_set_duty(&control->gateway->feed, period_ms == 0,
+		    control->members.peers->len + 1);
+		lost = feed_is_lost(&control->gateway->feed);
+	}
+	for (int kind = 0; control->watchers != NULL && kind < TABLE_KIND_COUNT;
+	     kind++) {
 		watcher_set_period(&control->watchers[kind], period_ms);
 		lost |= atomic_load(&control->watchers[kind].platform_lost);
 	}
@@ -72,7 +79,8 @@
 	update_watchers(control);
 	read_progress(control);
 	entry_tick(&control->entry, now_ms, &control->effects);
-	dispatch_tick(&control->dispatch, now_ms, &control->effects);
+	dispatch_tick(&control->dispatch, now_ms, feed_clock_ms(),
+	    &control->effects);
 	g_hash_table_iter_init(&iter, control->owners);
 	while (g_hash_table_iter_next(&iter, NULL, &owner))
 		owner_tick(owner, now_ms, &control->effects);
@@ -135,6 +143,7 @@
 	const struct settings *settings = control->settings;
 	struct members_config members_config = {
 		.self.incarnation = control->incarnation,
+		.self.strong = settings->cpu_share_milli >= STRONG_CPU_MILLI,
 		.heartbeat_period_ms = settings->heartbeat_period_ms,
 		.down_after_ms = settings->down_after_ms,
 	};
--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -1,4 +1,5 @@
 #include "bamboorudderd/control_private.h"
+#include "bamboorudderd/gateway.h"
 #include "common/codec.h"
 #include "common/log.h"
 #include "common/metric.h"
@@ -150,6 +151,19 @@
 		    data->version, data->text);
 }
 
+/* A peer's report may prove that the configuration here is the newest, or that
+ * there is a newer one. */
+static void
+handle_load(struct control *control, const struct msg *msg, uint64_t now_ms)
+{
+	struct dispatch_proof proof;
+
+	dispatch_handle(&control->dispatch, msg, now_ms, &proof);
+	if (control->gateway != NULL && proof.version > 0)
+		feed_offer_proof(&control->gateway->feed, proof.version,
+		    proof.as_of_ms);
+}
+
 static bool
 is_membership(enum msg_type type)
 {
@@ -177,7 +191,7 @@
 		handle_tables(control, msg, now_ms);
 		break;
 	case MSG_LOAD:
-		dispatch_handle(&control->dispatch, msg, now_ms);
+		handle_load(control, msg, now_ms);
 		break;
 	case MSG_ASK:
 		dispatch_to_owner(control, msg->u.ask.pool_id, msg, now_ms);
--- a/bamboorudderd/control_mailbox.c
+++ b/bamboorudderd/control_mailbox.c
@@ -162,6 +162,21 @@
 	mailbox_post(control, run_drain, NULL, DONE_WHOLE);
 }
 
+static void
+run_detach(struct control *control, struct command *command)
+{
+	(void)command;
+	control->gateway = NULL;
+}
+
+void
+control_detach_gateway(struct control *control)
+{
+	struct command command = { .run = run_detach };
+
+	mailbox_call(control, &command);
+}
+
 static void
 run_count(struct control *control, struct command *command)
 {
--- a/bamboorudderd/control_owners.c
+++ b/bamboorudderd/control_owners.c
@@ -1,5 +1,6 @@
 #include "bamboorudderd/control_private.h"
 #include "common/metric.h"
+#include "core/hash.h"
 #include "core/owner.h"
 
 void
@@ -65,6 +66,22 @@
 	}
 }
 
+static void
+update_dispatch(struct control *control, const uint64_t *live_ids,
+    size_t live_count)
+{
+	struct dispatch_daemon daemons[MEMBERS_MAX_COUNT];
+
+	for (size_t i = 0; i < live_count; i++) {
+		const struct member *member = members_find(&control->members,
+		    live_ids[i]);
+		daemons[i].node_id = live_ids[i];
+		daemons[i].domain_id = hash_name(member->domain);
+		daemons[i].strong = member->strong;
+	}
+	dispatch_set_live(&control->dispatch, daemons, live_count);
+}
+
 void
 control_update_view(struct control *control, uint64_t now_ms)
 {
@@ -74,7 +91,7 @@
 
 	control->members.changed = false;
 	metric_set(METRIC_MEMBERS_LIVE, live_count);
-	dispatch_set_live(&control->dispatch, live_ids, live_count);
+	update_dispatch(control, live_ids, live_count);
 	entry_set_view(&control->entry, live_ids, live_count, now_ms,
 	    &control->effects);
 	control_update_owners(control, now_ms);
--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -10,6 +10,10 @@
 
 #define EVENTS_PER_WAIT 64
 #define CHECK_PERIOD_MS 50u
+/* Without a word of peers the configuration is read after this part of the
+ * time in which a key has to stop working. */
+#define PROOF_PART_PERCENT 40u
+#define PROOF_MAX_MS 1500u
 /* The platform still sends new connections until it has asked twice. */
 #define DRAIN_ACCEPT_MS 2600u
 /* Nothing ran for so long before the process ends. */
@@ -138,6 +142,10 @@
 {
 	struct feed_config feed_config = { .url = settings->platform_url,
 		.watch_wait_ms = settings->watch_wait_ms,
+		.endpoints_wait_ms = settings->endpoints_wait_ms,
+		.proof_max_ms = settings->revoke_ms == 0
+		    ? PROOF_MAX_MS
+		    : settings->revoke_ms * PROOF_PART_PERCENT / 100,
 		.timeout_ms = settings->platform_timeout_ms };
 
 	memset(gateway, 0, sizeof(*gateway));
--- a/bamboorudderd/gateway_mail.c
+++ b/bamboorudderd/gateway_mail.c
@@ -46,7 +46,6 @@
 	struct gw_request *request;
 	struct dispatch_ask ask;
 	struct dispatch_decision decision;
-	bool allowed; /**< a repeat was within the budget */
 };
 
 static void
@@ -72,7 +71,7 @@
 	else
 		dispatch_decide(&control->dispatch, &mail->ask, now_ms,
 		    &mail->decision);
-	gw_mail_post(control->gateway, take_decision, mail);
+	gw_mail_post(mail->request->gateway, take_decision, mail);
 }
 
 void
@@ -168,17 +167,32 @@
 static void
 take_proof(struct gateway *gateway, void *context)
 {
-	uint64_t *as_of_ms = context;
+	struct dispatch_proof *proof = context;
 
-	gateway->proof_ms = MAX(gateway->proof_ms, *as_of_ms);
-	g_free(as_of_ms);
+	if (gateway->catalog != NULL &&
+	    proof->version == gateway->catalog->version)
+		gateway->proof_ms = MAX(gateway->proof_ms, proof->as_of_ms);
+	g_free(proof);
 }
 
 static void
-on_proof(void *context, uint64_t as_of_ms)
+run_proof(struct control *control, struct command *command)
 {
-	gw_mail_post(context, take_proof,
-	    g_memdup2(&as_of_ms, sizeof(as_of_ms)));
+	struct dispatch_proof *proof = command->context;
+
+	dispatch_set_proof(&control->dispatch, proof->version, proof->as_of_ms);
+	g_free(proof);
+}
+
+static void
+on_proof(void *context, uint64_t version, uint64_t as_of_ms)
+{
+	struct gateway *gateway = context;
+	struct dispatch_proof proof = { version, as_of_ms };
+
+	gw_mail_post(gateway, take_proof, g_memdup2(&proof, sizeof(proof)));
+	mailbox_post_work(gateway->control, run_proof,
+	    g_memdup2(&proof, sizeof(proof)));
 }
 
 static void
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -168,6 +168,7 @@
 		signal_number = sigtimedwait(signals, NULL, &pause);
 	control_drain(&daemon->control);
 	platform_stop(&daemon->platform);
+	control_detach_gateway(&daemon->control);
 	gateway_finish(&daemon->gateway);
 	admin_finish(&daemon->admin);
 	control_stop(&daemon->control);
--- a/common/metric.c
+++ b/common/metric.c
@@ -73,6 +73,8 @@
 	    "Requests that hold a slot." },
 	[METRIC_MEMBERS_LIVE] = { "members_live", "gauge",
 	    "Live daemons, this one included." },
+	[METRIC_LOG_DROPPED] = { "log_lines_dropped_total", "counter",
+	    "Log lines beyond the rate or refused by a full pipe." },
 };
 
 static _Atomic uint64_t values[METRIC_COUNT];
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -69,7 +69,9 @@
 	    NULL, g_free);
 	dispatch->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, dispatch_peer_free);
-	dispatch->live = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	dispatch->hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	dispatch->own_hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	dispatch->is_hub = true;
 	dispatch->daemons_most_count = 1;
 	dispatch->seq_next = 1;
 	dispatch->duration_ms = DURATION_FIRST_MS;
@@ -83,7 +85,8 @@
 	g_hash_table_destroy(dispatch->attempts);
 	g_hash_table_destroy(dispatch->accounts);
 	g_hash_table_destroy(dispatch->peers);
-	g_array_free(dispatch->live, TRUE);
+	g_array_free(dispatch->hubs, TRUE);
+	g_array_free(dispatch->own_hubs, TRUE);
 }
 
 void
@@ -144,18 +147,6 @@
 		endpoint->listed = false;
 }
 
-void
-dispatch_set_live(struct dispatch *dispatch, const uint64_t *node_ids,
-    size_t count)
-{
-	g_array_set_size(dispatch->live, 0);
-	for (size_t i = 0; i < count; i++)
-		if (node_ids[i] != dispatch->config.node_id)
-			g_array_append_val(dispatch->live, node_ids[i]);
-	dispatch->daemons_most_count = MAX(dispatch->daemons_most_count,
-	    dispatch->live->len + 1);
-}
-
 static bool
 was_tried(const struct dispatch_ask *ask, uint64_t endpoint_id)
 {
@@ -312,8 +303,8 @@
 	if (pool->memory_tokens > 0 &&
 	    needed * 100 > pool->memory_tokens * MEMORY_FULL_PERCENT)
 		candidate->ahead_ms += dispatch->duration_ms;
-	candidate->own_ms = candidate->read_tokens * slow /
-	    READ_TOKENS_PER_MS / 1000;
+	candidate->own_ms = candidate->read_tokens * slow / READ_TOKENS_PER_MS /
+	    1000;
 	candidate->cost_ms = candidate->ahead_ms + candidate->own_ms +
 	    SHARED_READ_WEIGHT * missing_shared_tokens(ask, candidate) /
 		READ_TOKENS_PER_MS;
@@ -431,7 +422,7 @@
 		attempt->memory_tokens = (uint64_t)ask->prompt_tokens +
 		    ask->answer_tokens;
 		attempt->forecast_ms = (uint32_t)(candidate->ahead_ms +
-		    candidate->own_ms) +
+					   candidate->own_ms) +
 		    FIRST_TOKEN_MS;
 		note_kept(endpoint, ask, now_ms);
 	}
@@ -515,6 +506,7 @@
 	struct candidate *best = NULL;
 
 	memset(decision, 0, sizeof(*decision));
+	dispatch_sum_peers(dispatch);
 	if (ask->tried_count == 0)
 		dispatch_count_request(dispatch, now_ms);
 	if (pool != NULL) {
--- a/core/gossip.c
+++ b/core/gossip.c
@@ -69,6 +69,8 @@
 		news->flags |= MEMBER_FLAG_LEAVING;
 	if (member->platform_lost)
 		news->flags |= MEMBER_FLAG_PLATFORM_LOST;
+	if (member->strong)
+		news->flags |= MEMBER_FLAG_STRONG;
 }
 
 static bool
@@ -266,13 +268,15 @@
 {
 	bool leaving = (news->flags & MEMBER_FLAG_LEAVING) != 0;
 	bool platform_lost = (news->flags & MEMBER_FLAG_PLATFORM_LOST) != 0;
+	bool strong = (news->flags & MEMBER_FLAG_STRONG) != 0;
 
-	if (member->leaving != leaving)
+	if (member->leaving != leaving || member->strong != strong)
 		members->changed = true;
 	member->incarnation = news->incarnation;
 	member->revision = news->revision;
 	member->leaving = leaving;
 	member->platform_lost = platform_lost;
+	member->strong = strong;
 	if (news->state == MEMBER_LIVE)
 		snprintf(member->domain, sizeof(member->domain), "%s",
 		    news->domain);
--- a/core/members.c
+++ b/core/members.c
@@ -281,7 +281,7 @@
 		news.incarnation = msg->from_incarnation;
 		news.revision = 0;
 		news.state = MEMBER_LIVE;
-		news.flags = 0;
+		news.flags &= MEMBER_FLAG_STRONG;
 		gossip_apply(members, &news, now_ms, effects);
 	}
 	if (msg->from_incarnation < member->incarnation)
--- a/include/bamboorudderd/control.h
+++ b/include/bamboorudderd/control.h
@@ -102,6 +102,9 @@
 /** Refuses what waits and tells the other daemons that this one leaves. */
 void control_drain(struct control *control);
 
+/** From here on the control thread leaves the gateway's feed alone. */
+void control_detach_gateway(struct control *control);
+
 /** @return requests that wait or run here */
 uint32_t control_active_count(struct control *control);
 
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -14,8 +14,10 @@
 void log_configure(enum log_format format, enum log_level level);
 
 /**
- * Writes one line to standard error: an event and pairs of key and value,
- * closed by NULL. Never pass a key, a token or a body.
+ * Writes one line to standard output: an event and pairs of key and value,
+ * closed by NULL. Never pass a key, a token or a body. Never waits: lines
+ * beyond a rate, and those that a full pipe does not take, are counted, and
+ * the next line tells how many.
  */
 void log_event(enum log_level level, const char *event, ...)
     __attribute__((sentinel));
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -82,6 +82,19 @@
 	OUTCOME_BROKEN /**< no answer, or a spoilt one */
 };
 
+/** A live daemon, this one included. */
+struct dispatch_daemon {
+	uint64_t node_id;
+	uint64_t domain_id;
+	bool strong; /**< has processor time for duties */
+};
+
+/** How fresh this daemon's configuration is. */
+struct dispatch_proof {
+	uint64_t version; /**< 0: none */
+	uint64_t as_of_ms; /**< it was the newest then; 0: never proven */
+};
+
 struct dispatch_config {
 	uint64_t node_id;
 	uint64_t domain_id;
@@ -103,6 +116,7 @@
 	struct dispatch_listing listing;
 	struct dispatch_work own;
 	struct dispatch_work others;
+	struct dispatch_work group; /**< of those that report to this hub */
 	GHashTable *kept; /**< part_id to time of its last use in ms */
 	uint64_t warm_at_ms;
 	uint64_t full_until_ms; /**< it refused work lately */
@@ -121,6 +135,8 @@
 	uint64_t served_tokens;
 	uint64_t others_asked_tokens;
 	uint64_t others_served_tokens;
+	uint64_t group_asked_tokens;
+	uint64_t group_served_tokens;
 };
 
 struct dispatch {
@@ -130,7 +146,15 @@
 	GHashTable *attempts; /**< seq to its attempt */
 	GHashTable *accounts; /**< account_id to struct dispatch_account */
 	GHashTable *peers; /**< node_id to its last report */
-	GArray *live; /**< node_ids of the other daemons */
+	GArray *hubs; /**< node_ids of the other hubs */
+	GArray *own_hubs; /**< node_ids, the preferred one first; of a daemon
+			    * that is no hub */
+	bool is_hub;
+	bool peers_changed; /**< since their sums were made */
+	uint32_t live_count;
+	uint64_t hub_since_ms; /**< when the present hub was chosen */
+	uint32_t hub_index; /**< in own_hubs */
+	struct dispatch_proof proof;
 	uint32_t daemons_most_count; /**< daemons ever live at once */
 	uint64_t seq_next;
 	uint64_t report_due_ms;
@@ -158,9 +182,17 @@
 /** An endpoint is gone: it gets no new work. */
 void dispatch_remove_endpoint(struct dispatch *dispatch, const char *name);
 
-/** Tells which other daemons are live. */
-void dispatch_set_live(struct dispatch *dispatch, const uint64_t *node_ids,
-    size_t count);
+/**
+ * Tells which daemons are live, this one included. A few of them are hubs: all
+ * report to their hub, and hubs report to each other, so that the messages of
+ * a daemon do not grow with the fleet. A small fleet has hubs only.
+ */
+void dispatch_set_live(struct dispatch *dispatch,
+    const struct dispatch_daemon *daemons, size_t count);
+
+/** Takes what this daemon can say of its configuration. */
+void dispatch_set_proof(struct dispatch *dispatch, uint64_t version,
+    uint64_t as_of_ms);
 
 void dispatch_decide(struct dispatch *dispatch, const struct dispatch_ask *ask,
     uint64_t now_ms, struct dispatch_decision *decision);
@@ -174,12 +206,18 @@
 void dispatch_done(struct dispatch *dispatch, uint64_t seq,
     enum dispatch_outcome outcome, uint64_t now_ms);
 
-/** Takes a peer's report. */
+/**
+ * Takes a peer's report.
+ * @param proof receives what it proves of the configuration; version 0: nothing
+ */
 void dispatch_handle(struct dispatch *dispatch, const struct msg *msg,
-    uint64_t now_ms);
+    uint64_t now_ms, struct dispatch_proof *proof);
 
-/** To be called at least every 50 ms; reports to the peers. */
+/**
+ * To be called at least every 50 ms; reports to the peers.
+ * @param stamp_ms clock that counts suspensions
+ */
 void dispatch_tick(struct dispatch *dispatch, uint64_t now_ms,
-    struct effects *effects);
+    uint64_t stamp_ms, struct effects *effects);
 
 #endif
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -23,6 +23,8 @@
 struct dispatch_peer {
 	uint64_t node_id;
 	uint64_t heard_ms;
+	uint64_t stamp_ms; /**< its own, to be sent back */
+	bool hub;
 	struct load_endpoint *endpoints;
 	struct load_account *accounts;
 	uint32_t endpoints_count;
@@ -40,7 +42,7 @@
 
 void dispatch_peer_free(gpointer peer);
 
-/** Sums up what the peers reported. */
+/** Sums up what the peers reported, if that changed. */
 void dispatch_sum_peers(struct dispatch *dispatch);
 
 /** @return age of the oldest report that counts, in ms */
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -29,6 +29,7 @@
 	enum member_state state;
 	bool leaving;
 	bool platform_lost;
+	bool strong; /**< has processor time for duties */
 	bool seed; /**< never forgotten */
 };
 
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -45,7 +45,8 @@
 
 #define MEMBER_FLAG_LEAVING 1u /**< takes no new work */
 #define MEMBER_FLAG_PLATFORM_LOST 2u /**< can't reach the platform */
-#define MEMBER_FLAGS_MAX 3u
+#define MEMBER_FLAG_STRONG 4u /**< has processor time for duties */
+#define MEMBER_FLAGS_MAX 7u
 
 /**
  * What the sender believes of one member. Address and domain are empty unless
@@ -228,8 +229,17 @@
 	uint32_t served_tokens;
 };
 
-/** Load that the sender causes; owned as the arrays of a report. */
+/**
+ * Load that the sender causes or knows of; owned as the arrays of a report. It
+ * also says how fresh the sender's configuration is: it was the newest
+ * proof_age_ms before a time that was not earlier than the receiver's own
+ * stamp, which comes back as echo_ms.
+ */
 struct msg_load {
+	uint64_t stamp_ms; /**< sender's clock that counts suspensions */
+	uint64_t echo_ms; /**< the receiver's last stamp, 0: none */
+	uint64_t version; /**< of the configuration, 0: none */
+	uint32_t proof_age_ms; /**< UINT32_MAX: never proven */
 	const struct load_endpoint *endpoints;
 	const struct load_account *accounts;
 	uint32_t endpoints_count;
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <pthread.h>
 #include <stdatomic.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "core/catalog.h"
@@ -18,9 +19,9 @@
 struct feed_sink_ops {
 	/** A configuration; the sink takes over the reference. */
 	void (*on_catalog)(void *context, struct catalog *catalog);
-	/** The newest configuration given was in force at a time of the clock
-	 * that counts suspensions. */
-	void (*on_proof)(void *context, uint64_t as_of_ms);
+	/** A version was the newest configuration at a time of the clock that
+	 * counts suspensions. */
+	void (*on_proof)(void *context, uint64_t version, uint64_t as_of_ms);
 	void (*on_endpoint)(void *context,
 	    const struct dispatch_listing *listing);
 	void (*on_endpoint_gone)(void *context, const char *name);
@@ -30,7 +31,9 @@
 
 struct feed_config {
 	const char *url; /**< of the store */
-	uint32_t watch_wait_ms;
+	uint32_t watch_wait_ms; /**< of the configuration */
+	uint32_t endpoints_wait_ms;
+	uint32_t proof_max_ms; /**< an older proof is renewed at the store */
 	uint32_t timeout_ms; /**< of a call, beyond the wait of a watch */
 };
 
@@ -52,6 +55,9 @@
 			     * sink is told */
 	uint64_t failed_ms; /**< last failed call, 0 if none */
 	uint32_t backoff_ms;
+	uint32_t wait_ms; /**< of a watch */
+	_Atomic uint32_t lost; /**< the last call failed */
+	void (*step)(struct feed_follower *follower);
 	bool told; /**< the sink knows that all were listed */
 };
 
@@ -59,7 +65,13 @@
 	struct feed_config config;
 	const struct feed_sink_ops *sink;
 	void *context;
-	uint64_t version; /**< of the newest configuration given */
+	_Atomic uint64_t version; /**< of the newest configuration given */
+	_Atomic uint64_t heard_version; /**< newest that a peer named */
+	_Atomic uint64_t proof_ms; /**< newest proof given to the sink */
+	_Atomic uint32_t watching; /**< the configuration is watched here */
+	_Atomic uint32_t daemons_count;
+	pthread_mutex_t mutex;
+	pthread_cond_t nudged; /**< something to do at the store */
 	struct feed_follower configuration;
 	struct feed_follower endpoints;
 	_Atomic uint32_t stopping;
@@ -72,6 +84,18 @@
 void feed_init(struct feed *feed, const struct feed_config *config,
     const struct feed_sink_ops *sink, void *context);
 
+/**
+ * Tells whether this daemon watches the configuration. Others rely on what
+ * their peers say of it, and read it when that is newer or too old.
+ */
+void feed_set_duty(struct feed *feed, bool watching, size_t daemons_count);
+
+/** Takes a peer's proof: the version was the newest at as_of_ms; 0: unknown. */
+void feed_offer_proof(struct feed *feed, uint64_t version, uint64_t as_of_ms);
+
+/** @return whether the last call for the configuration failed */
+bool feed_is_lost(const struct feed *feed);
+
 /** Ends the threads. */
 void feed_finish(struct feed *feed);
 
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -106,7 +106,7 @@
 	{
 		for (uint64_t end_ms = now_ms + duration_ms; now_ms < end_ms;
 		     now_ms += 50) {
-			dispatch_tick(&dispatch, now_ms, &effects);
+			dispatch_tick(&dispatch, now_ms, now_ms, &effects);
 			effects_clear(&effects);
 		}
 	}
@@ -123,7 +123,8 @@
 		msg.from_node_id = node_id;
 		msg.u.load.endpoints = &load;
 		msg.u.load.endpoints_count = 1;
-		dispatch_handle(&dispatch, &msg, now_ms);
+		dispatch_proof proof;
+		dispatch_handle(&dispatch, &msg, now_ms, &proof);
 	}
 
 	struct dispatch dispatch;
@@ -335,7 +336,8 @@
 
 TEST_F(Dispatch, KeepsRepeatsWithinItsPartOfTheBudget)
 {
-	const uint64_t live[] = { NODE, 8, 9, 10 };
+	const dispatch_daemon live[] = { { NODE, 1, true }, { 8, 1, true },
+		{ 9, 1, true }, { 10, 1, true } };
 	uint32_t allowed = 0;
 
 	add("s1", "service", 100);
@@ -357,12 +359,13 @@
 
 TEST_F(Dispatch, ReportsToEachLiveDaemon)
 {
-	const uint64_t live[] = { NODE, 8, 9 };
+	const dispatch_daemon live[] = { { NODE, 1, true }, { 8, 1, true },
+		{ 9, 1, true } };
 
 	add("e1");
 	dispatch_set_live(&dispatch, live, 3);
 	ASSERT_TRUE(decide(ask(3000)).start);
-	dispatch_tick(&dispatch, now_ms, &effects);
+	dispatch_tick(&dispatch, now_ms, now_ms, &effects);
 	ASSERT_EQ(effects.count, 2u);
 	const msg_load *load = &effects.items[0].msg.u.load;
 	ASSERT_EQ(load->endpoints_count, 1u);
--- /dev/null
+++ b/tests/unit/test_hubs.cc
@@ -0,0 +1,239 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "core/dispatch.h"
+#include "core/hash.h"
+}
+
+namespace
+{
+
+constexpr uint64_t FIRST_ID = 100;
+
+/** Daemons that report to each other over a network without delay. */
+class Fleet
+{
+      public:
+	Fleet(size_t count, size_t strong_count)
+	{
+		for (size_t i = 0; i < count; i++) {
+			dispatch_daemon daemon = { FIRST_ID + i, i % 3,
+				i < strong_count };
+			all.push_back(daemon);
+			alive.push_back(true);
+		}
+		catalog = catalog_new();
+		catalog_pool pool = {};
+		pool.pool_id = hash_name("service");
+		g_array_append_val(catalog->pools, pool);
+		for (size_t i = 0; i < count; i++)
+			cores.push_back(make_core(i));
+		tell_live();
+		effects_init(&effects);
+	}
+
+	~Fleet()
+	{
+		effects_finish(&effects);
+		for (auto &core : cores)
+			dispatch_finish(core.get());
+		catalog_unref(catalog);
+	}
+
+	Fleet(const Fleet &) = delete;
+	Fleet &operator=(const Fleet &) = delete;
+
+	void tell_live()
+	{
+		std::vector<dispatch_daemon> live;
+
+		for (size_t i = 0; i < all.size(); i++)
+			if (alive[i])
+				live.push_back(all[i]);
+		for (size_t i = 0; i < all.size(); i++)
+			if (alive[i])
+				dispatch_set_live(cores[i].get(), live.data(),
+				    live.size());
+	}
+
+	void start_request(size_t i)
+	{
+		dispatch_ask ask = {};
+		dispatch_decision decision;
+
+		ask.pool_id = hash_name("service");
+		ask.left_ms = 1000;
+		dispatch_decide(cores[i].get(), &ask, now_ms, &decision);
+		ASSERT_TRUE(decision.start);
+	}
+
+	void run_for(uint64_t duration_ms)
+	{
+		for (uint64_t end_ms = now_ms + duration_ms; now_ms < end_ms;
+		     now_ms += 50)
+			for (size_t i = 0; i < cores.size(); i++)
+				if (alive[i])
+					tick(i);
+	}
+
+	/** What a daemon believes that all daemons run. */
+	uint32_t believed(size_t i)
+	{
+		uint64_t endpoint_id = hash_name("s1");
+		auto *endpoint = static_cast<dispatch_endpoint *>(
+		    g_hash_table_lookup(cores[i]->endpoints, &endpoint_id));
+
+		return endpoint->own.running_count +
+		    endpoint->others.running_count;
+	}
+
+	std::vector<dispatch_daemon> all;
+	std::vector<bool> alive;
+	std::vector<std::unique_ptr<struct dispatch>> cores;
+	std::vector<dispatch_proof> proofs = std::vector<dispatch_proof>(400);
+	std::vector<uint64_t> sent = std::vector<uint64_t>(400);
+	uint64_t now_ms = 50000;
+
+      private:
+	std::unique_ptr<struct dispatch> make_core(size_t i)
+	{
+		auto core = std::make_unique<struct dispatch>();
+		dispatch_config config = {};
+		dispatch_listing listing = {};
+
+		config.node_id = all[i].node_id;
+		config.domain_id = all[i].domain_id;
+		config.report_period_ms = 100;
+		config.repeat_window_ms = 10000;
+		dispatch_init(core.get(), &config);
+		dispatch_set_catalog(core.get(), catalog);
+		g_strlcpy(listing.name, "s1", sizeof(listing.name));
+		listing.pool_id = hash_name("service");
+		listing.slots = 1000;
+		dispatch_put_endpoint(core.get(), &listing, now_ms);
+		return core;
+	}
+
+	void tick(size_t i)
+	{
+		/* each daemon's own clock of stamps is ahead of the others */
+		dispatch_tick(cores[i].get(), now_ms, now_ms + i * 100000,
+		    &effects);
+		sent[i] += effects.count;
+		for (size_t at = 0; at < effects.count; at++)
+			deliver(i, effects.items[at]);
+		effects_clear(&effects);
+	}
+
+	void deliver(size_t from, effect &effect)
+	{
+		size_t to = (size_t)(effect.to_node_id - FIRST_ID);
+		dispatch_proof proof;
+
+		if (!alive[to])
+			return;
+		effect.msg.from_node_id = FIRST_ID + from;
+		dispatch_handle(cores[to].get(), &effect.msg, now_ms, &proof);
+		if (proof.version > 0 &&
+		    proof.as_of_ms >= proofs[to].as_of_ms) {
+			proofs[to] = proof;
+			dispatch_set_proof(cores[to].get(), proof.version,
+			    proof.as_of_ms);
+		}
+	}
+
+	struct catalog *catalog;
+	struct effects effects;
+};
+
+TEST(Hubs, EveryDaemonLearnsOfAllWork)
+{
+	for (size_t count : { 1u, 2u, 7u, 9u, 10u, 30u, 76u }) {
+		Fleet fleet(count, 6);
+
+		fleet.run_for(500);
+		for (size_t i = 0; i < count; i++)
+			fleet.start_request(i);
+		fleet.run_for(500);
+		for (size_t i = 0; i < count; i++)
+			EXPECT_EQ(fleet.believed(i), count)
+			    << i << " of " << count;
+	}
+}
+
+TEST(Hubs, MessagesOfADaemonDoNotGrowWithTheFleet)
+{
+	for (size_t count : { 30u, 76u, 370u }) {
+		Fleet fleet(count, 8);
+		uint64_t most = 0, ordinary = 0;
+
+		fleet.run_for(1000);
+		for (size_t i = 0; i < count; i++) {
+			most = std::max(most, fleet.sent[i]);
+			ordinary += fleet.sent[i] <= 10 ? 1 : 0;
+		}
+		/* hubs know each other: one for each eight daemons */
+		EXPECT_LE(most, 10u * (9 + count / 8 + 30)) << count;
+		EXPECT_GE(ordinary, count - std::max<size_t>(9, count / 8))
+		    << count;
+	}
+}
+
+TEST(Hubs, StrongDaemonsAreHubsFirst)
+{
+	Fleet fleet(76, 6);
+
+	for (size_t i = 0; i < 6; i++)
+		EXPECT_TRUE(fleet.cores[i]->is_hub);
+}
+
+TEST(Hubs, ALostHubIsPassedOverBeforeItsLossIsKnown)
+{
+	Fleet fleet(30, 0);
+	uint32_t lost = 0;
+
+	fleet.run_for(500);
+	for (size_t i = 0; i < 30; i++)
+		fleet.start_request(i);
+	fleet.run_for(500);
+	for (size_t i = 0; i < 30 && lost < 4; i++)
+		if (fleet.cores[i]->is_hub) {
+			fleet.alive[i] = false;
+			lost++;
+		}
+	/* hubs that are lost too may be tried first */
+	fleet.run_for(5000);
+	for (size_t i = 0; i < 30; i++)
+		if (fleet.alive[i]) {
+			EXPECT_EQ(fleet.believed(i), 30u - lost) << i;
+		}
+	fleet.tell_live();
+	fleet.run_for(3500);
+	for (size_t i = 0; i < 30; i++)
+		if (fleet.alive[i]) {
+			EXPECT_EQ(fleet.believed(i), 30u - lost) << i;
+		}
+}
+
+TEST(Hubs, AProofTravelsInTheReceiversClockAndNeverTooYoung)
+{
+	Fleet fleet(30, 0);
+
+	fleet.run_for(500);
+	dispatch_set_proof(fleet.cores[0].get(), 5, fleet.now_ms);
+	uint64_t proven_ms = fleet.now_ms;
+	fleet.run_for(1000);
+	for (size_t i = 1; i < 30; i++) {
+		uint64_t as_of_ms = fleet.proofs[i].as_of_ms - i * 100000;
+		EXPECT_EQ(fleet.proofs[i].version, 5u) << i;
+		EXPECT_LE(as_of_ms, proven_ms) << i;
+		EXPECT_GE(as_of_ms + 600, proven_ms) << i;
+	}
+}
+
+} // namespace
--- a/tests/unit/test_log.cc
+++ b/tests/unit/test_log.cc
@@ -1,5 +1,7 @@
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <jansson.h>
+#include <unistd.h>
 
 #include <string>
 
@@ -15,10 +17,10 @@
 logged(enum log_format format, enum log_level level)
 {
 	log_configure(format, LOG_LEVEL_WARN);
-	::testing::internal::CaptureStderr();
+	::testing::internal::CaptureStdout();
 	log_event(level, "something", "plain", "a", "spaced", "b \"c\"\nd",
 	    nullptr);
-	return ::testing::internal::GetCapturedStderr();
+	return ::testing::internal::GetCapturedStdout();
 }
 
 } // namespace
@@ -71,3 +73,48 @@
 		    std::string::npos)
 		    << line << all;
 }
+
+TEST(Log, AFullPipeDropsLinesAndCountsThem)
+{
+	int ends[2], saved = dup(STDOUT_FILENO);
+	uint64_t before = metric_get(METRIC_LOG_DROPPED);
+	std::string text;
+	char buffer[4096];
+	ssize_t length;
+
+	fflush(stdout);
+	ASSERT_EQ(pipe(ends), 0);
+	fcntl(ends[0], F_SETFL, O_NONBLOCK);
+	fcntl(ends[1], F_SETFL, O_NONBLOCK);
+	fcntl(ends[1], F_SETPIPE_SZ, 4096);
+	dup2(ends[1], STDOUT_FILENO);
+	log_configure(LOG_FORMAT_LOGFMT, LOG_LEVEL_WARN);
+	for (int i = 0; i < 200; i++)
+		log_event(LOG_LEVEL_ERROR, "many", nullptr);
+	while ((length = read(ends[0], buffer, sizeof(buffer))) > 0)
+		text.append(buffer, (size_t)length);
+	EXPECT_GT(metric_get(METRIC_LOG_DROPPED), before);
+	log_event(LOG_LEVEL_ERROR, "after", nullptr);
+	while ((length = read(ends[0], buffer, sizeof(buffer))) > 0)
+		text.append(buffer, (size_t)length);
+	dup2(saved, STDOUT_FILENO);
+	close(saved);
+	close(ends[0]);
+	close(ends[1]);
+	EXPECT_NE(text.find("event=log_dropped lines="), std::string::npos);
+	EXPECT_NE(text.find("event=after"), std::string::npos);
+}
+
+TEST(Log, TheRateIsBounded)
+{
+	uint64_t before = metric_get(METRIC_LOG_DROPPED);
+
+	log_configure(LOG_FORMAT_LOGFMT, LOG_LEVEL_INFO);
+	::testing::internal::CaptureStdout();
+	for (int i = 0; i < 5000; i++)
+		log_event(LOG_LEVEL_INFO, "many", nullptr);
+	std::string text = ::testing::internal::GetCapturedStdout();
+	/* at most two seconds' worth if the second changed on the way */
+	EXPECT_GE(metric_get(METRIC_LOG_DROPPED) - before, 5000u - 2 * 400);
+	EXPECT_NE(text.find("event=many"), std::string::npos);
+}
--- a/tests/unit/test_pages.cc
+++ b/tests/unit/test_pages.cc
@@ -66,7 +66,13 @@
 		text += std::string(key.unit) + ", " + std::to_string(key.low) +
 		    " to " + std::to_string(key.high) + ", default " +
 		    std::to_string(key.default_number);
-	else if (key.type == SETTINGS_BOOL)
+	else if (key.type == SETTINGS_MILLI) {
+		std::ostringstream numbers;
+		numbers << "number, " << key.low / 1000.0 << " to "
+			<< key.high / 1000.0 << ", default "
+			<< key.default_number / 1000.0;
+		text += numbers.str();
+	} else if (key.type == SETTINGS_BOOL)
 		text += "true or false, default false";
 	else if (key.type == SETTINGS_LIST)
 		text += "list of texts";
