Free the watch of an endpoint's connection after all events of a wake-up

One wake-up of the event loop brings several events; a caller that leaves ends its transfer, libcurl takes the socket out, and the watch was freed while a later event of the same wake-up still pointed to it. Test: SurvivesCallersThatLeave..., seen failing under the address sanitizer (heap-use-after-free in on_event) before, passing after.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -57,6 +57,8 @@
 	case GW_WATCH_CALLER:
 		gw_request_gone(watch->request);
 		break;
+	case GW_WATCH_ENDED:
+		break;
 	}
 }
 
@@ -127,6 +129,7 @@
 
 		for (int i = 0; i < count; i++)
 			on_event(gateway, &events[i]);
+		g_ptr_array_set_size(gateway->ended_watches, 0);
 		run_timers(gateway, gw_now_ms(gateway));
 		if (gateway->resumed) {
 			gateway->resumed = false;
--- a/bamboorudderd/gateway_call.c
+++ b/bamboorudderd/gateway_call.c
@@ -27,7 +27,10 @@
 	(void)handle;
 	if (action == CURL_POLL_REMOVE) {
 		epoll_ctl(gateway->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
-		g_free(watch);
+		if (watch != NULL) {
+			watch->kind = GW_WATCH_ENDED;
+			g_ptr_array_add(gateway->ended_watches, watch);
+		}
 		return 0;
 	}
 	event.events = (action & CURL_POLL_IN ? EPOLLIN : 0) |
@@ -61,6 +64,7 @@
 gboolean
 gw_calls_init(struct gateway *gateway)
 {
+	gateway->ended_watches = g_ptr_array_new_with_free_func(g_free);
 	gateway->idle_calls = g_ptr_array_new();
 	gateway->calls = curl_multi_init();
 	if (gateway->calls == NULL)
@@ -79,6 +83,7 @@
 		curl_easy_cleanup(g_ptr_array_index(gateway->idle_calls, i));
 	g_ptr_array_free(gateway->idle_calls, TRUE);
 	curl_multi_cleanup(gateway->calls);
+	g_ptr_array_free(gateway->ended_watches, TRUE);
 }
 
 /* Only a time-out of the connection itself shows a peer that lost power. */
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -32,7 +32,8 @@
 	GW_WATCH_PROBE,
 	GW_WATCH_MAIL,
 	GW_WATCH_CURL,
-	GW_WATCH_CALLER
+	GW_WATCH_CALLER,
+	GW_WATCH_ENDED /**< removed; an event of it may still be under way */
 };
 
 /** What the event loop waits for. */
@@ -127,6 +128,7 @@
 	struct MHD_Daemon *server;
 	struct MHD_Daemon *probe; /**< readiness, on its own address */
 	CURLM *calls;
+	GPtrArray *ended_watches; /**< freed after the events of a wake-up */
 	GPtrArray *idle_calls; /**< CURL handles for reuse */
 	uint64_t calls_due_ms; /**< libcurl's timer, 0: none */
 	uint64_t check_due_ms;
--- a/tests/e2e/test_gateway.cc
+++ b/tests/e2e/test_gateway.cc
@@ -250,6 +250,43 @@
 	EXPECT_EQ(first_count, 1);
 }
 
+/* Callers leave in the moment in which their endpoints send, so that one
+ * wake-up of the daemon brings both. */
+TEST_F(Gateway, SurvivesCallersThatLeaveWhileTheirStreamsRun)
+{
+	constexpr int CALLERS = 24, ROUNDS = 6;
+	std::vector<std::thread> callers;
+
+	first.set([&](Peer &peer, const std::string &request) {
+		bool going = peer.send_text(stream_head(request));
+		for (int i = 1; i < 400 && going; i++) {
+			going = peer.send_text(chunk(
+			    "id: " + std::to_string(i) + "\ndata: a\n\n"));
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(2));
+		}
+	});
+	start();
+	for (int i = 0; i < CALLERS; i++)
+		callers.emplace_back([&, i] {
+			for (int round = 0; round < ROUNDS; round++)
+				call("POST",
+				    "http://127.0.0.1:" +
+					std::to_string(world.listen_port) +
+					"/flow/",
+				    "b",
+				    { "Host: a.example",
+					"X-Bamboorudder-Request-Id: c" +
+					    std::to_string(i) + "-" +
+					    std::to_string(round) },
+				    100);
+		});
+	for (auto &caller : callers)
+		caller.join();
+	EXPECT_EQ(world.daemon->wait_for_ms(100), -2) << world.daemon->log();
+	EXPECT_TRUE(world.ready());
+}
+
 TEST_F(Gateway, AnswersAtTheRoutesTimeout)
 {
 	auto begin = std::chrono::steady_clock::now();
