Ask for no new connections while the event loop lags; refuse floods unasked

Now readiness falls while the loop's delay averages over 120 ms, an account far over its share is refused for 60 ms without a decision, and five setsockopt calls a connection are gone.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -10,6 +10,12 @@
 
 #define EVENTS_PER_WAIT 64
 #define CHECK_PERIOD_MS 50u
+/* Delay of the event loop from which on the daemon counts as overloaded, and
+ * up to which it keeps up. */
+#define LAG_MAX_MS 120u
+#define LAG_CALM_MS 40u
+#define LAG_WEIGHT 4u
+#define CALM_MS 1500u
 /* Without a word of peers the configuration is read after this part of the
  * time in which a key has to stop working. */
 #define PROOF_PART_PERCENT 40u
@@ -108,6 +114,32 @@
 	return due_ms <= now_ms ? 0 : (int)(due_ms - now_ms);
 }
 
+/* A daemon that can't keep up asks the platform to send new connections to
+ * others, until it has kept up for a while. */
+static void
+measure_lag(struct gateway *gateway, uint64_t now_ms)
+{
+	uint64_t lag_ms = gateway->check_due_ms == 0
+	    ? 0
+	    : now_ms - gateway->check_due_ms;
+	bool was = gateway->overloaded;
+
+	gateway->lag_ms = (uint32_t)((gateway->lag_ms *
+		(uint64_t)(LAG_WEIGHT - 1) + lag_ms) / LAG_WEIGHT);
+	if (gateway->lag_ms > LAG_CALM_MS)
+		gateway->calm_since_ms = 0;
+	else if (gateway->calm_since_ms == 0)
+		gateway->calm_since_ms = now_ms;
+	if (gateway->lag_ms > LAG_MAX_MS)
+		gateway->overloaded = true;
+	else if (gateway->calm_since_ms != 0 &&
+	    now_ms >= gateway->calm_since_ms + CALM_MS)
+		gateway->overloaded = false;
+	if (was != gateway->overloaded)
+		log_event(LOG_LEVEL_WARN,
+		    gateway->overloaded ? "overloaded" : "keeps_up", NULL);
+}
+
 static void
 run_timers(struct gateway *gateway, uint64_t now_ms)
 {
@@ -121,6 +153,7 @@
 	}
 	if (gateway->check_due_ms > now_ms)
 		return;
+	measure_lag(gateway, now_ms);
 	gateway->check_due_ms = now_ms + CHECK_PERIOD_MS;
 	check_requests(gateway, now_ms);
 	if (gateway->draining)
@@ -174,6 +207,8 @@
 	LIST_INIT(&gateway->requests);
 	gateway->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	gateway->steady_fd = epoll_create1(EPOLL_CLOEXEC);
+	gateway->shut_accounts = g_hash_table_new_full(g_int64_hash,
+	    g_int64_equal, g_free, g_free);
 	gateway->mail_watch.kind = GW_WATCH_MAIL;
 	gateway->mail_watch.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	gw_watch_add(gateway, &gateway->mail_watch, EPOLLIN);
@@ -228,6 +263,7 @@
 	gw_mail_run(gateway);
 	gw_calls_finish(gateway);
 	catalog_unref(gateway->catalog);
+	g_hash_table_destroy(gateway->shut_accounts);
 	pthread_mutex_destroy(&gateway->mail_mutex);
 	close(gateway->mail_watch.fd);
 	close(gateway->steady_fd);
--- a/bamboorudderd/gateway_front.c
+++ b/bamboorudderd/gateway_front.c
@@ -1,6 +1,5 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -20,7 +19,6 @@
 #define IDLE_PERCENT 90u
 /* Beyond this part of the connections allowed, answers close theirs. */
 #define CROWDED_PERCENT 50u
-#define SILENT_PEER_MS 5000u
 #define MS_PER_S 1000u
 
 void
@@ -298,9 +296,7 @@
     void **socket_context, enum MHD_ConnectionNotificationCode code)
 {
 	struct gateway *gateway = context;
-	unsigned int silent_ms = SILENT_PEER_MS, idle_s = IDLE_TIMEOUT_S;
-	int on = 1, period_s = 1, count = SILENT_PEER_MS / MS_PER_S;
-	int fd = connection_fd(connection);
+	unsigned int idle_s = IDLE_TIMEOUT_S;
 
 	(void)socket_context;
 	if (code != MHD_CONNECTION_NOTIFY_STARTED) {
@@ -313,12 +309,6 @@
 			(uint64_t)IDLE_PERCENT / 100 / MS_PER_S);
 	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
 	    idle_s);
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &period_s, sizeof(period_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &period_s, sizeof(period_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
-	    sizeof(silent_ms));
 }
 
 static void
@@ -347,7 +337,7 @@
 {
 	struct gateway *gateway = context;
 	bool ready = gateway->catalog != NULL && gateway->endpoints_known &&
-	    !gateway->draining;
+	    !gateway->draining && !gateway->overloaded;
 	struct MHD_Response *response;
 	enum MHD_Result result;
 
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -12,6 +12,7 @@
 #define DRAIN_RETRY_MS 100u
 /* Between the caller's sending and the check of its key's freshness. */
 #define PROOF_MARGIN_MS 400u
+#define SHUT_ACCOUNT_MS 60u
 #define TEXT_BYTES 24
 
 struct gw_request *
@@ -227,6 +228,16 @@
 	return true;
 }
 
+static void
+set_left(struct gw_request *request)
+{
+	uint64_t now_ms = gw_now_ms(request->gateway);
+
+	request->ask.left_ms = request->left_until_ms > now_ms
+	    ? (uint32_t)(request->left_until_ms - now_ms)
+	    : 0;
+}
+
 static void
 fill_ask(struct gw_request *request)
 {
@@ -244,21 +255,44 @@
 	ask->prompt_tokens = head->prompt_tokens;
 	ask->answer_tokens = head->answer_tokens;
 	ask->aim_ms = request->route->aim_ms;
+	set_left(request);
 }
 
 static void
 decide(struct gw_request *request)
 {
-	uint64_t now_ms = gw_now_ms(request->gateway);
-
-	request->ask.left_ms = request->left_until_ms > now_ms
-	    ? (uint32_t)(request->left_until_ms - now_ms)
-	    : 0;
+	set_left(request);
 	if (!request->streaming)
 		request->state = GW_DECIDING;
 	gw_ask(request);
 }
 
+/* An account far over its share is refused for a moment without asking: most
+ * of what a flood sends never reaches the control thread. */
+static void
+shut_account(struct gw_request *request)
+{
+	struct gateway *gateway = request->gateway;
+	uint64_t until_ms = gw_now_ms(gateway) + SHUT_ACCOUNT_MS;
+
+	if (request->account == NULL || request->decision.forecast.limit_ms > 0)
+		return;
+	g_hash_table_replace(gateway->shut_accounts,
+	    g_memdup2(&request->account->account_id, sizeof(uint64_t)),
+	    g_memdup2(&until_ms, sizeof(until_ms)));
+}
+
+static bool
+is_shut(const struct gw_request *request)
+{
+	const uint64_t *until_ms = request->account == NULL
+	    ? NULL
+	    : g_hash_table_lookup(request->gateway->shut_accounts,
+		  &request->account->account_id);
+
+	return until_ms != NULL && request->arrived_ms < *until_ms;
+}
+
 void
 gw_request_submit(struct gw_request *request)
 {
@@ -266,7 +300,11 @@
 	gw_request_was_read(request);
 	request->gateway->active_count++;
 	fill_ask(request);
-	decide(request);
+	if (is_shut(request))
+		gw_request_refuse(request, 503, "account_over_share",
+		    MAX(dispatch_retry_after_ms(&request->ask), 1u));
+	else
+		decide(request);
 }
 
 /* Whether a failed attempt of the request may be followed by another one. */
@@ -284,10 +322,11 @@
 
 	if (request->may_have_run)
 		gw_request_refuse(request, 502, "no_answer", 0);
-	else if (decision->reason == REFUSE_QUEUE_FULL)
+	else if (decision->reason == REFUSE_QUEUE_FULL) {
+		shut_account(request);
 		gw_request_refuse(request, 503, "overloaded",
 		    MAX(decision->retry_after_ms, 1u));
-	else
+	}	else
 		gw_request_refuse(request, 503, "no_endpoint",
 		    MAX(decision->retry_after_ms, 1u));
 }
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -393,6 +393,15 @@
 	return best;
 }
 
+uint32_t
+dispatch_retry_after_ms(const struct dispatch_ask *ask)
+{
+	uint32_t spread_ms = RETRY_AFTER_MIN_MS +
+	    (uint32_t)(ask->request_hash % RETRY_AFTER_SPREAD_MS);
+
+	return MIN(spread_ms, ask->left_ms / RETRY_AFTER_LEFT_PARTS);
+}
+
 static void
 refuse(struct dispatch *dispatch, const struct dispatch_ask *ask,
     enum refuse_reason reason, uint32_t retry_after_ms,
@@ -485,9 +494,7 @@
 	if (best->ahead_ms + MIN(best->own_ms, AHEAD_OWN_MAX_MS) > limit_ms &&
 	    best->ahead_ms > 0) {
 		refuse(dispatch, ask, REFUSE_QUEUE_FULL,
-		    RETRY_AFTER_MIN_MS +
-			(uint32_t)(ask->request_hash % RETRY_AFTER_SPREAD_MS),
-		    decision);
+		    dispatch_retry_after_ms(ask), decision);
 		return;
 	}
 	account->served_tokens += charge_tokens(ask);
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -148,6 +148,11 @@
 	struct catalog *catalog;
 	uint64_t proof_ms; /**< feed_clock_ms as of which it was the newest */
 	bool endpoints_known;
+	bool overloaded; /**< new connections are to go elsewhere */
+	uint32_t lag_ms; /**< moving average of the event loop's delay */
+	uint64_t calm_since_ms; /**< the loop has kept up since, 0: it has not */
+	GHashTable *shut_accounts; /**< account_id to the time until which its
+				     * requests are refused unasked */
 	bool resumed; /**< the server has to look at its connections */
 	bool draining;
 	bool stopping;
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -197,6 +197,9 @@
 void dispatch_decide(struct dispatch *dispatch, const struct dispatch_ask *ask,
     uint64_t now_ms, struct dispatch_decision *decision);
 
+/** @return when a caller that is refused for load may come back */
+uint32_t dispatch_retry_after_ms(const struct dispatch_ask *ask);
+
 /** Takes one repeat from this daemon's part of the fleet's budget. */
 bool dispatch_allow_repeat(struct dispatch *dispatch, uint64_t now_ms);
 
