Measure the load of the event loop by its idle time; keep connections until crowded

Now a loop that waits less than a tenth of a span is not ready, and answers close connections only beyond a quarter of those allowed.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -10,12 +10,11 @@
 
 #define EVENTS_PER_WAIT 64
 #define CHECK_PERIOD_MS 50u
-/* Delay of the event loop from which on the daemon counts as overloaded, and
- * up to which it keeps up. */
-#define LAG_MAX_MS 120u
-#define LAG_CALM_MS 40u
-#define LAG_WEIGHT 4u
-#define CALM_MS 1500u
+/* A loop that waits less than this part of a span is overloaded. */
+#define LOAD_SPAN_MS 500u
+#define IDLE_MIN_PERCENT 10u
+#define RELIEF_MS 3000u
+#define US_PER_MS 1000u
 /* Without a word of peers the configuration is read after this part of the
  * time in which a key has to stop working. */
 #define PROOF_PART_PERCENT 40u
@@ -114,26 +113,24 @@
 	return due_ms <= now_ms ? 0 : (int)(due_ms - now_ms);
 }
 
-/* A daemon that can't keep up asks the platform to send new connections to
- * others, until it has kept up for a while. */
+/* A daemon whose loop hardly ever waits can't keep up: it asks the platform to
+ * send new connections to others, until it has had time to spare for a while. */
 static void
-measure_lag(struct gateway *gateway, uint64_t now_ms)
+measure_load(struct gateway *gateway, uint64_t now_ms)
 {
-	uint64_t lag_ms = gateway->check_due_ms == 0
-	    ? 0
-	    : now_ms - gateway->check_due_ms;
+	uint64_t span_ms = now_ms - gateway->load_since_ms;
+	uint64_t idle_percent;
 	bool was = gateway->overloaded;
 
-	gateway->lag_ms = (uint32_t)((gateway->lag_ms *
-		(uint64_t)(LAG_WEIGHT - 1) + lag_ms) / LAG_WEIGHT);
-	if (gateway->lag_ms > LAG_CALM_MS)
-		gateway->calm_since_ms = 0;
-	else if (gateway->calm_since_ms == 0)
-		gateway->calm_since_ms = now_ms;
-	if (gateway->lag_ms > LAG_MAX_MS)
+	if (span_ms < LOAD_SPAN_MS)
+		return;
+	idle_percent = gateway->idle_us / US_PER_MS * 100 / span_ms;
+	gateway->load_since_ms = now_ms;
+	gateway->idle_us = 0;
+	if (idle_percent < IDLE_MIN_PERCENT) {
 		gateway->overloaded = true;
-	else if (gateway->calm_since_ms != 0 &&
-	    now_ms >= gateway->calm_since_ms + CALM_MS)
+		gateway->busy_ms = now_ms;
+	} else if (now_ms >= gateway->busy_ms + RELIEF_MS)
 		gateway->overloaded = false;
 	if (was != gateway->overloaded)
 		log_event(LOG_LEVEL_WARN,
@@ -153,7 +150,7 @@
 	}
 	if (gateway->check_due_ms > now_ms)
 		return;
-	measure_lag(gateway, now_ms);
+	measure_load(gateway, now_ms);
 	gateway->check_due_ms = now_ms + CHECK_PERIOD_MS;
 	check_requests(gateway, now_ms);
 	if (gateway->draining)
@@ -170,9 +167,14 @@
 
 	while (!gateway->stopping) {
 		uint64_t now_ms = gw_now_ms(gateway);
+		int timeout_ms = wait_timeout_ms(gateway, now_ms);
+		uint64_t from_us = clk_monotonic_us(&gateway->clk);
 		int count = epoll_wait(gateway->epoll_fd, events,
-		    EVENTS_PER_WAIT, wait_timeout_ms(gateway, now_ms));
+		    EVENTS_PER_WAIT, timeout_ms);
 
+		if (timeout_ms > 0)
+			gateway->idle_us += clk_monotonic_us(&gateway->clk) -
+			    from_us;
 		for (int i = 0; i < count; i++)
 			on_event(gateway, &events[i]);
 		g_ptr_array_set_size(gateway->ended_watches, 0);
--- a/bamboorudderd/gateway_front.c
+++ b/bamboorudderd/gateway_front.c
@@ -18,7 +18,7 @@
 /* Callers use no connection that was idle for over 0.8 of the limit. */
 #define IDLE_PERCENT 90u
 /* Beyond this part of the connections allowed, answers close theirs. */
-#define CROWDED_PERCENT 50u
+#define CROWDED_PERCENT 25u
 #define MS_PER_S 1000u
 
 void
@@ -168,14 +168,12 @@
 	    request->out->data, MHD_RESPMEM_MUST_COPY);
 }
 
-/* A caller that was refused comes back on another connection anyway. */
 static bool
 must_close(const struct gw_request *request)
 {
 	const struct gateway *gateway = request->gateway;
 
 	return gateway->draining || request->close_after ||
-	    request->status == MHD_HTTP_SERVICE_UNAVAILABLE ||
 	    gateway->connections_count * 100 >
 	    gateway->settings->connections_max_count * CROWDED_PERCENT;
 }
@@ -305,7 +303,8 @@
 	}
 	gateway->connections_count++;
 	if (gateway->catalog != NULL)
-		idle_s = MAX(1, gateway->catalog->limits.idle_timeout_ms *
+		idle_s = MAX(1,
+		    gateway->catalog->limits.idle_timeout_ms *
 			(uint64_t)IDLE_PERCENT / 100 / MS_PER_S);
 	MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
 	    idle_s);
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -326,7 +326,7 @@
 		shut_account(request);
 		gw_request_refuse(request, 503, "overloaded",
 		    MAX(decision->retry_after_ms, 1u));
-	}	else
+	} else
 		gw_request_refuse(request, 503, "no_endpoint",
 		    MAX(decision->retry_after_ms, 1u));
 }
--- a/common/codec_write.c
+++ b/common/codec_write.c
@@ -195,6 +195,16 @@
 	}
 }
 
+static void
+write_cancel(GByteArray *out, const struct msg_cancel *cancel)
+{
+	write_uint(out, cancel->pool_id);
+	write_uint(out, cancel->seq);
+	write_uint(out, cancel->send_seq);
+	write_uint(out, cancel->endpoint_id);
+	write_uint(out, cancel->grant_seq);
+}
+
 static void
 write_body(GByteArray *out, const struct msg *msg)
 {
@@ -213,11 +223,7 @@
 		write_ask(out, &msg->u.ask);
 		break;
 	case MSG_CANCEL:
-		write_uint(out, msg->u.cancel.pool_id);
-		write_uint(out, msg->u.cancel.seq);
-		write_uint(out, msg->u.cancel.send_seq);
-		write_uint(out, msg->u.cancel.endpoint_id);
-		write_uint(out, msg->u.cancel.grant_seq);
+		write_cancel(out, &msg->u.cancel);
 		break;
 	case MSG_DONE:
 		write_done(out, &msg->u.done);
--- a/core/dispatch_share.c
+++ b/core/dispatch_share.c
@@ -1,4 +1,3 @@
-#include <stdlib.h>
 #include <string.h>
 
 #include "core/dispatch_private.h"
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -149,8 +149,9 @@
 	uint64_t proof_ms; /**< feed_clock_ms as of which it was the newest */
 	bool endpoints_known;
 	bool overloaded; /**< new connections are to go elsewhere */
-	uint32_t lag_ms; /**< moving average of the event loop's delay */
-	uint64_t calm_since_ms; /**< the loop has kept up since, 0: it has not */
+	uint64_t load_since_ms; /**< begin of the present span of the load */
+	uint64_t idle_us; /**< that the loop waited in it */
+	uint64_t busy_ms; /**< end of the last span without time to spare */
 	GHashTable *shut_accounts; /**< account_id to the time until which its
 				     * requests are refused unasked */
 	bool resumed; /**< the server has to look at its connections */
