--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -5,8 +5,6 @@
 #include "common/metric.h"
 #include "core/hash.h"
 
-#define UNREACHED_MAX_COUNT 3u
-#define NOT_READY_RETRY_MS 500u
 /* Requests that begin so late in a shutdown might not end in time. */
 #define DRAIN_SERVE_MS 3000u
 #define DRAIN_RETRY_MS 100u
@@ -99,8 +97,8 @@
 }
 
 /* The answer is complete, or there will be none. */
-static void
-end(struct gw_request *request)
+void
+gw_request_end(struct gw_request *request)
 {
 	if (request->state == GW_ENDED)
 		return;
@@ -145,7 +143,7 @@
 			: METRIC_REQUESTS_REFUSED,
 		    1);
 	}
-	end(request);
+	gw_request_end(request);
 	gw_resume(request);
 }
 
@@ -179,7 +177,7 @@
 	    request->head.key);
 	if (!is_fresh(gateway))
 		return refuse_head(request, 503, "configuration_too_old",
-		    NOT_READY_RETRY_MS);
+		    GW_RETRY_MS);
 	if (request->account != NULL)
 		return true;
 	metric_add(METRIC_REQUESTS_UNAUTHORIZED, 1);
@@ -209,7 +207,7 @@
 	metric_add(METRIC_REQUESTS, 1);
 	if (gateway->catalog == NULL)
 		return refuse_head(request, 503, "no_configuration",
-		    NOT_READY_RETRY_MS);
+		    GW_RETRY_MS);
 	request->catalog = catalog_ref(gateway->catalog);
 	if (request->target[0] != '/')
 		return refuse_head(request, 400, "bad_target", 0);
@@ -258,8 +256,8 @@
 	set_left(request);
 }
 
-static void
-decide(struct gw_request *request)
+void
+gw_request_decide(struct gw_request *request)
 {
 	set_left(request);
 	if (!request->streaming)
@@ -269,8 +267,8 @@
 
 /* An account far over its share is refused for a moment without asking: most
  * of what a flood sends never reaches the control thread. */
-static void
-shut_account(struct gw_request *request)
+void
+gw_request_shut_account(struct gw_request *request)
 {
 	struct gateway *gateway = request->gateway;
 	uint64_t until_ms = gw_now_ms(gateway) + SHUT_ACCOUNT_MS;
@@ -304,175 +302,7 @@
 		gw_request_refuse(request, 503, "account_over_share",
 		    MAX(dispatch_retry_after_ms(&request->ask), 1u));
 	else
-		decide(request);
-}
-
-/* Whether a failed attempt of the request may be followed by another one. */
-static bool
-may_repeat(const struct gw_request *request)
-{
-	return request->route->kind == CALL_SAFE ||
-	    (request->route->kind == CALL_STREAM && request->route->resumable);
-}
-
-static void
-refuse_decided(struct gw_request *request)
-{
-	const struct dispatch_decision *decision = &request->decision;
-
-	if (request->may_have_run)
-		gw_request_refuse(request, 502, "no_answer", 0);
-	else if (decision->reason == REFUSE_QUEUE_FULL) {
-		shut_account(request);
-		gw_request_refuse(request, 503, "overloaded",
-		    MAX(decision->retry_after_ms, 1u));
-	} else
-		gw_request_refuse(request, 503, "no_endpoint",
-		    MAX(decision->retry_after_ms, 1u));
-}
-
-void
-gw_request_decided(struct gw_request *request)
-{
-	request->deciding = false;
-	if (request->finished || request->state == GW_ENDED || request->gone) {
-		if (request->decision.start)
-			gw_tell_done(request, OUTCOME_CANCELLED);
-		gw_request_release(request);
-	} else if (request->decision.start)
-		gw_call_start(request);
-	else
-		refuse_decided(request);
-}
-
-static bool
-attempts_left(const struct gw_request *request)
-{
-	return request->attempts_count < request->route->attempts_max_count &&
-	    request->ask.tried_count < TRIED_MAX_COUNT &&
-	    gw_now_ms(request->gateway) < request->ends_ms;
-}
-
-/* Asks for another endpoint. */
-static void
-repeat(struct gw_request *request)
-{
-	request->ask.tried_ids[request->ask.tried_count++] = request->decision
-								 .endpoint_id;
-	metric_add(METRIC_RETRIES, 1);
-	decide(request);
-}
-
-/* The endpoint's answer is whole and its own. */
-static void
-pass_answer(struct gw_request *request)
-{
-	GArray *headers = request->answer_headers;
-
-	request->outcome = "answered";
-	request->status = request->reply.status;
-	request->answer_headers = request->reply_headers;
-	request->reply_headers = headers;
-	g_byte_array_append(request->out, request->reply_body->data,
-	    request->reply_body->len);
-	end(request);
-	gw_resume(request);
-}
-
-static void
-on_not_run(struct gw_request *request, bool moved)
-{
-	gw_tell_done(request, moved ? OUTCOME_MOVED : OUTCOME_REFUSED);
-	if (attempts_left(request))
-		repeat(request);
-	else if (request->may_have_run)
-		gw_request_refuse(request, 502, "no_answer", 0);
-	else
-		gw_request_refuse(request, 503, "endpoint_full",
-		    NOT_READY_RETRY_MS);
-}
-
-static void
-on_no_answer(struct gw_request *request)
-{
-	request->may_have_run = true;
-	gw_tell_done(request, OUTCOME_BROKEN);
-	if (may_repeat(request) && attempts_left(request)) {
-		if (request->streaming)
-			metric_add(METRIC_STREAMS_RESUMED, 1);
-		repeat(request);
-	} else
-		gw_request_refuse(request, 502, "no_answer", 0);
-}
-
-static void
-on_unreached(struct gw_request *request)
-{
-	gw_tell_done(request, OUTCOME_BROKEN);
-	request->attempts_count--;
-	if (++request->unreached_count <= UNREACHED_MAX_COUNT &&
-	    request->ask.tried_count < TRIED_MAX_COUNT)
-		repeat(request);
-	else if (request->may_have_run)
-		gw_request_refuse(request, 502, "no_answer", 0);
-	else
-		gw_request_refuse(request, 503, "endpoint_unreachable",
-		    NOT_READY_RETRY_MS);
-}
-
-/* A whole answer in a live stream ends the caller's answer as well. */
-static void
-on_stream_end(struct gw_request *request)
-{
-	g_byte_array_append(request->out, request->reply_body->data,
-	    request->reply_body->len);
-	request->outcome = "answered";
-	gw_tell_done(request, OUTCOME_WHOLE);
-	end(request);
-	gw_resume(request);
-}
-
-static void
-on_whole(struct gw_request *request)
-{
-	bool failed = request->reply.status >= 500;
-
-	if (request->streaming && request->reply.status != 200) {
-		on_no_answer(request);
-		return;
-	}
-	if (request->streaming) {
-		on_stream_end(request);
-		return;
-	}
-	if (failed && may_repeat(request) && attempts_left(request)) {
-		request->may_have_run = true;
-		gw_tell_done(request, OUTCOME_FAILED);
-		repeat(request);
-		return;
-	}
-	gw_tell_done(request, failed ? OUTCOME_FAILED : OUTCOME_WHOLE);
-	pass_answer(request);
-}
-
-void
-gw_request_attempt_ended(struct gw_request *request, CURLcode code)
-{
-	bool sent = gw_call_was_sent(request);
-
-	gw_call_stop(request);
-	request->attempts_count++;
-	if (!sent)
-		on_unreached(request);
-	else if (code == CURLE_OK && wire_reply_refused(&request->reply))
-		on_not_run(request, false);
-	else if (code == CURLE_OK && wire_reply_moved(&request->reply))
-		on_not_run(request, true);
-	else if (code == CURLE_OK && request->reply_head_ended &&
-	    wire_reply_matches(&request->reply, &request->head))
-		on_whole(request);
-	else
-		on_no_answer(request);
+		gw_request_decide(request);
 }
 
 /* Ends an attempt that runs, if one does. */
@@ -498,7 +328,7 @@
 	request->outcome = "caller_left";
 	request->out_broken = true;
 	if (request->begun)
-		end(request);
+		gw_request_end(request);
 	gw_resume(request);
 }
 
@@ -515,6 +345,5 @@
 	if (ran)
 		gw_request_refuse(request, 504, "timeout", 0);
 	else
-		gw_request_refuse(request, 503, "timeout_not_run",
-		    NOT_READY_RETRY_MS);
+		gw_request_refuse(request, 503, "timeout_not_run", GW_RETRY_MS);
 }
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -5,21 +5,8 @@
 #include "core/dispatch_private.h"
 #include "core/hash.h"
 
-/* Tokens of a prompt that an engine reads in a second, before its own speed
- * is known from its first tokens. */
-#define READ_TOKENS_PER_MS 50u
 /* From the last token read to the first one made. */
 #define FIRST_TOKEN_MS 30u
-/* Engines drop what was used least lately; what is older counts as dropped. */
-#define KEPT_MS 9000u
-#define KEPT_MAX_COUNT 2048u
-#define KEPT_PART_MIN_TOKENS 64u
-/* Endpoints that all daemons expect to keep a shared part. */
-#define HOMES_COUNT 2u
-/* A shared part that is read again takes engine time from others, too, and
- * memory from the parts that are kept there. */
-#define SHARED_READ_WEIGHT 3u
-#define OTHER_DOMAIN_MS 4u
 /* Work ahead of a request beyond which it is refused: a quarter of its aim
  * above a base. */
 #define AHEAD_BASE_MS 150u
@@ -33,13 +20,11 @@
 #define LIMIT_AT_EVEN_PERCENT 30u
 /* Of the request's own reading, so that large prompts are not shut out. */
 #define AHEAD_OWN_MAX_MS 100u
-#define MEMORY_FULL_PERCENT 85u
 #define DURATION_FIRST_MS 1000u
 #define AVERAGE_WEIGHT 16u
 #define SLOW_NORMAL_PERMILLE 1000u
 #define SLOW_MIN_PERMILLE 500u
 #define SLOW_MAX_PERMILLE 8000u
-#define WARMUP_SLOW_FACTOR 2u
 #define FULL_HOLD_MS 100u
 #define RETRY_AFTER_MIN_MS 500u
 #define RETRY_AFTER_SPREAD_MS 2500u
@@ -147,252 +132,6 @@
 		endpoint->listed = false;
 }
 
-static bool
-was_tried(const struct dispatch_ask *ask, uint64_t endpoint_id)
-{
-	for (uint32_t i = 0; i < ask->tried_count; i++)
-		if (ask->tried_ids[i] == endpoint_id)
-			return true;
-	return false;
-}
-
-/* The part that a request shares with others: the last but its own. Requests
- * without one are spread evenly. */
-static uint64_t
-subject_of(const struct dispatch_ask *ask)
-{
-	return ask->parts_count < 2 ? ask->request_hash
-				    : ask->parts[ask->parts_count - 2].part_id;
-}
-
-static uint64_t
-home_score(const struct dispatch_endpoint *endpoint, uint64_t subject)
-{
-	uint64_t words[] = { subject, endpoint->endpoint_id };
-
-	return hash_bytes(words, sizeof(words));
-}
-
-/* Tokens of the prompt that an endpoint has to read. A part counts as kept
- * only if all before it are. */
-static uint64_t
-unread_tokens(const struct dispatch_endpoint *endpoint,
-    const struct dispatch_ask *ask, bool home, uint64_t now_ms)
-{
-	uint64_t kept_tokens = 0;
-	uint32_t shared_count = ask->parts_count == 0 ? 0
-						      : ask->parts_count - 1;
-
-	for (uint32_t i = 0; i < ask->parts_count; i++) {
-		uint64_t *used_ms = g_hash_table_lookup(endpoint->kept,
-		    &ask->parts[i].part_id);
-		bool kept = used_ms != NULL && now_ms < *used_ms + KEPT_MS;
-		if (!kept && !(home && i < shared_count))
-			break;
-		kept_tokens += ask->parts[i].tokens;
-	}
-	return ask->prompt_tokens > kept_tokens
-	    ? ask->prompt_tokens - kept_tokens
-	    : 1;
-}
-
-static gboolean
-kept_expired(gpointer key, gpointer value, gpointer now_ms)
-{
-	(void)key;
-	return *(uint64_t *)value + KEPT_MS < *(uint64_t *)now_ms;
-}
-
-static void
-note_kept(struct dispatch_endpoint *endpoint, const struct dispatch_ask *ask,
-    uint64_t now_ms)
-{
-	if (g_hash_table_size(endpoint->kept) > KEPT_MAX_COUNT)
-		g_hash_table_foreach_remove(endpoint->kept, kept_expired,
-		    &now_ms);
-	for (uint32_t i = 0; i < ask->parts_count; i++) {
-		uint64_t *entry,
-		    *used_ms = g_hash_table_lookup(endpoint->kept,
-			&ask->parts[i].part_id);
-
-		if (used_ms != NULL) {
-			*used_ms = now_ms;
-			continue;
-		}
-		if (ask->parts[i].tokens < KEPT_PART_MIN_TOKENS)
-			continue;
-		/* key and value in one block, which the key frees */
-		entry = g_new(uint64_t, 2);
-		entry[0] = ask->parts[i].part_id;
-		entry[1] = now_ms;
-		g_hash_table_insert(endpoint->kept, entry, entry + 1);
-	}
-}
-
-/* An endpoint weighed for one request. */
-struct candidate {
-	struct dispatch_endpoint *endpoint;
-	uint64_t home_score;
-	uint64_t read_tokens;
-	uint64_t ahead_ms;
-	uint64_t own_ms; /**< reading its own prompt */
-	uint64_t cost_ms; /**< what is compared */
-};
-
-static uint64_t
-running_of(const struct dispatch_endpoint *endpoint)
-{
-	return (uint64_t)endpoint->own.running_count +
-	    endpoint->others.running_count;
-}
-
-static uint64_t
-slots_of(const struct dispatch_endpoint *endpoint)
-{
-	return MAX(endpoint->listing.slots, 1u);
-}
-
-/* Time until one of the requests beyond the slots has gone. */
-static uint64_t
-slot_wait_ms(const struct dispatch *dispatch,
-    const struct dispatch_endpoint *endpoint)
-{
-	uint64_t running = running_of(endpoint), slots = slots_of(endpoint);
-
-	if (running < slots)
-		return 0;
-	return (running - slots + 1) * dispatch->duration_ms / slots;
-}
-
-static uint64_t
-memory_of(const struct dispatch_endpoint *endpoint)
-{
-	return endpoint->own.memory_tokens + endpoint->others.memory_tokens;
-}
-
-/* Tokens of the shared parts that the endpoint would read again. */
-static uint64_t
-missing_shared_tokens(const struct dispatch_ask *ask,
-    const struct candidate *candidate)
-{
-	uint64_t own_tokens = ask->parts_count == 0
-	    ? ask->prompt_tokens
-	    : ask->parts[ask->parts_count - 1].tokens;
-
-	return candidate->read_tokens > own_tokens
-	    ? candidate->read_tokens - own_tokens
-	    : 0;
-}
-
-static void
-weigh_engine(const struct dispatch *dispatch, const struct catalog_pool *pool,
-    const struct dispatch_ask *ask, uint64_t now_ms, bool home,
-    struct candidate *candidate)
-{
-	const struct dispatch_endpoint *endpoint = candidate->endpoint;
-	uint64_t reading = endpoint->own.reading_tokens +
-	    endpoint->others.reading_tokens;
-	uint64_t slow = endpoint->slow_permille, needed;
-
-	if (now_ms < endpoint->warm_at_ms)
-		slow *= WARMUP_SLOW_FACTOR;
-	candidate->read_tokens = unread_tokens(endpoint, ask, home, now_ms);
-	candidate->ahead_ms = reading * slow / READ_TOKENS_PER_MS / 1000 +
-	    slot_wait_ms(dispatch, endpoint);
-	needed = memory_of(endpoint) + ask->prompt_tokens + ask->answer_tokens;
-	if (pool->memory_tokens > 0 &&
-	    needed * 100 > pool->memory_tokens * MEMORY_FULL_PERCENT)
-		candidate->ahead_ms += dispatch->duration_ms;
-	candidate->own_ms = candidate->read_tokens * slow / READ_TOKENS_PER_MS /
-	    1000;
-	candidate->cost_ms = candidate->ahead_ms + candidate->own_ms +
-	    SHARED_READ_WEIGHT * missing_shared_tokens(ask, candidate) /
-		READ_TOKENS_PER_MS;
-}
-
-/* A plain service: how full it is stands for the wait. */
-static void
-weigh_service(const struct dispatch *dispatch, struct candidate *candidate)
-{
-	const struct dispatch_endpoint *endpoint = candidate->endpoint;
-
-	candidate->read_tokens = 0;
-	candidate->ahead_ms = slot_wait_ms(dispatch, endpoint);
-	candidate->cost_ms = running_of(endpoint) * 100 / slots_of(endpoint);
-}
-
-static void
-collect(struct dispatch *dispatch, const struct dispatch_ask *ask,
-    uint64_t now_ms, bool ejected_too, GArray *candidates)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, dispatch->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct dispatch_endpoint *endpoint = value;
-		struct candidate candidate = { .endpoint = endpoint };
-
-		if (endpoint->listing.pool_id != ask->pool_id ||
-		    !endpoint->listed || endpoint->listing.leaving ||
-		    was_tried(ask, endpoint->endpoint_id) ||
-		    (!ejected_too && !dispatch_usable(endpoint, now_ms)))
-			continue;
-		candidate.home_score = home_score(endpoint, subject_of(ask));
-		g_array_append_val(candidates, candidate);
-	}
-}
-
-/* Score that the homes of a shared part reach, by rendezvous hashing. */
-static uint64_t
-home_bar(const GArray *candidates)
-{
-	uint64_t best[HOMES_COUNT] = { 0 };
-
-	for (guint i = 0; i < candidates->len; i++) {
-		uint64_t score = g_array_index(candidates, struct candidate, i)
-				     .home_score;
-		for (uint32_t rank = 0; rank < HOMES_COUNT; rank++)
-			if (score > best[rank]) {
-				uint64_t lower = best[rank];
-				best[rank] = score;
-				score = lower;
-			}
-	}
-	return best[HOMES_COUNT - 1];
-}
-
-static struct candidate *
-choose(struct dispatch *dispatch, const struct catalog_pool *pool,
-    const struct dispatch_ask *ask, uint64_t now_ms, GArray *candidates)
-{
-	uint64_t bar = home_bar(candidates);
-	struct candidate *best = NULL;
-
-	for (guint i = 0; i < candidates->len; i++) {
-		struct candidate *candidate = &g_array_index(candidates,
-		    struct candidate, i);
-		const struct dispatch_endpoint *endpoint = candidate->endpoint;
-		bool home = ask->parts_count > 1 &&
-		    candidate->home_score >= bar;
-
-		if (pool->engine)
-			weigh_engine(dispatch, pool, ask, now_ms, home,
-			    candidate);
-		else
-			weigh_service(dispatch, candidate);
-		if (endpoint->listing.domain_id != dispatch->config.domain_id)
-			candidate->cost_ms += OTHER_DOMAIN_MS;
-		if (now_ms < endpoint->full_until_ms)
-			candidate->cost_ms += FULL_HOLD_MS;
-		if (best == NULL || candidate->cost_ms < best->cost_ms ||
-		    (candidate->cost_ms == best->cost_ms &&
-			candidate->home_score > best->home_score))
-			best = candidate;
-	}
-	return best;
-}
-
 uint32_t
 dispatch_retry_after_ms(const struct dispatch_ask *ask)
 {
@@ -416,7 +155,7 @@
 
 static void
 start(struct dispatch *dispatch, const struct dispatch_ask *ask,
-    const struct candidate *candidate, bool engine, uint64_t now_ms,
+    const struct dispatch_candidate *candidate, bool engine, uint64_t now_ms,
     struct dispatch_decision *decision)
 {
 	struct dispatch_endpoint *endpoint = candidate->endpoint;
@@ -433,7 +172,7 @@
 		attempt->forecast_ms = (uint32_t)(candidate->ahead_ms +
 					   candidate->own_ms) +
 		    FIRST_TOKEN_MS;
-		note_kept(endpoint, ask, now_ms);
+		dispatch_note_kept(endpoint, ask, now_ms);
 	}
 	endpoint->own.running_count++;
 	endpoint->own.reading_tokens += attempt->reading_tokens;
@@ -474,7 +213,7 @@
 
 static void
 admit(struct dispatch *dispatch, const struct dispatch_ask *ask,
-    const struct candidate *best, uint64_t now_ms,
+    const struct dispatch_candidate *best, uint64_t now_ms,
     struct dispatch_decision *decision)
 {
 	struct dispatch_forecast *forecast = &decision->forecast;
@@ -508,34 +247,26 @@
 	const struct catalog_pool *pool = dispatch->catalog == NULL
 	    ? NULL
 	    : catalog_find_pool(dispatch->catalog, ask->pool_id);
-	GArray *candidates = g_array_new(FALSE, FALSE,
-	    sizeof(struct candidate));
-	struct candidate *best = NULL;
+	struct dispatch_candidate best;
 
 	memset(decision, 0, sizeof(*decision));
 	dispatch_sum_peers(dispatch);
 	if (ask->tried_count == 0)
 		dispatch_count_request(dispatch, now_ms);
-	if (pool != NULL) {
-		collect(dispatch, ask, now_ms, false, candidates);
-		if (candidates->len == 0)
-			collect(dispatch, ask, now_ms, true, candidates);
-		best = choose(dispatch, pool, ask, now_ms, candidates);
-	}
 	decision->forecast.peers_age_ms = dispatch_peers_age_ms(dispatch,
 	    now_ms);
-	if (best == NULL)
+	if (pool == NULL ||
+	    !dispatch_choose(dispatch, pool, ask, now_ms, &best)) {
 		refuse(dispatch, ask, REFUSE_NO_ENDPOINT, NO_ENDPOINT_RETRY_MS,
 		    decision);
-	else {
-		decision->forecast.running_count = (uint32_t)running_of(
-		    best->endpoint);
-		if (pool->engine)
-			admit(dispatch, ask, best, now_ms, decision);
-		else
-			start(dispatch, ask, best, false, now_ms, decision);
+		return;
 	}
-	g_array_free(candidates, TRUE);
+	decision->forecast.running_count = (uint32_t)dispatch_running(
+	    best.endpoint);
+	if (pool->engine)
+		admit(dispatch, ask, &best, now_ms, decision);
+	else
+		start(dispatch, ask, &best, false, now_ms, decision);
 }
 
 static void
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -7,6 +7,9 @@
 
 #include "bamboorudderd/gateway.h"
 
+/** Retry-After where nothing tells when there will be room. */
+#define GW_RETRY_MS 500u
+
 uint64_t gw_now_ms(const struct gateway *gateway);
 
 /** Adds a file descriptor to the event loop. */
@@ -45,10 +48,13 @@
 bool gw_request_begin(struct gw_request *request);
 /** The whole request was read. */
 void gw_request_submit(struct gw_request *request);
-/** The control thread decided. */
-void gw_request_decided(struct gw_request *request);
-/** An attempt ended. */
-void gw_request_attempt_ended(struct gw_request *request, CURLcode code);
+/** Asks where the next attempt runs. */
+void gw_request_decide(struct gw_request *request);
+/** Refuses what the request's account sends for a moment, if it is far over
+ * its share. */
+void gw_request_shut_account(struct gw_request *request);
+/** The answer is complete, or there will be none. */
+void gw_request_end(struct gw_request *request);
 /** The caller left. */
 void gw_request_gone(struct gw_request *request);
 /** Ends what is past its time. */
@@ -57,6 +63,13 @@
 void gw_request_refuse(struct gw_request *request, uint32_t status,
     const char *outcome, uint32_t retry_after_ms);
 
+/* gateway_attempt.c: what follows from a decision and from an attempt's end */
+
+/** The control thread decided. */
+void gw_request_decided(struct gw_request *request);
+/** An attempt ended. */
+void gw_request_attempt_ended(struct gw_request *request, CURLcode code);
+
 /* gateway_call.c: the endpoints' side */
 
 gboolean gw_calls_init(struct gateway *gateway);
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -31,6 +31,31 @@
 	uint32_t accounts_count;
 };
 
+/** An endpoint weighed for one request. */
+struct dispatch_candidate {
+	struct dispatch_endpoint *endpoint;
+	uint64_t home_score;
+	uint64_t read_tokens;
+	uint64_t ahead_ms;
+	uint64_t own_ms; /**< reading its own prompt */
+	uint64_t cost_ms; /**< what is compared */
+};
+
+/**
+ * Picks the endpoint that costs a request least.
+ * @return false if the pool has none that may be used
+ */
+bool dispatch_choose(struct dispatch *dispatch, const struct catalog_pool *pool,
+    const struct dispatch_ask *ask, uint64_t now_ms,
+    struct dispatch_candidate *chosen);
+
+/** Notes what an endpoint will keep of a request's prompt. */
+void dispatch_note_kept(struct dispatch_endpoint *endpoint,
+    const struct dispatch_ask *ask, uint64_t now_ms);
+
+/** @return requests at an endpoint, as far as known */
+uint64_t dispatch_running(const struct dispatch_endpoint *endpoint);
+
 /** @return the account's counters, added at first use */
 struct dispatch_account *dispatch_account(struct dispatch *dispatch,
     uint64_t account_id);
--- /dev/null
+++ b/include/platform/follow.h
@@ -0,0 +1,20 @@
+/**
+ * @file
+ * Calls of a follower: lists in pages, watches that resume, and entries that
+ * are held for a while after they are gone.
+ */
+#ifndef PLATFORM_FOLLOW_H
+#define PLATFORM_FOLLOW_H
+
+#include "platform/feed.h"
+
+/** Reads all objects of the kind, and drops those that are gone. */
+void follow_list(struct feed_follower *follower);
+
+/** Waits for changes once; a lost history makes the next call a list. */
+void follow_watch(struct feed_follower *follower);
+
+/** Tells the sink of entries that stayed away. */
+void follow_end_lapsed(struct feed_follower *follower);
+
+#endif
