--- a/bamboorudderd/dump.c
+++ b/bamboorudderd/dump.c
@@ -228,10 +228,12 @@
 	uint32_t waiting_count, running_count;
 
 	entry_counts(&control->entry, &waiting_count, &running_count);
-	return json_pack("{s:o, s:o, s:o, s:o, s:{s:i, s:i, s:I, s:I, s:I, "
+	return json_pack("{s:o, s:o, s:o, s:o, s:o, s:{s:i, s:i, s:I, s:I, "
+			 "s:I, "
 			 "s:o, "
 			 "s:b}}",
-	    "self", dump_self(&control->members.config.self, now_ms), "members",
+	    "dispatch", dump_dispatch(&control->dispatch, now_ms), "self",
+	    dump_self(&control->members.config.self, now_ms), "members",
 	    dump_members(&control->members, now_ms), "pools",
 	    dump_pools(control), "owners", dump_owners(control), "entry",
 	    "waiting", (int)waiting_count, "running", (int)running_count,
--- /dev/null
+++ b/bamboorudderd/dump_dispatch.c
@@ -0,0 +1,81 @@
+#include "bamboorudderd/dump.h"
+
+/* What is believed of an endpoint, and why it may get no work. */
+static json_t *
+dump_endpoint(const struct dispatch_endpoint *endpoint, uint64_t now_ms)
+{
+	const struct dispatch_listing *listing = &endpoint->listing;
+	const char *state = "ready";
+
+	if (!endpoint->listed)
+		state = "gone";
+	else if (listing->leaving)
+		state = "leaving";
+	else if (now_ms < endpoint->ejected_until_ms)
+		state = "ejected";
+	else if (endpoint->probing)
+		state = "tried";
+	return json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:I, s:I, s:i, s:i}",
+	    "name", listing->name, "address", listing->address, "state", state,
+	    "slots", (int)listing->slots, "running_here",
+	    (int)endpoint->own.running_count, "running_elsewhere",
+	    (int)endpoint->others.running_count, "reading_tokens",
+	    (json_int_t)(endpoint->own.reading_tokens +
+		endpoint->others.reading_tokens),
+	    "memory_tokens",
+	    (json_int_t)(endpoint->own.memory_tokens +
+		endpoint->others.memory_tokens),
+	    "slow_permille", (int)endpoint->slow_permille, "failing_permille",
+	    (int)endpoint->failing_permille);
+}
+
+static const char *
+account_name(const struct catalog *catalog, uint64_t account_id)
+{
+	for (guint i = 0; catalog != NULL && i < catalog->accounts->len; i++) {
+		const struct catalog_account *account =
+		    &g_array_index(catalog->accounts, struct catalog_account,
+			i);
+		if (account->account_id == account_id)
+			return account->name;
+	}
+	return "-";
+}
+
+static json_t *
+dump_account(const struct dispatch *dispatch,
+    const struct dispatch_account *account)
+{
+	return json_pack("{s:s, s:I, s:I, s:I}", "account",
+	    account_name(dispatch->catalog, account->account_id),
+	    "asked_tokens",
+	    (json_int_t)(account->asked_tokens + account->others_asked_tokens),
+	    "served_tokens",
+	    (json_int_t)(account->served_tokens +
+		account->others_served_tokens),
+	    "share_permille",
+	    (json_int_t)dispatch_share_permille(dispatch, account));
+}
+
+json_t *
+dump_dispatch(const struct dispatch *dispatch, uint64_t now_ms)
+{
+	json_t *endpoints = json_array(), *accounts = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		json_array_append_new(endpoints, dump_endpoint(value, now_ms));
+	g_hash_table_iter_init(&iter, dispatch->accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		json_array_append_new(accounts, dump_account(dispatch, value));
+	return json_pack("{s:I, s:b, s:i, s:i, s:I, s:o, s:o}", "configuration",
+	    (json_int_t)(dispatch->catalog == NULL
+		    ? 0
+		    : dispatch->catalog->version),
+	    "is_hub", dispatch->is_hub, "daemons", (int)dispatch->live_count,
+	    "peers_age_ms", (int)dispatch_peers_age_ms(dispatch, now_ms),
+	    "refusals", (json_int_t)dispatch->refusals_count, "endpoints",
+	    endpoints, "accounts", accounts);
+}
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -200,6 +200,15 @@
 /** @return when a caller that is refused for load may come back */
 uint32_t dispatch_retry_after_ms(const struct dispatch_ask *ask);
 
+/** @return what an account got lately, in thousandths of its max-min share;
+ * 0 while there is enough for all */
+uint64_t dispatch_share_permille(const struct dispatch *dispatch,
+    const struct dispatch_account *account);
+
+/** @return age of the oldest report that counts, in ms */
+uint32_t dispatch_peers_age_ms(const struct dispatch *dispatch,
+    uint64_t now_ms);
+
 /** Takes one repeat from this daemon's part of the fleet's budget. */
 bool dispatch_allow_repeat(struct dispatch *dispatch, uint64_t now_ms);
 
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -60,20 +60,11 @@
 struct dispatch_account *dispatch_account(struct dispatch *dispatch,
     uint64_t account_id);
 
-/** @return what an account got lately, in thousandths of its max-min share;
- * 0 while there is enough for all */
-uint64_t dispatch_share_permille(const struct dispatch *dispatch,
-    const struct dispatch_account *account);
-
 void dispatch_peer_free(gpointer peer);
 
 /** Sums up what the peers reported, if that changed. */
 void dispatch_sum_peers(struct dispatch *dispatch);
 
-/** @return age of the oldest report that counts, in ms */
-uint32_t dispatch_peers_age_ms(const struct dispatch *dispatch,
-    uint64_t now_ms);
-
 /** Decays the accounts' counters and computes the share level. */
 void dispatch_update_shares(struct dispatch *dispatch, uint64_t now_ms);
 
