Judge load from the loop's start; serve short requests late into a shutdown

Cause: the first span of the load began at 0 of the clock. And a rolling restart refused all requests from 3 s after SIGTERM on, though a zone whose instances all restart still gets its callers.

Tests: IsNotOverloadedByItsStart and ServesShortRequestsLateIntoAShutdown, both seen failing before. Streams are served for 3 s now, calls for 5.5 s.

--- a/bamboorudderd/dump_dispatch.c
+++ b/bamboorudderd/dump_dispatch.c
@@ -5,6 +5,10 @@
 dump_endpoint(const struct dispatch_endpoint *endpoint, uint64_t now_ms)
 {
 	const struct dispatch_listing *listing = &endpoint->listing;
+	uint64_t reading_tokens = endpoint->own.reading_tokens +
+	    endpoint->others.reading_tokens;
+	uint64_t memory_tokens = endpoint->own.memory_tokens +
+	    endpoint->others.memory_tokens;
 	const char *state = "ready";
 
 	if (!endpoint->listed)
@@ -20,12 +24,9 @@
 	    "slots", (int)listing->slots, "running_here",
 	    (int)endpoint->own.running_count, "running_elsewhere",
 	    (int)endpoint->others.running_count, "reading_tokens",
-	    (json_int_t)(endpoint->own.reading_tokens +
-		endpoint->others.reading_tokens),
-	    "memory_tokens",
-	    (json_int_t)(endpoint->own.memory_tokens +
-		endpoint->others.memory_tokens),
-	    "slow_permille", (int)endpoint->slow_permille, "failing_permille",
+	    (json_int_t)reading_tokens, "memory_tokens",
+	    (json_int_t)memory_tokens, "slow_permille",
+	    (int)endpoint->slow_permille, "failing_permille",
 	    (int)endpoint->failing_permille);
 }
 
@@ -46,14 +47,15 @@
 dump_account(const struct dispatch *dispatch,
     const struct dispatch_account *account)
 {
+	uint64_t asked_tokens = account->asked_tokens +
+	    account->others_asked_tokens;
+	uint64_t served_tokens = account->served_tokens +
+	    account->others_served_tokens;
+
 	return json_pack("{s:s, s:I, s:I, s:I}", "account",
 	    account_name(dispatch->catalog, account->account_id),
-	    "asked_tokens",
-	    (json_int_t)(account->asked_tokens + account->others_asked_tokens),
-	    "served_tokens",
-	    (json_int_t)(account->served_tokens +
-		account->others_served_tokens),
-	    "share_permille",
+	    "asked_tokens", (json_int_t)asked_tokens, "served_tokens",
+	    (json_int_t)served_tokens, "share_permille",
 	    (json_int_t)dispatch_share_permille(dispatch, account));
 }
 
--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -165,6 +165,7 @@
 	struct gateway *gateway = pointer;
 	struct epoll_event events[EVENTS_PER_WAIT];
 
+	gateway->load_since_ms = gw_now_ms(gateway);
 	while (!gateway->stopping) {
 		uint64_t now_ms = gw_now_ms(gateway);
 		int timeout_ms = wait_timeout_ms(gateway, now_ms);
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -5,8 +5,9 @@
 #include "common/metric.h"
 #include "core/hash.h"
 
-/* Requests that begin so late in a shutdown might not end in time. */
-#define DRAIN_SERVE_MS 3000u
+/* A request is served in a shutdown if so much of the grace is left. */
+#define DRAIN_STREAM_MS 5000u
+#define DRAIN_CALL_MS 2500u
 #define DRAIN_RETRY_MS 100u
 /* Between the caller's sending and the check of its key's freshness. */
 #define PROOF_MARGIN_MS 400u
@@ -195,6 +196,18 @@
 	request->ends_ms = now_ms + MIN(left_ms, request->route->timeout_ms);
 }
 
+static bool
+ends_in_grace(const struct gw_request *request, uint64_t now_ms)
+{
+	const struct gateway *gateway = request->gateway;
+	uint32_t needed_ms = request->route->kind == CALL_STREAM
+	    ? DRAIN_STREAM_MS
+	    : DRAIN_CALL_MS;
+
+	return now_ms + needed_ms <=
+	    gateway->drain_ms + gateway->settings->grace_milli;
+}
+
 bool
 gw_request_begin(struct gw_request *request)
 {
@@ -220,7 +233,7 @@
 	if (!find_account(request))
 		return false;
 	set_times(request, now_ms);
-	if (gateway->draining && now_ms > gateway->drain_ms + DRAIN_SERVE_MS)
+	if (gateway->draining && !ends_in_grace(request, now_ms))
 		return refuse_head(request, 503, "shutting_down",
 		    DRAIN_RETRY_MS);
 	return true;
--- a/tests/e2e/test_gateway.cc
+++ b/tests/e2e/test_gateway.cc
@@ -287,6 +287,46 @@
 	EXPECT_TRUE(world.ready());
 }
 
+TEST_F(Gateway, IsNotOverloadedByItsStart)
+{
+	start();
+	std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+	EXPECT_TRUE(world.ready());
+	EXPECT_EQ(world.daemon->log().find("event=overloaded"),
+	    std::string::npos);
+}
+
+/* Callers still come while the platform has too few other daemons. */
+TEST_F(Gateway, ServesShortRequestsLateIntoAShutdown)
+{
+	std::atomic<bool> go{ false };
+
+	first.set([&](Peer &peer, const std::string &request) {
+		while (request.find("/again/") != std::string::npos && !go)
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(5));
+		peer.send_text(answer_text(request, "whole"));
+	});
+	start();
+	/* a long request keeps the daemon from ending */
+	std::thread caller([&] {
+		call("POST",
+		    "http://127.0.0.1:" + std::to_string(world.listen_port) +
+			"/again/",
+		    "b",
+		    { "Host: a.example", "X-Bamboorudder-Request-Id: long" });
+	});
+	std::this_thread::sleep_for(std::chrono::milliseconds(300));
+	world.daemon->signal(SIGTERM);
+	std::this_thread::sleep_for(std::chrono::milliseconds(4600));
+	EXPECT_EQ(world.send("GET", "/safe/").status, 200);
+	EXPECT_EQ(world.send("POST", "/flow/", {}, "b").status, 503);
+	EXPECT_TRUE(world.logged("outcome=shutting_down"));
+	go = true;
+	caller.join();
+	EXPECT_EQ(world.daemon->wait_for_ms(15000), 0);
+}
+
 TEST_F(Gateway, AnswersAtTheRoutesTimeout)
 {
 	auto begin = std::chrono::steady_clock::now();
