Refuse what comes once a shutdown is decided; drop fields that nothing reads

Ruled out: the grace (3.6 s were left). From the decision on requests are refused as not run. Also, after 3 s of a shutdown a request is served only if its own deadline is before the end of the grace.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -90,10 +90,12 @@
 	if ((drained_ms >= DRAIN_ACCEPT_MS &&
 		now_ms >= gateway->quiet_ms + DRAIN_QUIET_MS) ||
 	    drained_ms + DRAIN_MARGIN_MS >= gateway->settings->grace_milli)
+		gateway->ending = true;
+	if (gateway->ending)
 		atomic_store(&gateway->drained, 1);
 }
 
-static int
+static int32_t
 wait_timeout_ms(struct gateway *gateway, uint64_t now_ms)
 {
 	uint64_t due_ms = gateway->check_due_ms;
@@ -110,7 +112,7 @@
 		due_ms = MIN(due_ms, now_ms + server_ms);
 		gateway->resumed |= server_ms == 0;
 	}
-	return due_ms <= now_ms ? 0 : (int)(due_ms - now_ms);
+	return due_ms <= now_ms ? 0 : (int32_t)(due_ms - now_ms);
 }
 
 /* A daemon whose loop hardly ever waits can't keep up: it asks the platform to
@@ -168,7 +170,7 @@
 	gateway->load_since_ms = gw_now_ms(gateway);
 	while (!gateway->stopping) {
 		uint64_t now_ms = gw_now_ms(gateway);
-		int timeout_ms = wait_timeout_ms(gateway, now_ms);
+		int32_t timeout_ms = wait_timeout_ms(gateway, now_ms);
 		uint64_t from_us = clk_monotonic_us(&gateway->clk);
 		int count = epoll_wait(gateway->epoll_fd, events,
 		    EVENTS_PER_WAIT, timeout_ms);
--- a/bamboorudderd/gateway_call.c
+++ b/bamboorudderd/gateway_call.c
@@ -134,7 +134,7 @@
 {
 	int on = 1, idle_s = KEEPALIVE_IDLE_S, period_s = KEEPALIVE_PERIOD_S;
 	int count = KEEPALIVE_COUNT;
-	unsigned int silent_ms = SILENT_PEER_MS;
+	uint32_t silent_ms = SILENT_PEER_MS;
 
 	(void)context;
 	(void)purpose;
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -5,9 +5,10 @@
 #include "common/metric.h"
 #include "core/hash.h"
 
-/* A request is served in a shutdown if so much of the grace is left. */
-#define DRAIN_STREAM_MS 5000u
-#define DRAIN_CALL_MS 2500u
+/* In a shutdown every request is served for so long, and later those that end
+ * by themselves so long before the platform kills. */
+#define DRAIN_SERVE_MS 3000u
+#define DRAIN_MARGIN_MS 600u
 #define DRAIN_RETRY_MS 100u
 /* Between the caller's sending and the check of its key's freshness. */
 #define PROOF_MARGIN_MS 400u
@@ -200,11 +201,11 @@
 ends_in_grace(const struct gw_request *request, uint64_t now_ms)
 {
 	const struct gateway *gateway = request->gateway;
-	uint32_t needed_ms = request->route->kind == CALL_STREAM
-	    ? DRAIN_STREAM_MS
-	    : DRAIN_CALL_MS;
 
-	return now_ms + needed_ms <=
+	if (gateway->ending)
+		return false;
+	return now_ms <= gateway->drain_ms + DRAIN_SERVE_MS ||
+	    request->ends_ms + DRAIN_MARGIN_MS <=
 	    gateway->drain_ms + gateway->settings->grace_milli;
 }
 
@@ -311,7 +312,10 @@
 	gw_request_was_read(request);
 	request->gateway->active_count++;
 	fill_ask(request);
-	if (is_shut(request))
+	if (request->gateway->ending)
+		gw_request_refuse(request, 503, "shutting_down",
+		    DRAIN_RETRY_MS);
+	else if (is_shut(request))
 		gw_request_refuse(request, 503, "account_over_share",
 		    MAX(dispatch_retry_after_ms(&request->ask), 1u));
 	else
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -156,6 +156,7 @@
 				     * requests are refused unasked */
 	bool resumed; /**< the server has to look at its connections */
 	bool draining;
+	bool ending; /**< it was decided to end: all is refused */
 	bool stopping;
 	uint64_t drain_ms; /**< when draining began */
 	uint64_t quiet_ms; /**< since when nothing ran, while draining */
--- a/include/core/catalog.h
+++ b/include/core/catalog.h
@@ -39,7 +39,6 @@
 	uint32_t timeout_ms; /**< longest time until the answer's end */
 	uint32_t aim_ms; /**< latency target */
 	uint32_t attempts_max_count; /**< endpoints a request may be sent to */
-	uint32_t priority; /**< 0 is the highest */
 	bool anonymous; /**< needs no key */
 	bool resumable; /**< a broken stream may go on elsewhere */
 };
@@ -55,15 +54,12 @@
 struct catalog_account {
 	uint64_t account_id;
 	char name[NAME_MAX_BYTES];
-	uint32_t priority;
 };
 
 /** Bounds on what callers may send. */
 struct catalog_limits {
-	uint32_t header_max_bytes;
 	uint32_t body_max_bytes;
 	uint32_t idle_timeout_ms;
-	uint64_t tokens_per_s; /**< what all engines give together, or 0 */
 };
 
 struct catalog {
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -39,8 +39,6 @@
 	bool not_executed; /**< the endpoint did not run the request */
 	bool encoded; /**< the body is not as the endpoint made it */
 	bool event_stream;
-	bool length_seen;
-	uint64_t length_bytes;
 };
 
 /** What the daemon tells the endpoint of a request. */
