--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -23,8 +23,8 @@
 #define DRAIN_ACCEPT_MS 2600u
 /* Nothing ran for so long before the process ends. */
 #define DRAIN_QUIET_MS 300u
-/* Before the platform's own kill. */
-#define DRAIN_MARGIN_MS 500u
+/* The process ends so long before the platform's own kill. */
+#define DRAIN_END_MS 500u
 
 uint64_t
 gw_now_ms(const struct gateway *gateway)
@@ -89,7 +89,7 @@
 		gateway->quiet_ms = now_ms;
 	if ((drained_ms >= DRAIN_ACCEPT_MS &&
 		now_ms >= gateway->quiet_ms + DRAIN_QUIET_MS) ||
-	    drained_ms + DRAIN_MARGIN_MS >= gateway->settings->grace_milli)
+	    drained_ms + DRAIN_END_MS >= gateway->settings->grace_milli)
 		gateway->ending = true;
 	if (gateway->ending)
 		atomic_store(&gateway->drained, 1);
@@ -253,7 +253,9 @@
 	(void)context;
 	/* the server must not be stopped with suspended connections */
 	LIST_FOREACH(request, &gateway->requests, entries)
-	gw_request_gone(request);
+	{
+		gw_request_gone(request);
+	}
 	MHD_run(gateway->server);
 	gateway->stopping = true;
 }
--- a/bamboorudderd/gateway_mail.c
+++ b/bamboorudderd/gateway_mail.c
@@ -246,11 +246,7 @@
 static void
 on_endpoints_known(void *context)
 {
-	struct gateway *gateway = context;
-
-	if (!gateway->feed.endpoints.told)
-		gw_mail_post(gateway, take_endpoints_known, NULL);
-	gateway->feed.endpoints.told = true;
+	gw_mail_post(context, take_endpoints_known, NULL);
 }
 
 const struct feed_sink_ops gw_feed_sink = { on_catalog, on_proof, on_endpoint,
--- a/common/header.c
+++ b/common/header.c
@@ -3,11 +3,13 @@
 #include <glib.h>
 #include <string.h>
 
-/* Headers of one hop, and those that each side sets for itself. */
+/* Headers of one connection. */
 static const char *const hop_names[] = { "connection", "keep-alive",
 	"proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
 	"trailer", "transfer-encoding", "upgrade", "content-length", "expect",
-	"x-request-id", NULL };
+	NULL };
+/* Set by each side for itself. */
+static const char *const own_names[] = { "x-request-id", NULL };
 /* An encoded answer could not be counted or cut at its events. */
 static const char *const request_names[] = { "authorization", "host",
 	"accept-encoding", NULL };
@@ -22,6 +24,12 @@
 	return false;
 }
 
+bool
+header_is_hop(const char *name)
+{
+	return name_in(hop_names, name);
+}
+
 static bool
 named_by_connection(const char *name, const char *connection)
 {
@@ -40,7 +48,8 @@
 static bool
 passes(const char *name, const char *connection)
 {
-	return name[0] != '\0' && !name_in(hop_names, name) &&
+	return name[0] != '\0' && !header_is_hop(name) &&
+	    !name_in(own_names, name) &&
 	    g_ascii_strncasecmp(name, HEADER_INTERNAL_PREFIX,
 		strlen(HEADER_INTERNAL_PREFIX)) != 0 &&
 	    !named_by_connection(name, connection);
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -1,8 +1,7 @@
 #include "core/dispatch_private.h"
 #include "core/hash.h"
 
-/* Tokens of a prompt that an engine reads in a second, before its own speed
- * is known from its first tokens. */
+/* What an engine is taken to read until its first tokens tell its speed. */
 #define READ_TOKENS_PER_MS 50u
 /* Engines drop what was used least lately; what is older counts as dropped. */
 #define KEPT_MS 9000u
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -102,7 +102,6 @@
 	CURL *call; /**< the transfer that runs, or NULL */
 	struct gw_watch *call_watch; /**< its socket's, or NULL */
 	struct curl_slist *call_headers;
-	char call_error[CURL_ERROR_SIZE];
 	struct wire_reply reply;
 	GArray *reply_headers; /**< struct gw_header of the current attempt */
 	GByteArray *reply_body;
--- a/include/common/header.h
+++ b/include/common/header.h
@@ -10,6 +10,9 @@
 /** Prefix of the headers that only daemons and endpoints may set. */
 #define HEADER_INTERNAL_PREFIX "Bamboorudder-"
 
+/** @return whether a header concerns one connection only */
+bool header_is_hop(const char *name);
+
 /**
  * @param connection value of the message's Connection header, or NULL
  * @return whether a caller's header goes on to the endpoint
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -25,7 +25,7 @@
 	void (*on_endpoint)(void *context,
 	    const struct dispatch_listing *listing);
 	void (*on_endpoint_gone)(void *context, const char *name);
-	/** All endpoints of a list were given. */
+	/** All endpoints of a list were given; called once. */
 	void (*on_endpoints_known)(void *context);
 };
 
--- a/tests/e2e/gateway_world.h
+++ b/tests/e2e/gateway_world.h
@@ -157,7 +157,8 @@
 			return failing_;
 		if (!from.empty())
 			return watch(lock, kind, std::stoull(from),
-			    std::stoul(parameter(query, "wait_ms")), body);
+			    (uint32_t)std::stoul(parameter(query, "wait_ms")),
+			    body);
 		list(kind, parameter(query, "after"), body);
 		return 200;
 	}
@@ -184,7 +185,7 @@
 	}
 
 	int watch(std::unique_lock<std::mutex> &lock, const std::string &kind,
-	    uint64_t from, unsigned long wait_ms, std::string *body)
+	    uint64_t from, uint32_t wait_ms, std::string *body)
 	{
 		std::string events;
 		auto find = [&] {
