Give each gateway test a folder of its own

A test process with the port of an earlier one found the earlier run's line of "id1" and took its outcome for its own. Shown by putting a foreign line "id=id1 outcome=answered" into the logs of all ports: the same assertion failed after the same 22 s. Ruled out: load alone (900 runs of it and two others, 60 at a time, under the thread sanitizer: none failed) and ports taken by other tests (they are locked, and lie below the kernel's own range).

Each world now has a folder by mkdtemp and removes it, if the test passed. Tests also wait until the daemon knows their endpoint: readiness only says that the first list was read, which may have been before the entry came.

--- a/tests/e2e/gateway_world.h
+++ b/tests/e2e/gateway_world.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <condition_variable>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <memory>
@@ -295,10 +296,11 @@
 	    const std::string &more_settings = "")
 	    : listen_port(free_port()), readiness_port(free_port()),
 	      admin_port(free_port()), peer_port(free_port()),
-	      folder(::testing::TempDir() + "gateway-" +
-		  std::to_string(listen_port))
+	      folder(::testing::TempDir() + "bamboorudder-gateway-XXXXXX")
 	{
-		std::ofstream file(folder + ".toml");
+		EXPECT_NE(mkdtemp(folder.data()), nullptr);
+
+		std::ofstream file(folder + "/daemon.toml");
 
 		file << "[listen]\naddress = \"127.0.0.1:" << listen_port
 		     << "\"\nreadiness_address = \"127.0.0.1:" << readiness_port
@@ -312,10 +314,20 @@
 		file.close();
 		daemon = std::make_unique<
 		    Process>(std::vector<std::string>{ getenv("BAMBOORUDDERD"),
-				 folder + ".toml" },
-		    folder + ".log");
+				 folder + "/daemon.toml" },
+		    folder + "/daemon.log");
+	}
+
+	~GatewayWorld()
+	{
+		daemon.reset();
+		if (!::testing::Test::HasFailure())
+			std::filesystem::remove_all(folder);
 	}
 
+	GatewayWorld(const GatewayWorld &) = delete;
+	GatewayWorld &operator=(const GatewayWorld &) = delete;
+
 	void add(const std::string &name, const ScriptedEndpoint &endpoint)
 	{
 		store.put("servers", name,
@@ -330,6 +342,14 @@
 			   .status == 200;
 	}
 
+	/** Whether the daemon decides with an endpoint: one that is ready may
+	 * still wait for the event of an entry that came after its list. */
+	bool knows(const std::string &name)
+	{
+		return daemon->log().find("name=" + name + " ") !=
+		    std::string::npos;
+	}
+
 	Answer send(const std::string &method, const std::string &path,
 	    std::vector<std::string> headers = {}, const std::string &body = "",
 	    uint32_t timeout_ms = 10000)
--- a/tests/e2e/test_gateway.cc
+++ b/tests/e2e/test_gateway.cc
@@ -29,8 +29,9 @@
 		world.store.put("config", "main",
 		    configuration_text(version, routes, tenants));
 		world.add("e1", first);
-		ASSERT_TRUE(eventually([&] { return world.ready(); }))
-		    << world.daemon->log();
+		ASSERT_TRUE(eventually([&] {
+			return world.ready() && world.knows("e1");
+		})) << world.daemon->log();
 	}
 
 	/** Answers every request whole and counts it. */
@@ -153,9 +154,7 @@
 	second.set(fail);
 	start();
 	world.add("e2", second);
-	ASSERT_TRUE(eventually([&] {
-		return world.daemon->log().find("name=e2") != std::string::npos;
-	}));
+	ASSERT_TRUE(eventually([&] { return world.knows("e2"); }));
 	for (int i = 0; i < 8; i++)
 		EXPECT_EQ(world.send("GET", "/safe/").body, "good");
 }
@@ -227,9 +226,7 @@
 	second.set(script);
 	start();
 	world.add("e2", second);
-	ASSERT_TRUE(eventually([&] {
-		return world.daemon->log().find("name=e2") != std::string::npos;
-	}));
+	ASSERT_TRUE(eventually([&] { return world.knows("e2"); }));
 	Answer answer = world.send("POST", "/again/", {}, "b");
 	EXPECT_TRUE(answer.whole);
 	EXPECT_EQ(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
@@ -413,9 +410,7 @@
 	start();
 	world.store.put("servers", "e2",
 	    entry_text("app", second.address(), "draining"));
-	ASSERT_TRUE(eventually([&] {
-		return world.daemon->log().find("name=e2") != std::string::npos;
-	}));
+	ASSERT_TRUE(eventually([&] { return world.knows("e2"); }));
 	for (int i = 0; i < 8; i++)
 		EXPECT_EQ(world.send("GET", "/safe/").status, 200);
 	EXPECT_EQ(second_count, 0);
