Count repeats by pool; name every attempt that failed; time requests by outcome

The decision stood in the plumbing of the mail between threads.

Headers that a message's Connection header names are no longer passed on in either direction. The platform's own headers are passed on even if named there: nobody may have a request's id or its model dropped on the way.

An attempt that ends without a good answer gets its own log line with endpoint, way of ending, time and the transport's error: until now a request that was repeated showed only its last endpoint.

--- a/bamboorudderd/attempt.c
+++ b/bamboorudderd/attempt.c
@@ -20,6 +20,8 @@
 	[REFUSE_NO_ENDPOINT] = { 503, "no_endpoint",
 	    "the pool has no endpoint" },
 	[REFUSE_SHUTDOWN] = { 503, "shutting_down", "this daemon shuts down" },
+	[REFUSE_BUDGET] = { 503, "retry_budget",
+	    "no further attempt is allowed now" },
 };
 
 static enum relay_outcome
--- a/bamboorudderd/gateway_call.c
+++ b/bamboorudderd/gateway_call.c
@@ -180,13 +180,29 @@
 	header.name = g_strchomp(line);
 	header.value = g_strstrip(colon + 1);
 	wire_take_reply_header(&request->reply, header.name, header.value);
-	if (!wire_passes_to_caller(header.name))
-		return;
 	header.name = g_strdup(header.name);
 	header.value = g_strdup(header.value);
 	g_array_append_val(request->reply_headers, header);
 }
 
+/* The head is complete: what it says of its connection is known. */
+static void
+drop_unpassed(struct gw_request *request)
+{
+	GArray *headers = request->reply_headers;
+
+	for (guint i = headers->len; i-- > 0;) {
+		struct gw_header *header = &g_array_index(headers,
+		    struct gw_header, i);
+		if (wire_passes_to_caller(header->name,
+			request->reply.connection))
+			continue;
+		g_free(header->name);
+		g_free(header->value);
+		g_array_remove_index(headers, i);
+	}
+}
+
 static size_t
 on_header(char *bytes, size_t size, size_t count, void *context)
 {
@@ -208,6 +224,7 @@
 		    &status);
 		request->reply.status = (uint32_t)status;
 		request->reply_head_ended = status >= 200;
+		drop_unpassed(request);
 	} else
 		take_header(request, line);
 	g_free(line);
@@ -227,6 +244,7 @@
 {
 	GArray *headers = request->answer_headers;
 
+	gw_observe_first(request);
 	request->streaming = true;
 	request->gateway->streams_count++;
 	request->status = request->reply.status;
@@ -287,6 +305,7 @@
 
 struct forward_context {
 	struct curl_slist *list;
+	const char *connection; /**< the caller's Connection header, or NULL */
 	bool resumes;
 	bool content_type;
 	bool accept;
@@ -299,7 +318,8 @@
 	struct forward_context *forward = context;
 
 	(void)kind;
-	if (!wire_passes_to_endpoint(name, forward->resumes))
+	if (!wire_passes_to_endpoint(name, forward->connection,
+		forward->resumes))
 		return MHD_YES;
 	forward->content_type |= g_ascii_strcasecmp(name, "Content-Type") == 0;
 	forward->accept |= g_ascii_strcasecmp(name, "Accept") == 0;
@@ -313,6 +333,8 @@
 	uint64_t now_ms = gw_now_ms(request->gateway);
 	struct forward_context forward = {
 		.list = curl_slist_append(NULL, "Expect:"),
+		.connection = MHD_lookup_connection_value(request->connection,
+		    MHD_HEADER_KIND, "Connection"),
 		.resumes = request->sse.last_id[0] != '\0',
 	};
 	struct wire_forward told = {
@@ -381,6 +403,7 @@
 	    : curl_easy_init();
 
 	request->call = handle;
+	request->attempt_ms = gw_now_ms(gateway);
 	request->state = request->streaming ? GW_ANSWERING : GW_CALLING;
 	request->first_told = false;
 	clear_reply(request);
--- a/bamboorudderd/gateway_mail.c
+++ b/bamboorudderd/gateway_mail.c
@@ -63,14 +63,9 @@
 run_decide(struct control *control, struct command *command)
 {
 	struct decision_mail *mail = command->context;
-	uint64_t now_ms = clk_monotonic_ms(&control->clk);
-
-	if (mail->ask.tried_count > 0 &&
-	    !dispatch_allow_repeat(&control->dispatch, now_ms))
-		mail->decision.reason = REFUSE_NO_ENDPOINT;
-	else
-		dispatch_decide(&control->dispatch, &mail->ask, now_ms,
-		    &mail->decision);
+
+	dispatch_decide(&control->dispatch, &mail->ask,
+	    clk_monotonic_ms(&control->clk), &mail->decision);
 	gw_mail_post(mail->request->gateway, take_decision, mail);
 }
 
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -14,6 +14,7 @@
 #define PROOF_MARGIN_MS 400u
 #define SHUT_ACCOUNT_MS 60u
 #define TEXT_BYTES 24
+#define US_PER_MS 1000u
 
 struct gw_request *
 gw_request_new(struct gateway *gateway, const char *target)
@@ -98,6 +99,26 @@
 	    "configuration", version, NULL);
 }
 
+void
+gw_observe_first(const struct gw_request *request)
+{
+	metric_observe(HISTOGRAM_FIRST_BYTE,
+	    (gw_now_ms(request->gateway) - request->attempt_ms) * US_PER_MS);
+}
+
+static void
+observe_end(const struct gw_request *request)
+{
+	static const enum histogram_id ids[] = {
+		[GW_FAILED] = HISTOGRAM_FAILED,
+		[GW_REFUSED] = HISTOGRAM_REFUSED,
+		[GW_ANSWERED] = HISTOGRAM_ANSWERED,
+	};
+
+	metric_observe(ids[request->ending],
+	    (gw_now_ms(request->gateway) - request->arrived_ms) * US_PER_MS);
+}
+
 /* The answer is complete, or there will be none. */
 void
 gw_request_end(struct gw_request *request)
@@ -108,6 +129,7 @@
 		request->gateway->active_count--;
 	request->state = GW_ENDED;
 	request->out_ended = true;
+	observe_end(request);
 	log_end(request);
 }
 
@@ -140,7 +162,9 @@
 			    retry_after_ms / 1000, retry_after_ms % 1000);
 			add_answer_header(request, "Retry-After", text);
 		}
-		metric_add(status == 502 || status == 504
+		request->ending = status == 502 || status == 504 ? GW_FAILED
+								 : GW_REFUSED;
+		metric_add(request->ending == GW_FAILED
 			? METRIC_REQUESTS_UNKNOWN
 			: METRIC_REQUESTS_REFUSED,
 		    1);
--- a/common/header.c
+++ b/common/header.c
@@ -30,8 +30,8 @@
 	return name_in(hop_names, name);
 }
 
-static bool
-named_by_connection(const char *name, const char *connection)
+bool
+header_is_named_by(const char *connection, const char *name)
 {
 	char **tokens;
 	bool found = false;
@@ -52,7 +52,7 @@
 	    !name_in(own_names, name) &&
 	    g_ascii_strncasecmp(name, HEADER_INTERNAL_PREFIX,
 		strlen(HEADER_INTERNAL_PREFIX)) != 0 &&
-	    !named_by_connection(name, connection);
+	    !header_is_named_by(connection, name);
 }
 
 bool
--- a/common/metric.c
+++ b/common/metric.c
@@ -114,6 +114,13 @@
 	    "of the answer: the first token of a stream." },
 	[HISTOGRAM_PLATFORM_CALL] = { "platform_call_seconds",
 	    "Time of calls to the platform, watches left out." },
+	[HISTOGRAM_ANSWERED] = { "request_answered_seconds",
+	    "Time from a request's arrival until its whole answer." },
+	[HISTOGRAM_REFUSED] = { "request_refused_seconds",
+	    "Time from a request's arrival until it was refused as not run." },
+	[HISTOGRAM_FAILED] = { "request_failed_seconds",
+	    "Time from a request's arrival until it failed, was cut or its "
+	    "caller left." },
 };
 
 static struct {
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -30,6 +30,7 @@
 #define RETRY_AFTER_SPREAD_MS 2500u
 /* Callers wait at most a third of the time that they have left. */
 #define RETRY_AFTER_LEFT_PARTS 3u
+/* Where no load tells when there will be room. */
 #define NO_ENDPOINT_RETRY_MS 1000u
 
 static void
@@ -54,6 +55,8 @@
 	    NULL, g_free);
 	dispatch->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, dispatch_peer_free);
+	dispatch->budgets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    NULL, g_free);
 	dispatch->hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->own_hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->is_hub = true;
@@ -70,6 +73,7 @@
 	g_hash_table_destroy(dispatch->attempts);
 	g_hash_table_destroy(dispatch->accounts);
 	g_hash_table_destroy(dispatch->peers);
+	g_hash_table_destroy(dispatch->budgets);
 	g_array_free(dispatch->hubs, TRUE);
 	g_array_free(dispatch->own_hubs, TRUE);
 }
@@ -251,10 +255,16 @@
 
 	memset(decision, 0, sizeof(*decision));
 	dispatch_sum_peers(dispatch);
-	if (ask->tried_count == 0)
-		dispatch_count_request(dispatch, now_ms);
 	decision->forecast.peers_age_ms = dispatch_peers_age_ms(dispatch,
 	    now_ms);
+	if (ask->tried_count == 0)
+		dispatch_count_request(dispatch, ask->pool_id, now_ms);
+	else if (!ask->unreached &&
+	    !dispatch_allow_repeat(dispatch, ask->pool_id, now_ms)) {
+		refuse(dispatch, ask, REFUSE_BUDGET, NO_ENDPOINT_RETRY_MS,
+		    decision);
+		return;
+	}
 	if (pool == NULL ||
 	    !dispatch_choose(dispatch, pool, ask, now_ms, &best)) {
 		refuse(dispatch, ask, REFUSE_NO_ENDPOINT, NO_ENDPOINT_RETRY_MS,
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -60,6 +60,9 @@
 	GW_ENDED
 };
 
+/** How a request ended, for the metrics. */
+enum gw_ending { GW_FAILED, GW_REFUSED, GW_ANSWERED };
+
 /** A header of an answer. */
 struct gw_header {
 	char *name;
@@ -95,6 +98,7 @@
 	/* attempts */
 	struct dispatch_ask ask;
 	struct dispatch_decision decision;
+	uint64_t attempt_ms; /**< when the current one began */
 	uint32_t attempts_count; /**< endpoints that it was sent to */
 	uint32_t unreached_count;
 	bool may_have_run;
@@ -115,6 +119,7 @@
 	bool out_ended;
 	bool out_broken; /**< the answer ends without its proper end */
 	struct sse_counter sse;
+	enum gw_ending ending;
 	const char *outcome; /**< for the log */
 };
 
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -70,6 +70,9 @@
 /** An attempt ended. */
 void gw_request_attempt_ended(struct gw_request *request, CURLcode code);
 
+/** Counts the time until the first byte of the current attempt's answer. */
+void gw_observe_first(const struct gw_request *request);
+
 /* gateway_call.c: the endpoints' side */
 
 gboolean gw_calls_init(struct gateway *gateway);
--- a/include/common/header.h
+++ b/include/common/header.h
@@ -13,6 +13,9 @@
 /** @return whether a header concerns one connection only */
 bool header_is_hop(const char *name);
 
+/** @return whether a message's Connection header, or NULL, names a header */
+bool header_is_named_by(const char *connection, const char *name);
+
 /**
  * @param connection value of the message's Connection header, or NULL
  * @return whether a caller's header goes on to the endpoint
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -49,6 +49,7 @@
 	uint32_t left_ms; /**< until the caller's deadline */
 	uint64_t tried_ids[TRIED_MAX_COUNT]; /**< endpoints not to try again */
 	uint32_t tried_count;
+	bool unreached; /**< the attempt before reached no endpoint */
 };
 
 /** The forecast that a decision was made from; for the log. */
@@ -161,9 +162,7 @@
 	uint64_t decay_due_ms;
 	uint64_t level_tokens; /**< share of an account, as a decaying sum */
 	uint64_t duration_ms; /**< moving average of whole answers */
-	uint64_t window_start_ms; /**< of the repeat budget */
-	uint32_t window_requests[2]; /**< this window, the one before */
-	uint32_t window_repeats[2];
+	GHashTable *budgets; /**< pool_id to struct dispatch_budget */
 	uint64_t refusals_count;
 };
 
@@ -209,9 +208,6 @@
 uint32_t dispatch_peers_age_ms(const struct dispatch *dispatch,
     uint64_t now_ms);
 
-/** Takes one repeat from this daemon's part of the fleet's budget. */
-bool dispatch_allow_repeat(struct dispatch *dispatch, uint64_t now_ms);
-
 /** The first token of an attempt's answer came. */
 void dispatch_first(struct dispatch *dispatch, uint64_t seq, uint64_t now_ms);
 
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -68,8 +68,24 @@
 /** Decays the accounts' counters and computes the share level. */
 void dispatch_update_shares(struct dispatch *dispatch, uint64_t now_ms);
 
-/** Counts a request that is no repeat. */
-void dispatch_count_request(struct dispatch *dispatch, uint64_t now_ms);
+/** What a pool got in the window now and in the one before. */
+struct dispatch_budget {
+	uint64_t pool_id;
+	uint64_t window_start_ms;
+	uint32_t requests_count[2];
+	uint32_t repeats_count[2];
+};
+
+/** Counts a request for a pool that is no repeat. */
+void dispatch_count_request(struct dispatch *dispatch, uint64_t pool_id,
+    uint64_t now_ms);
+
+/**
+ * Takes one repeat from this daemon's part of the fleet's budget for a pool.
+ * @return false if nothing is left of it
+ */
+bool dispatch_allow_repeat(struct dispatch *dispatch, uint64_t pool_id,
+    uint64_t now_ms);
 
 /** Takes the result of an attempt into an endpoint's health. */
 void dispatch_judge(struct dispatch_endpoint *endpoint,
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -38,6 +38,7 @@
 	REFUSE_DEADLINE,
 	REFUSE_NO_ENDPOINT,
 	REFUSE_SHUTDOWN,
+	REFUSE_BUDGET, /**< no further attempt is allowed now */
 	REFUSE_REASON_COUNT
 };
 
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -14,6 +14,7 @@
 
 #define WIRE_ID_MAX_BYTES 64u
 #define WIRE_KEY_MAX_BYTES 256u
+#define WIRE_CONNECTION_MAX_BYTES 256u
 #define WIRE_EVENT_ID_MAX_BYTES 64u
 
 /** What a caller's head says, beside method, path and body. */
@@ -39,6 +40,7 @@
 	bool not_executed; /**< the endpoint did not run the request */
 	bool encoded; /**< the body is not as the endpoint made it */
 	bool event_stream;
+	char connection[WIRE_CONNECTION_MAX_BYTES + 1]; /**< "" for none */
 };
 
 /** What the daemon tells the endpoint of a request. */
@@ -56,8 +58,12 @@
 void wire_take_request_header(struct wire_request *request, const char *name,
     const char *value);
 
-/** @return whether a caller's header goes on to the endpoint */
-bool wire_passes_to_endpoint(const char *name, bool resumes);
+/**
+ * @param connection value of the request's Connection header, or NULL
+ * @return whether a caller's header goes on to the endpoint
+ */
+bool wire_passes_to_endpoint(const char *name, const char *connection,
+    bool resumes);
 
 /** Calls back for each header that the daemon adds for the endpoint. */
 void wire_forward_headers(const struct wire_forward *forward,
@@ -68,7 +74,7 @@
     const char *value);
 
 /** @return whether an endpoint's header goes on to the caller */
-bool wire_passes_to_caller(const char *name);
+bool wire_passes_to_caller(const char *name, const char *connection);
 
 /** Whether an answer's head belongs to a request and is an endpoint's own. */
 bool wire_reply_matches(const struct wire_reply *reply,
--- a/tests/e2e/gateway_world.h
+++ b/tests/e2e/gateway_world.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <sstream>
 #include <string>
 
 #include "fleet.h"
@@ -363,17 +364,20 @@
 		    body, headers, timeout_ms);
 	}
 
-	/** Lines of the log that name the request sent last. */
+	/** Whether a line of the log that names the request sent last has some
+	 * words. */
 	bool logged(const std::string &words)
 	{
 		std::string id = "id=id" + std::to_string(last_id) + " ";
 
 		return eventually([&] {
-			std::string log = daemon->log();
-			size_t at = log.find(id);
-			return at != std::string::npos &&
-			    log.substr(at, log.find('\n', at) - at)
-				.find(words) != std::string::npos;
+			std::istringstream log(daemon->log());
+			std::string line;
+			while (std::getline(log, line))
+				if (line.find(id) != std::string::npos &&
+				    line.find(words) != std::string::npos)
+					return true;
+			return false;
 		});
 	}
 
--- a/tests/e2e/test_gateway.cc
+++ b/tests/e2e/test_gateway.cc
@@ -76,21 +76,29 @@
 	first.set([&](Peer &peer, const std::string &request) {
 		std::lock_guard<std::mutex> lock(mutex);
 		seen = request;
-		peer.send_text(answer_text(request, "four"));
+		peer.send_text(answer_text(request, "four", "200 OK",
+		    "X-Kept: yes\r\nX-Hop: no\r\n"
+		    "Connection: close, X-Hop\r\n"));
 	});
 	start();
 	Answer answer = world.send("POST", "/keyed/a%2fb?q=1",
 	    { "X-Bamboorudder-Credential: k1", "X-Bamboorudder-Tenant: forged",
 		"X-Bamboorudder-Pin-Ms: 9", "Kv-From: 1.2.3.4:5/6",
-		"X-Other: kept" },
+		"X-Other: kept", "X-Here: dropped",
+		"Connection: keep-alive, X-Here, X-Bamboorudder-Request-Id" },
 	    "body");
 	EXPECT_EQ(answer.status, 200);
 	EXPECT_EQ(answer.body, "four");
 	EXPECT_EQ(answer.headers["x-bamboorudder-replica-signature"], "sig");
+	EXPECT_EQ(answer.headers["x-kept"], "yes");
+	EXPECT_EQ(answer.headers.count("x-hop"), 0u);
 	std::lock_guard<std::mutex> lock(mutex);
 	EXPECT_EQ(seen.rfind("POST /keyed/a%2fb?q=1 HTTP/1.1\r\n", 0), 0u);
 	EXPECT_NE(seen.find("Host: a.example\r\n"), std::string::npos);
 	EXPECT_NE(seen.find("X-Other: kept"), std::string::npos);
+	EXPECT_EQ(seen.find("X-Here"), std::string::npos);
+	EXPECT_NE(seen.find("X-Bamboorudder-Request-Id: id"),
+	    std::string::npos);
 	EXPECT_NE(seen.find("X-Bamboorudder-Tenant: desk"), std::string::npos);
 	EXPECT_NE(seen.find("X-Bamboorudder-Expect-Replica: e1"),
 	    std::string::npos);
@@ -138,6 +146,8 @@
 	EXPECT_EQ(world.send("POST", "/once/", {}, "b").status, 502);
 	EXPECT_EQ(first_count, 1);
 	EXPECT_TRUE(world.logged("outcome=no_answer"));
+	EXPECT_TRUE(world.logged("event=attempt"));
+	EXPECT_TRUE(world.logged("ended=no_answer"));
 }
 
 TEST_F(Gateway, RepeatsASafeRequestAtAnotherEndpoint)
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -45,8 +45,8 @@
 		*colon = '\0';
 		wire_take_request_header(&request, *line, colon + 1);
 		wire_take_reply_header(&reply, *line, colon + 1);
-		wire_passes_to_endpoint(*line, true);
-		wire_passes_to_caller(*line);
+		wire_passes_to_endpoint(*line, colon + 1, true);
+		wire_passes_to_caller(*line, reply.connection);
 	}
 	FUZZ_CHECK(request.parts_count <= PROMPT_PARTS_MAX_COUNT);
 	FUZZ_CHECK(strlen(request.host) < sizeof(request.host));
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -92,6 +92,33 @@
 		return decision;
 	}
 
+	dispatch_ask ask_service()
+	{
+		dispatch_ask plain = ask(0, 0);
+
+		plain.pool_id = hash_name("service");
+		return plain;
+	}
+
+	/** Repeats requests of a pool until the budget is spent. */
+	uint32_t repeats_allowed(const char *pool)
+	{
+		dispatch_ask again = ask(0, 0);
+		uint32_t count = 0;
+
+		again.pool_id = hash_name(pool);
+		again.tried_ids[again.tried_count++] = hash_name("s1");
+		while (count < 1000) {
+			dispatch_decision decision = decide(again);
+			if (!decision.start)
+				break;
+			dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE,
+			    now_ms);
+			count++;
+		}
+		return count;
+	}
+
 	/** Runs one request that ends in a way. */
 	void run(dispatch_outcome outcome, const dispatch_ask &ask)
 	{
@@ -336,23 +363,56 @@
 {
 	const dispatch_daemon live[] = { { NODE, 1, true }, { 8, 1, true },
 		{ 9, 1, true }, { 10, 1, true } };
-	uint32_t allowed = 0;
+	uint32_t allowed;
 
 	add("s1", "service", 100);
+	add("s2", "service", 100);
 	dispatch_set_live(&dispatch, live, 4);
 	/* a lost peer leaves no more to those that remain */
 	dispatch_set_live(&dispatch, live, 1);
-	for (int i = 0; i < 100; i++) {
-		dispatch_ask plain = ask(0, 0);
-		plain.pool_id = hash_name("service");
-		run(OUTCOME_WHOLE, plain);
-	}
-	while (dispatch_allow_repeat(&dispatch, now_ms))
-		allowed++;
+	for (int i = 0; i < 100; i++)
+		run(OUTCOME_WHOLE, ask_service());
+	allowed = repeats_allowed("service");
 	EXPECT_GE(allowed, 1u);
 	EXPECT_LE(allowed, 100u * 20 / 100 + 8 / 4);
 	now_ms += 30000;
-	EXPECT_TRUE(dispatch_allow_repeat(&dispatch, now_ms));
+	EXPECT_EQ(repeats_allowed("service"), 8u / 4 / 2);
+}
+
+TEST_F(Dispatch, RequestsForOnePoolAllowNoRepeatsAtAnother)
+{
+	add("e1");
+	add("s1", "service", 100);
+	add("s2", "service", 100);
+	for (int i = 0; i < 100; i++)
+		run(OUTCOME_WHOLE, ask());
+	EXPECT_LE(repeats_allowed("service"), 8u);
+}
+
+TEST_F(Dispatch, ARepeatAfterAnAttemptThatReachedNobodyCostsNothing)
+{
+	dispatch_ask again = ask_service();
+
+	add("s1", "service", 100);
+	add("s2", "service", 100);
+	repeats_allowed("service");
+	again.tried_ids[again.tried_count++] = hash_name("s1");
+	EXPECT_FALSE(decide(again).start);
+	again.unreached = true;
+	EXPECT_TRUE(decide(again).start);
+}
+
+TEST_F(Dispatch, ARequestWithoutBudgetIsToldATimeToComeBack)
+{
+	dispatch_ask again = ask_service();
+
+	add("s1", "service", 100);
+	add("s2", "service", 100);
+	repeats_allowed("service");
+	again.tried_ids[again.tried_count++] = hash_name("s1");
+	dispatch_decision decision = decide(again);
+	EXPECT_EQ(decision.reason, REFUSE_BUDGET);
+	EXPECT_GE(decision.retry_after_ms, 100u);
 }
 
 TEST_F(Dispatch, ReportsToEachLiveDaemon)
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -196,10 +196,26 @@
 		 "x-bamboorudder-tenant", "X-Bamboorudder-Kv-Retention",
 		 "X-Bamboorudder-Pin-Ms", "X-Bamboorudder-Kv-Backup", "Kv-From",
 		 "Kv-Fetch", "Transfer-Encoding", "Connection" })
-		EXPECT_FALSE(wire_passes_to_endpoint(name, false)) << name;
-	EXPECT_TRUE(wire_passes_to_endpoint("X-Bamboorudder-Model", false));
-	EXPECT_TRUE(wire_passes_to_endpoint("Last-Event-Id", false));
-	EXPECT_FALSE(wire_passes_to_endpoint("Last-Event-Id", true));
+		EXPECT_FALSE(wire_passes_to_endpoint(name, nullptr, false))
+		    << name;
+	EXPECT_TRUE(
+	    wire_passes_to_endpoint("X-Bamboorudder-Model", nullptr, false));
+	EXPECT_TRUE(wire_passes_to_endpoint("Last-Event-Id", nullptr, false));
+	EXPECT_FALSE(wire_passes_to_endpoint("Last-Event-Id", nullptr, true));
+}
+
+TEST(Platform, DropsWhatConcernsOneConnectionButNothingOfThePlatforms)
+{
+	const char connection[] = "close, X-Hop,X-Bamboorudder-Request-Id, "
+				  "Last-Event-Id";
+
+	EXPECT_FALSE(wire_passes_to_endpoint("x-hop", connection, false));
+	EXPECT_FALSE(wire_passes_to_caller("x-hop", connection));
+	EXPECT_TRUE(wire_passes_to_endpoint("X-Other", connection, false));
+	EXPECT_TRUE(wire_passes_to_endpoint("X-Bamboorudder-Request-Id",
+	    connection, false));
+	EXPECT_TRUE(
+	    wire_passes_to_endpoint("Last-Event-Id", connection, false));
 }
 
 TEST(Platform, AReplyBelongsToItsRequestAlone)
