Learn a first token's own time apart from the reading speed; let shares bind as backlog grows

(1) An engine's speed was learned from the whole time to its first token, so that short requests at an idle engine, which need some 60 ms for 10 ms of reading, made it look two to three times slower: the forecast of 54,600 tokens was 2,419 ms. (2) The share of an account is taken from what was served lately; after a pause that is next to nothing, so the account that comes first is over its share at once, however idle the engines are.

The time of a first token beside the reading is now learned from requests with little to read, the speed from those with much; and an account's share counts in proportion to the mean work ahead in the pool, whole from 100 ms on.

Ruled out: proofs that come late (all daemons proved their configuration within 0.3 s of the store's return) and kept parts that were forgotten (homes count as keeping them).

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -5,8 +5,12 @@
 #include "core/dispatch_private.h"
 #include "core/hash.h"
 
-/* From the last token read to the first one made. */
+/* What a first token is taken to need beside the reading, until it is known. */
 #define FIRST_TOKEN_MS 30u
+/* First tokens after less reading tell nothing of an engine's speed, but what
+ * they need beside the reading. */
+#define SHORT_READING_MS 25u
+#define FIRST_TOKEN_MAX_MS 2000u
 /* Work ahead of a request beyond which it is refused: a quarter of its aim
  * above a base. */
 #define AHEAD_BASE_MS 150u
@@ -18,6 +22,9 @@
 #define SHARE_EVEN_PERMILLE 1000u
 #define SHARE_NONE_PERMILLE 1600u
 #define LIMIT_AT_EVEN_PERCENT 30u
+/* With less work ahead at the engines of a pool on average, shares count in
+ * part only: what was served lately tells little of what they can give. */
+#define SHARES_BIND_MS 100u
 /* Of the request's own reading, so that large prompts are not shut out. */
 #define AHEAD_OWN_MAX_MS 100u
 #define DURATION_FIRST_MS 1000u
@@ -95,6 +102,7 @@
 	endpoint->failing_permille = 0;
 	endpoint->results_count = 0;
 	endpoint->slow_permille = SLOW_NORMAL_PERMILLE;
+	endpoint->first_token_ms = FIRST_TOKEN_MS;
 	endpoint->probing = false;
 }
 
@@ -174,8 +182,7 @@
 		attempt->memory_tokens = (uint64_t)ask->prompt_tokens +
 		    ask->answer_tokens;
 		attempt->forecast_ms = (uint32_t)(candidate->ahead_ms +
-					   candidate->own_ms) +
-		    FIRST_TOKEN_MS;
+		    candidate->own_ms);
 		dispatch_note_kept(endpoint, ask, now_ms);
 	}
 	endpoint->own.running_count++;
@@ -228,7 +235,8 @@
 	    (uint64_t)ask->aim_ms * AHEAD_AIM_PERCENT / 100;
 
 	account->asked_tokens += charge_tokens(ask);
-	share = dispatch_share_permille(dispatch, account);
+	share = dispatch_share_permille(dispatch, account) *
+	    MIN(best->pool_ahead_ms, SHARES_BIND_MS) / SHARES_BIND_MS;
 	forecast->over_share = share > SHARE_EVEN_PERMILLE;
 	limit_ms = limit_ms * limit_percent(share) / 100;
 	forecast->ahead_ms = (uint32_t)best->ahead_ms;
@@ -279,20 +287,32 @@
 		start(dispatch, ask, &best, false, now_ms, decision);
 }
 
+static uint32_t
+average(uint64_t before, uint64_t sample)
+{
+	return (uint32_t)((before * (AVERAGE_WEIGHT - 1) + sample) /
+	    AVERAGE_WEIGHT);
+}
+
+/* A first token takes the reading, at the engine's speed, and a time that does
+ * not depend on it. */
 static void
 learn_speed(struct dispatch_endpoint *endpoint,
     const struct dispatch_attempt *attempt, uint64_t now_ms)
 {
 	uint64_t taken_ms = now_ms - attempt->started_ms;
-	uint64_t sample = endpoint->slow_permille * taken_ms /
-	    MAX(attempt->forecast_ms, 1u);
-
-	sample = CLAMP(sample, SLOW_MIN_PERMILLE, SLOW_MAX_PERMILLE);
-	endpoint->slow_permille = (uint32_t)((endpoint->slow_permille *
-						     (uint64_t)(AVERAGE_WEIGHT -
-							 1) +
-						 sample) /
-	    AVERAGE_WEIGHT);
+	uint64_t first_token_ms = endpoint->first_token_ms, slow;
+
+	if (attempt->forecast_ms < SHORT_READING_MS) {
+		taken_ms -= MIN(taken_ms, attempt->forecast_ms);
+		endpoint->first_token_ms = average(first_token_ms,
+		    MIN(taken_ms, FIRST_TOKEN_MAX_MS));
+		return;
+	}
+	taken_ms -= MIN(taken_ms, first_token_ms);
+	slow = endpoint->slow_permille * taken_ms / attempt->forecast_ms;
+	endpoint->slow_permille = average(endpoint->slow_permille,
+	    CLAMP(slow, SLOW_MIN_PERMILLE, SLOW_MAX_PERMILLE));
 }
 
 void
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -168,6 +168,7 @@
 	candidate->own_ms = candidate->read_tokens * slow / READ_TOKENS_PER_MS /
 	    1000;
 	candidate->cost_ms = candidate->ahead_ms + candidate->own_ms +
+	    endpoint->first_token_ms +
 	    SHARED_READ_WEIGHT * missing_shared_tokens(ask, candidate) /
 		READ_TOKENS_PER_MS;
 }
@@ -231,7 +232,7 @@
 choose(struct dispatch *dispatch, const struct catalog_pool *pool,
     const struct dispatch_ask *ask, uint64_t now_ms, GArray *candidates)
 {
-	uint64_t bar = home_bar(candidates);
+	uint64_t bar = home_bar(candidates), ahead_ms = 0;
 	struct dispatch_candidate *best = NULL;
 
 	for (guint i = 0; i < candidates->len; i++) {
@@ -246,6 +247,7 @@
 			    candidate);
 		else
 			weigh_service(dispatch, candidate);
+		ahead_ms += candidate->ahead_ms;
 		if (endpoint->listing.domain_id != dispatch->config.domain_id)
 			candidate->cost_ms += OTHER_DOMAIN_MS;
 		if (now_ms < endpoint->full_until_ms)
@@ -255,6 +257,8 @@
 			candidate->home_score > best->home_score))
 			best = candidate;
 	}
+	if (best != NULL)
+		best->pool_ahead_ms = ahead_ms / candidates->len;
 	return best;
 }
 
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -125,7 +125,8 @@
 	uint32_t eject_ms; /**< length of the last ejection */
 	uint32_t failing_permille; /**< moving average */
 	uint32_t results_count; /**< since it came or came back */
-	uint32_t slow_permille; /**< first tokens against their forecast */
+	uint32_t slow_permille; /**< time of reading against its forecast */
+	uint32_t first_token_ms; /**< of a first token, beside the reading */
 	bool probing; /**< one request tries it after an ejection */
 	bool listed;
 };
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -14,7 +14,7 @@
 	uint64_t started_ms;
 	uint64_t reading_tokens;
 	uint64_t memory_tokens;
-	uint32_t forecast_ms; /**< until its first token */
+	uint32_t forecast_ms; /**< until its prompt is read */
 	bool engine;
 	bool first; /**< its first token came */
 };
@@ -39,6 +39,7 @@
 	uint64_t ahead_ms;
 	uint64_t own_ms; /**< reading its own prompt */
 	uint64_t cost_ms; /**< what is compared */
+	uint64_t pool_ahead_ms; /**< of the chosen one: mean of its pool */
 };
 
 /**
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -6,6 +6,7 @@
 
 extern "C" {
 #include "core/dispatch.h"
+#include "core/dispatch_private.h"
 #include "core/hash.h"
 }
 
@@ -138,6 +139,11 @@
 		}
 	}
 
+	struct dispatch_account *account_of(uint64_t account_id)
+	{
+		return dispatch_account(&dispatch, account_id);
+	}
+
 	/** A peer reports what it runs at an endpoint. */
 	void report(uint64_t node_id, const char *endpoint,
 	    uint32_t running_count, uint32_t reading_tokens)
@@ -317,6 +323,49 @@
 	EXPECT_FALSE(decide(ask(2000)).forecast.over_share);
 }
 
+TEST_F(Dispatch, TakesTheTimeOfAFirstTokenForNoSlowReading)
+{
+	add("e1");
+	for (int i = 0; i < 100; i++) {
+		dispatch_decision decision = decide(ask(100));
+		ASSERT_TRUE(decision.start);
+		now_ms += 90;
+		dispatch_first(&dispatch, decision.seq, now_ms);
+		dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE, now_ms);
+	}
+	EXPECT_LE(decide(ask(10000)).forecast.own_ms, 10000u / 50);
+}
+
+TEST_F(Dispatch, LearnsThatAnEngineReadsSlowly)
+{
+	add("e1");
+	for (int i = 0; i < 100; i++) {
+		dispatch_decision decision = decide(ask(10000));
+		ASSERT_TRUE(decision.start);
+		now_ms += 830;
+		dispatch_first(&dispatch, decision.seq, now_ms);
+		dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE, now_ms);
+	}
+	EXPECT_NEAR(decide(ask(10000)).forecast.own_ms, 800u, 40u);
+}
+
+TEST_F(Dispatch, SharesBindOnlyAsFarAsWorkIsAhead)
+{
+	for (const char *name :
+	    { "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8" })
+		add(name);
+	/* two accounts that ask for more than was served lately */
+	struct dispatch_account *large = account_of(1);
+	account_of(2)->others_asked_tokens = 100000;
+	large->others_asked_tokens = 100000;
+	large->others_served_tokens = 9000;
+	tick_for(100);
+	/* nearly idle engines: a little reading is ahead at each of them */
+	for (int i = 0; i < 8; i++)
+		EXPECT_TRUE(decide(ask(500, 2)).start);
+	EXPECT_TRUE(decide(ask(500, 1)).start);
+}
+
 TEST_F(Dispatch, EjectsAnEndpointThatFailsAndTriesItAgain)
 {
 	dispatch_ask plain = ask(0, 0);
