Let a few daemons watch the endpoints; the others hear of changes through peers

One daemon a failure domain now watches the endpoints, as it does the configuration. Reports carry the version and the age of the proof of both; a daemon that does not watch asks the store when a peer names a newer version, or when its proof is older than three quarters of platform.endpoints_age_ms (the time in which a leaving endpoint has to get no new work). The version of the list is the store's revision at its last change. The state of following moved from the feed to its followers, so that both kinds go through the same code. The configuration is still read by a list, not a watch: watches can be deaf for a second, which would prove an old configuration.

Found on the way: a daemon that hears of a version which the store does not show asked it without a pause (the store may step back for a while). Now each 100 ms; AsksCalmlyForAVersionThatTheStoreDoesNotShow holds it.

Setting platform.endpoints_wait_ms became platform.endpoints_age_ms.

--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -151,17 +151,19 @@
 		    data->version, data->text);
 }
 
-/* A peer's report may prove that the configuration here is the newest, or that
- * there is a newer one. */
+/* A peer's report may prove that what is followed here is the newest, or that
+ * there is a newer version. */
 static void
 handle_load(struct control *control, const struct msg *msg, uint64_t now_ms)
 {
-	struct dispatch_proof proof;
-
-	dispatch_handle(&control->dispatch, msg, now_ms, &proof);
-	if (control->gateway != NULL && proof.version > 0)
-		feed_offer_proof(&control->gateway->feed, proof.version,
-		    proof.as_of_ms);
+	struct dispatch_proof proofs[PROOF_KIND_COUNT];
+
+	dispatch_handle(&control->dispatch, msg, now_ms, proofs);
+	for (int kind = 0; control->gateway != NULL && kind < PROOF_KIND_COUNT;
+	     kind++)
+		if (proofs[kind].version > 0)
+			feed_offer_proof(&control->gateway->feed,
+			    (enum proof_kind)kind, &proofs[kind]);
 }
 
 static bool
--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -19,6 +19,10 @@
  * time in which a key has to stop working. */
 #define PROOF_PART_PERCENT 40u
 #define PROOF_MAX_MS 1500u
+/* Parts of the age that the list of endpoints may have: how long a watch waits,
+ * and when a daemon that does not watch asks the store by itself. */
+#define ENDPOINTS_WAIT_PERCENT 50u
+#define ENDPOINTS_PROOF_PERCENT 75u
 /* The platform still sends new connections until it has asked twice. */
 #define DRAIN_ACCEPT_MS 2600u
 /* Nothing ran for so long before the process ends. */
@@ -194,13 +198,21 @@
 gateway_init(struct gateway *gateway, const struct settings *settings,
     struct control *control, GError **error)
 {
-	struct feed_config feed_config = { .url = settings->platform_url,
-		.watch_wait_ms = settings->watch_wait_ms,
-		.endpoints_wait_ms = settings->endpoints_wait_ms,
-		.proof_max_ms = settings->revoke_ms == 0
-		    ? PROOF_MAX_MS
-		    : settings->revoke_ms * PROOF_PART_PERCENT / 100,
-		.timeout_ms = settings->platform_timeout_ms };
+	uint32_t age_ms = settings->endpoints_age_ms;
+	struct feed_config feed_config = {
+		.url = settings->platform_url,
+		.paces[PROOF_CONFIGURATION] = {
+			.wait_ms = settings->watch_wait_ms,
+			.proof_max_ms = settings->revoke_ms == 0
+			    ? PROOF_MAX_MS
+			    : settings->revoke_ms * PROOF_PART_PERCENT / 100,
+		},
+		.paces[PROOF_ENDPOINTS] = {
+			.wait_ms = age_ms * ENDPOINTS_WAIT_PERCENT / 100,
+			.proof_max_ms = age_ms * ENDPOINTS_PROOF_PERCENT / 100,
+		},
+		.timeout_ms = settings->platform_timeout_ms,
+	};
 
 	memset(gateway, 0, sizeof(*gateway));
 	gateway->settings = settings;
--- a/bamboorudderd/gateway_mail.c
+++ b/bamboorudderd/gateway_mail.c
@@ -170,24 +170,34 @@
 	g_free(proof);
 }
 
+struct proof_mail {
+	enum proof_kind kind;
+	struct dispatch_proof proof;
+};
+
 static void
 run_proof(struct control *control, struct command *command)
 {
-	struct dispatch_proof *proof = command->context;
+	struct proof_mail *mail = command->context;
 
-	dispatch_set_proof(&control->dispatch, proof->version, proof->as_of_ms);
-	g_free(proof);
+	dispatch_set_proof(&control->dispatch, mail->kind, mail->proof.version,
+	    mail->proof.as_of_ms);
+	g_free(mail);
 }
 
 static void
-on_proof(void *context, uint64_t version, uint64_t as_of_ms)
+on_proof(void *context, enum proof_kind kind,
+    const struct dispatch_proof *proof)
 {
 	struct gateway *gateway = context;
-	struct dispatch_proof proof = { version, as_of_ms };
-
-	gw_mail_post(gateway, take_proof, g_memdup2(&proof, sizeof(proof)));
-	mailbox_post_work(gateway->control, run_proof,
-	    g_memdup2(&proof, sizeof(proof)));
+	struct proof_mail *mail = g_new0(struct proof_mail, 1);
+
+	mail->kind = kind;
+	mail->proof = *proof;
+	mailbox_post_work(gateway->control, run_proof, mail);
+	if (kind == PROOF_CONFIGURATION)
+		gw_mail_post(gateway, take_proof,
+		    g_memdup2(proof, sizeof(*proof)));
 }
 
 static void
--- a/common/codec_read.c
+++ b/common/codec_read.c
@@ -280,8 +280,11 @@
 
 	load->stamp_ms = read_uint(reader, UINT64_MAX);
 	load->echo_ms = read_uint(reader, UINT64_MAX);
-	load->version = read_uint(reader, UINT64_MAX);
-	load->proof_age_ms = (uint32_t)read_uint(reader, UINT32_MAX);
+	for (int kind = 0; kind < PROOF_KIND_COUNT; kind++) {
+		load->proofs[kind].version = read_uint(reader, UINT64_MAX);
+		load->proofs[kind].age_ms = (uint32_t)read_uint(reader,
+		    UINT32_MAX);
+	}
 	load->endpoints_count = read_count(reader, ENDPOINTS_MAX_COUNT);
 	endpoints = g_new0(struct load_endpoint, load->endpoints_count);
 	load->endpoints = endpoints;
--- a/common/codec_write.c
+++ b/common/codec_write.c
@@ -176,8 +176,10 @@
 {
 	write_uint(out, load->stamp_ms);
 	write_uint(out, load->echo_ms);
-	write_uint(out, load->version);
-	write_uint(out, load->proof_age_ms);
+	for (int kind = 0; kind < PROOF_KIND_COUNT; kind++) {
+		write_uint(out, load->proofs[kind].version);
+		write_uint(out, load->proofs[kind].age_ms);
+	}
 	write_token(out, mpack_pack_array(load->endpoints_count));
 	for (uint32_t i = 0; i < load->endpoints_count; i++) {
 		write_token(out, mpack_pack_array(LOAD_ENDPOINT_FIELDS));
--- a/core/dispatch_peers.c
+++ b/core/dispatch_peers.c
@@ -102,11 +102,11 @@
 }
 
 void
-dispatch_set_proof(struct dispatch *dispatch, uint64_t version,
-    uint64_t as_of_ms)
+dispatch_set_proof(struct dispatch *dispatch, enum proof_kind kind,
+    uint64_t version, uint64_t as_of_ms)
 {
-	dispatch->proof.version = version;
-	dispatch->proof.as_of_ms = as_of_ms;
+	dispatch->proofs[kind].version = version;
+	dispatch->proofs[kind].as_of_ms = as_of_ms;
 }
 
 static void
@@ -203,27 +203,39 @@
 	    : g_array_index(dispatch->own_hubs, uint64_t, dispatch->hub_index);
 }
 
-/* What a report proves of this daemon's configuration. */
+/* What a report proves of this daemon's own copies. */
 static void
-read_proof(const struct msg_load *load, struct dispatch_proof *proof)
+read_proof(const struct load_proof *told, uint64_t echo_ms,
+    struct dispatch_proof *proof)
 {
 	memset(proof, 0, sizeof(*proof));
-	if (load->version == 0)
+	if (told->version == 0)
 		return;
-	proof->version = load->version;
-	if (load->echo_ms != 0 && load->proof_age_ms != UINT32_MAX &&
-	    load->echo_ms > load->proof_age_ms)
-		proof->as_of_ms = load->echo_ms - load->proof_age_ms;
+	proof->version = told->version;
+	if (echo_ms != 0 && told->age_ms != UINT32_MAX &&
+	    echo_ms > told->age_ms)
+		proof->as_of_ms = echo_ms - told->age_ms;
+}
+
+static void
+write_proof(const struct dispatch_proof *proof, uint64_t stamp_ms,
+    struct load_proof *told)
+{
+	told->version = proof->version;
+	told->age_ms = proof->as_of_ms == 0
+	    ? UINT32_MAX
+	    : (uint32_t)MIN(stamp_ms - proof->as_of_ms, UINT32_MAX - 1);
 }
 
 void
 dispatch_handle(struct dispatch *dispatch, const struct msg *msg,
-    uint64_t now_ms, struct dispatch_proof *proof)
+    uint64_t now_ms, struct dispatch_proof proofs[PROOF_KIND_COUNT])
 {
 	const struct msg_load *load = &msg->u.load;
 	struct dispatch_peer *peer;
 
-	read_proof(load, proof);
+	for (int kind = 0; kind < PROOF_KIND_COUNT; kind++)
+		read_proof(&load->proofs[kind], load->echo_ms, &proofs[kind]);
 	/* the present hub speaks for all the others */
 	if (!dispatch->is_hub) {
 		if (msg->from_node_id != present_hub(dispatch))
@@ -367,11 +379,9 @@
 
 	load->stamp_ms = stamp_ms;
 	load->echo_ms = peer == NULL ? 0 : peer->stamp_ms;
-	load->version = dispatch->proof.version;
-	load->proof_age_ms = dispatch->proof.as_of_ms == 0
-	    ? UINT32_MAX
-	    : (uint32_t)MIN(stamp_ms - dispatch->proof.as_of_ms,
-		  UINT32_MAX - 1);
+	for (int kind = 0; kind < PROOF_KIND_COUNT; kind++)
+		write_proof(&dispatch->proofs[kind], stamp_ms,
+		    &load->proofs[kind]);
 	fill_endpoints(dispatch, member, load);
 	fill_accounts(dispatch, member, load);
 }
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -29,7 +29,7 @@
 	char failure_domain[SETTINGS_TEXT_MAX_BYTES];
 	struct settings_list peer_seeds;
 	uint32_t cpu_share_milli; /**< of a core, that the daemon may use */
-	uint32_t endpoints_wait_ms;
+	uint32_t endpoints_age_ms;
 	char peer_public_key[SETTINGS_TEXT_MAX_BYTES];
 	char peer_secret_key[SETTINGS_TEXT_MAX_BYTES];
 	char platform_form[SETTINGS_TEXT_MAX_BYTES];
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -90,7 +90,7 @@
 	bool strong; /**< has processor time for duties */
 };
 
-/** How fresh this daemon's configuration is. */
+/** How fresh this daemon's copy is of what it follows in the store. */
 struct dispatch_proof {
 	uint64_t version; /**< 0: none */
 	uint64_t as_of_ms; /**< it was the newest then; 0: never proven */
@@ -156,7 +156,7 @@
 	uint32_t live_count;
 	uint64_t hub_since_ms; /**< when the present hub was chosen */
 	uint32_t hub_index; /**< in own_hubs */
-	struct dispatch_proof proof;
+	struct dispatch_proof proofs[PROOF_KIND_COUNT];
 	uint32_t daemons_most_count; /**< daemons ever live at once */
 	uint64_t seq_next;
 	uint64_t report_due_ms;
@@ -190,9 +190,9 @@
 void dispatch_set_live(struct dispatch *dispatch,
     const struct dispatch_daemon *daemons, size_t count);
 
-/** Takes what this daemon can say of its configuration. */
-void dispatch_set_proof(struct dispatch *dispatch, uint64_t version,
-    uint64_t as_of_ms);
+/** Takes what this daemon can say of its copy of what it follows. */
+void dispatch_set_proof(struct dispatch *dispatch, enum proof_kind kind,
+    uint64_t version, uint64_t as_of_ms);
 
 void dispatch_decide(struct dispatch *dispatch, const struct dispatch_ask *ask,
     uint64_t now_ms, struct dispatch_decision *decision);
@@ -217,10 +217,10 @@
 
 /**
  * Takes a peer's report.
- * @param proof receives what it proves of the configuration; version 0: nothing
+ * @param proofs receives what it proves of each kind; version 0: nothing
  */
 void dispatch_handle(struct dispatch *dispatch, const struct msg *msg,
-    uint64_t now_ms, struct dispatch_proof *proof);
+    uint64_t now_ms, struct dispatch_proof proofs[PROOF_KIND_COUNT]);
 
 /**
  * To be called at least every 50 ms; reports to the peers.
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -230,17 +230,25 @@
 	uint32_t served_tokens;
 };
 
+/** What a daemon follows in the platform's store. */
+enum proof_kind { PROOF_CONFIGURATION, PROOF_ENDPOINTS, PROOF_KIND_COUNT };
+
+/** How fresh a daemon's copy is of what it follows. */
+struct load_proof {
+	uint64_t version; /**< 0: none */
+	uint32_t age_ms; /**< UINT32_MAX: never proven */
+};
+
 /**
  * Load that the sender causes or knows of; owned as the arrays of a report. It
- * also says how fresh the sender's configuration is: it was the newest
- * proof_age_ms before a time that was not earlier than the receiver's own
- * stamp, which comes back as echo_ms.
+ * also says how fresh the sender's configuration and list of endpoints are:
+ * each was the newest age_ms before a time that was not earlier than the
+ * receiver's own stamp, which comes back as echo_ms.
  */
 struct msg_load {
 	uint64_t stamp_ms; /**< sender's clock that counts suspensions */
 	uint64_t echo_ms; /**< the receiver's last stamp, 0: none */
-	uint64_t version; /**< of the configuration, 0: none */
-	uint32_t proof_age_ms; /**< UINT32_MAX: never proven */
+	struct load_proof proofs[PROOF_KIND_COUNT];
 	const struct load_endpoint *endpoints;
 	const struct load_account *accounts;
 	uint32_t endpoints_count;
--- a/include/platform/follow.h
+++ b/include/platform/follow.h
@@ -11,8 +11,9 @@
 /** Reads all objects of the kind, and drops those that are gone. */
 void follow_list(struct feed_follower *follower);
 
-/** Waits for changes once; a lost history makes the next call a list. */
-void follow_watch(struct feed_follower *follower);
+/** Asks for changes once and waits for one for pace_ms; a lost history makes
+ * the next call a list. */
+void follow_watch(struct feed_follower *follower, uint32_t pace_ms);
 
 /** Tells the sink of entries that stayed away. */
 void follow_end_lapsed(struct feed_follower *follower);
--- a/tests/e2e/gateway_world.h
+++ b/tests/e2e/gateway_world.h
@@ -108,6 +108,21 @@
 		changed_.notify_all();
 	}
 
+	uint64_t revision()
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		return revision_;
+	}
+
+	/** @return calls for a kind so far */
+	uint32_t calls(const std::string &kind)
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		return calls_[kind];
+	}
+
 	/** Objects a page of a list holds. */
 	size_t page_count = 500;
 
@@ -155,6 +170,7 @@
 		std::unique_lock<std::mutex> lock(mutex_);
 		std::string from = parameter(query, "watch");
 
+		calls_[kind]++;
 		if (failing_ != 0)
 			return failing_;
 		if (!from.empty())
@@ -220,6 +236,7 @@
 	std::mutex mutex_;
 	std::condition_variable changed_;
 	std::map<std::string, std::map<std::string, std::string>> objects_;
+	std::map<std::string, uint32_t> calls_;
 	std::deque<Event> events_;
 	uint64_t revision_ = 10;
 	uint64_t oldest_ = 0;
--- /dev/null
+++ b/tests/e2e/test_feed.cc
@@ -0,0 +1,159 @@
+#include <atomic>
+#include <set>
+
+#include "gateway_world.h"
+
+extern "C" {
+/* the test touches no atomic field; their layout is the same without */
+#define _Atomic
+#include "platform/feed.h"
+#undef _Atomic
+}
+
+using namespace e2e;
+
+namespace
+{
+
+/** What a feed told. */
+struct Sink {
+	std::mutex mutex;
+	std::set<std::string> endpoints;
+	std::atomic<uint64_t> version{ 0 };
+	std::atomic<uint64_t> endpoints_version{ 0 };
+	std::atomic<bool> known{ false };
+};
+
+void
+on_catalog(void *context, struct catalog *catalog)
+{
+	static_cast<Sink *>(context)->version = catalog->version;
+	catalog_unref(catalog);
+}
+
+void
+on_proof(void *context, enum proof_kind kind,
+    const struct dispatch_proof *proof)
+{
+	if (kind == PROOF_ENDPOINTS)
+		static_cast<Sink *>(context)->endpoints_version = proof
+								      ->version;
+}
+
+void
+on_endpoint(void *context, const struct dispatch_listing *listing)
+{
+	Sink *sink = static_cast<Sink *>(context);
+	std::lock_guard<std::mutex> lock(sink->mutex);
+
+	sink->endpoints.insert(listing->name);
+}
+
+void
+on_endpoint_gone(void *context, const char *name)
+{
+	Sink *sink = static_cast<Sink *>(context);
+	std::lock_guard<std::mutex> lock(sink->mutex);
+
+	sink->endpoints.erase(name);
+}
+
+void
+on_endpoints_known(void *context)
+{
+	static_cast<Sink *>(context)->known = true;
+}
+
+const feed_sink_ops ops = { on_catalog, on_proof, on_endpoint, on_endpoint_gone,
+	on_endpoints_known };
+
+/** A daemon's feed that leaves watching to its peers. */
+class Feed : public ::testing::Test
+{
+      protected:
+	Feed() : url(store.url())
+	{
+		feed_config config = {};
+
+		store.put("config", "main",
+		    configuration_text(3, { { "/a/", "safe" } }));
+		store.put("servers", "e1", entry_text("app", "127.0.0.1:1"));
+		config.url = url.c_str();
+		config.paces[PROOF_CONFIGURATION] = { 300, 2000 };
+		config.paces[PROOF_ENDPOINTS] = { 300, 1500 };
+		config.timeout_ms = 1000;
+		feed_init(&feed, &config, &ops, &sink);
+		EXPECT_TRUE(eventually(
+		    [&] { return sink.known && sink.version == 3; }));
+		feed_set_duty(&feed, false, 3);
+		/* the watches that run end */
+		std::this_thread::sleep_for(std::chrono::milliseconds(500));
+	}
+
+	~Feed() override
+	{
+		feed_finish(&feed);
+	}
+
+	/** Peers say for a while that nothing changed. */
+	void prove_for(uint32_t duration_ms)
+	{
+		for (uint32_t i = 0; i < duration_ms; i += 50) {
+			offer(PROOF_CONFIGURATION, 3);
+			offer(PROOF_ENDPOINTS, sink.endpoints_version);
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(50));
+		}
+	}
+
+	void offer(proof_kind kind, uint64_t version)
+	{
+		dispatch_proof proof = { version, feed_clock_ms() };
+
+		feed_offer_proof(&feed, kind, &proof);
+	}
+
+	bool has(const std::string &name)
+	{
+		std::lock_guard<std::mutex> lock(sink.mutex);
+
+		return sink.endpoints.count(name) > 0;
+	}
+
+	ObjectStore store;
+	std::string url;
+	Sink sink;
+	struct feed feed;
+};
+
+TEST_F(Feed, AsksTheStoreOnlyAboutWhatPeersNameAsNewer)
+{
+	uint32_t before = store.calls("servers") + store.calls("config");
+
+	prove_for(2500);
+	EXPECT_EQ(store.calls("servers") + store.calls("config"), before);
+	store.put("servers", "e2", entry_text("app", "127.0.0.1:2"));
+	offer(PROOF_ENDPOINTS, store.revision());
+	EXPECT_TRUE(eventually([&] { return has("e2"); }, 1000));
+	prove_for(500);
+	EXPECT_LE(store.calls("servers") + store.calls("config"), before + 2);
+}
+
+TEST_F(Feed, AsksByItselfWhenNobodyProvesAnything)
+{
+	store.put("servers", "e2", entry_text("app", "127.0.0.1:2"));
+	store.remove("servers", "e1");
+	EXPECT_TRUE(eventually([&] { return has("e2") && !has("e1"); }, 3000));
+}
+
+TEST_F(Feed, AsksCalmlyForAVersionThatTheStoreDoesNotShow)
+{
+	uint32_t before = store.calls("servers") + store.calls("config");
+
+	offer(PROOF_CONFIGURATION, 1000000);
+	offer(PROOF_ENDPOINTS, 1000000);
+	std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+	EXPECT_LE(store.calls("servers") + store.calls("config"), before + 24);
+}
+
+} // namespace
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -156,8 +156,8 @@
 		msg.from_node_id = node_id;
 		msg.u.load.endpoints = &load;
 		msg.u.load.endpoints_count = 1;
-		dispatch_proof proof;
-		dispatch_handle(&dispatch, &msg, now_ms, &proof);
+		dispatch_proof proofs[PROOF_KIND_COUNT];
+		dispatch_handle(&dispatch, &msg, now_ms, proofs);
 	}
 
 	struct dispatch dispatch;
--- a/tests/unit/test_hubs.cc
+++ b/tests/unit/test_hubs.cc
@@ -95,7 +95,10 @@
 	std::vector<dispatch_daemon> all;
 	std::vector<bool> alive;
 	std::vector<std::unique_ptr<struct dispatch>> cores;
-	std::vector<dispatch_proof> proofs = std::vector<dispatch_proof>(400);
+	std::vector<dispatch_proof> proofs[PROOF_KIND_COUNT] = {
+		std::vector<dispatch_proof>(400),
+		std::vector<dispatch_proof>(400)
+	};
 	std::vector<uint64_t> sent = std::vector<uint64_t>(400);
 	uint64_t now_ms = 50000;
 
@@ -133,17 +136,20 @@
 	void deliver(size_t from, effect &effect)
 	{
 		size_t to = (size_t)(effect.to_node_id - FIRST_ID);
-		dispatch_proof proof;
+		dispatch_proof told[PROOF_KIND_COUNT];
 
 		if (!alive[to])
 			return;
 		effect.msg.from_node_id = FIRST_ID + from;
-		dispatch_handle(cores[to].get(), &effect.msg, now_ms, &proof);
-		if (proof.version > 0 &&
-		    proof.as_of_ms >= proofs[to].as_of_ms) {
-			proofs[to] = proof;
-			dispatch_set_proof(cores[to].get(), proof.version,
-			    proof.as_of_ms);
+		dispatch_handle(cores[to].get(), &effect.msg, now_ms, told);
+		for (int kind = 0; kind < PROOF_KIND_COUNT; kind++) {
+			dispatch_proof &best = proofs[kind][to];
+			if (told[kind].version == 0 ||
+			    told[kind].as_of_ms < best.as_of_ms)
+				continue;
+			best = told[kind];
+			dispatch_set_proof(cores[to].get(), (proof_kind)kind,
+			    best.version, best.as_of_ms);
 		}
 	}
 
@@ -225,15 +231,22 @@
 	Fleet fleet(30, 0);
 
 	fleet.run_for(500);
-	dispatch_set_proof(fleet.cores[0].get(), 5, fleet.now_ms);
+	dispatch_set_proof(fleet.cores[0].get(), PROOF_CONFIGURATION, 5,
+	    fleet.now_ms);
+	dispatch_set_proof(fleet.cores[0].get(), PROOF_ENDPOINTS, 77,
+	    fleet.now_ms);
 	uint64_t proven_ms = fleet.now_ms;
 	fleet.run_for(1000);
-	for (size_t i = 1; i < 30; i++) {
-		uint64_t as_of_ms = fleet.proofs[i].as_of_ms - i * 100000;
-		EXPECT_EQ(fleet.proofs[i].version, 5u) << i;
-		EXPECT_LE(as_of_ms, proven_ms) << i;
-		EXPECT_GE(as_of_ms + 600, proven_ms) << i;
-	}
+	for (int kind = 0; kind < PROOF_KIND_COUNT; kind++)
+		for (size_t i = 1; i < 30; i++) {
+			const dispatch_proof &proof = fleet.proofs[kind][i];
+			uint64_t as_of_ms = proof.as_of_ms - i * 100000;
+			EXPECT_EQ(proof.version,
+			    kind == PROOF_ENDPOINTS ? 77u : 5u)
+			    << i;
+			EXPECT_LE(as_of_ms, proven_ms) << i;
+			EXPECT_GE(as_of_ms + 600, proven_ms) << i;
+		}
 }
 
 } // namespace
