Tell refused callers to come back as soon as there will be room; read stale where a peer has the newest

The forecast says when there will be room: when the work ahead is within the account's limit. Retry-After is now that time and 80 to 140 ms, so that the second try can still be in time; accounts far over their share are told the longer time as before.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -11,10 +11,10 @@
  * they need beside the reading. */
 #define SHORT_READING_MS 25u
 #define FIRST_TOKEN_MAX_MS 2000u
-/* Work ahead of a request beyond which it is refused: a quarter of its aim
+/* Work ahead of a request beyond which it is refused: a fifth of its aim
  * above a base. */
-#define AHEAD_BASE_MS 150u
-#define AHEAD_AIM_PERCENT 25u
+#define AHEAD_BASE_MS 120u
+#define AHEAD_AIM_PERCENT 20u
 /* An account gets the whole limit up to this part of its share, a part of it
  * at its share, and nothing far above it, with even slopes between. Accounts
  * that ask for more than there is settle near their share. */
@@ -33,6 +33,11 @@
 #define SLOW_MIN_PERMILLE 500u
 #define SLOW_MAX_PERMILLE 8000u
 #define FULL_HOLD_MS 100u
+/* A caller that is refused comes back soon after the work ahead will be within
+ * its account's limit, so that its request can still be in time; one whose
+ * account is far over its share later. */
+#define RETRY_SOON_MS 80u
+#define RETRY_SOON_SPREAD_MS 60u
 #define RETRY_AFTER_MIN_MS 500u
 #define RETRY_AFTER_SPREAD_MS 2500u
 /* Callers wait at most a third of the time that they have left. */
@@ -222,6 +227,19 @@
 	    (SHARE_NONE_PERMILLE - SHARE_EVEN_PERMILLE);
 }
 
+static uint32_t
+retry_after_ms(const struct dispatch_ask *ask, uint64_t ahead_ms,
+    uint64_t limit_ms)
+{
+	uint64_t over_ms = ahead_ms > limit_ms ? ahead_ms - limit_ms : 0;
+	uint32_t later_ms = dispatch_retry_after_ms(ask);
+
+	if (limit_ms == 0)
+		return later_ms;
+	return (uint32_t)MIN(later_ms,
+	    over_ms + RETRY_SOON_MS + ask->request_hash % RETRY_SOON_SPREAD_MS);
+}
+
 static void
 admit(struct dispatch *dispatch, const struct dispatch_ask *ask,
     const struct dispatch_candidate *best, uint64_t now_ms,
@@ -245,7 +263,7 @@
 	if (best->ahead_ms + MIN(best->own_ms, AHEAD_OWN_MAX_MS) > limit_ms &&
 	    best->ahead_ms > 0) {
 		refuse(dispatch, ask, REFUSE_QUEUE_FULL,
-		    dispatch_retry_after_ms(ask), decision);
+		    retry_after_ms(ask, best->ahead_ms, limit_ms), decision);
 		return;
 	}
 	account->served_tokens += charge_tokens(ask);
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -197,7 +197,7 @@
 void dispatch_decide(struct dispatch *dispatch, const struct dispatch_ask *ask,
     uint64_t now_ms, struct dispatch_decision *decision);
 
-/** @return when a caller that is refused for load may come back */
+/** @return when a caller whose account is far over its share may come back */
 uint32_t dispatch_retry_after_ms(const struct dispatch_ask *ask);
 
 /** @return what an account got lately, in thousandths of its max-min share;
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -58,7 +58,7 @@
 	void (*answered)(struct feed_follower *follower, bool changed);
 	pthread_t thread;
 	uint64_t revision; /**< of the store, 0: to be listed */
-	uint64_t as_of_ms; /**< the last answer held as of then */
+	uint64_t as_of_ms; /**< the last answer held as of then, 0: untold */
 	GHashTable *known; /**< names given to the sink */
 	GHashTable *lapsed; /**< names that are gone, to the time when the
 			     * sink is told */
--- a/tests/e2e/gateway_world.h
+++ b/tests/e2e/gateway_world.h
@@ -123,6 +123,24 @@
 		return calls_[kind];
 	}
 
+	/** @return calls so far that allowed a stale answer */
+	uint32_t stale_calls()
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		return stale_calls_;
+	}
+
+	/** From now on answers that may be stale show what was before. */
+	void set_stale(bool stale)
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		stale_ = stale;
+		stale_objects_ = objects_;
+		stale_revision_ = revision_;
+	}
+
 	/** Objects a page of a list holds. */
 	size_t page_count = 500;
 
@@ -173,22 +191,39 @@
 		calls_[kind]++;
 		if (failing_ != 0)
 			return failing_;
+		if (!parameter(query, "allow_stale").empty()) {
+			stale_calls_++;
+			if (stale_)
+				return answer_stale(kind, from, body);
+		}
 		if (!from.empty())
 			return watch(lock, kind, std::stoull(from),
 			    (uint32_t)std::stoul(parameter(query, "wait_ms")),
 			    body);
-		list(kind, parameter(query, "after"), body);
+		list(objects_[kind], parameter(query, "after"), revision_,
+		    body);
 		return 200;
 	}
 
-	void list(const std::string &kind, const std::string &after,
+	int answer_stale(const std::string &kind, const std::string &from,
 	    std::string *body)
+	{
+		if (!from.empty())
+			*body = "{\"events\":[],\"at\":" +
+			    std::to_string(stale_revision_) + "}";
+		else
+			list(stale_objects_[kind], "", stale_revision_, body);
+		return 200;
+	}
+
+	void list(const std::map<std::string, std::string> &objects,
+	    const std::string &after, uint64_t at, std::string *body)
 	{
 		std::string entries;
 		size_t count = 0;
 		bool more = false;
 
-		for (const auto &[name, object] : objects_[kind]) {
+		for (const auto &[name, object] : objects) {
 			if (name <= after)
 				continue;
 			if (count == page_count) {
@@ -199,7 +234,7 @@
 		}
 		*body = "{\"entries\":[" + entries +
 		    "],\"has_more\":" + (more ? "true" : "false") +
-		    ",\"at\":" + std::to_string(revision_) + "}";
+		    ",\"at\":" + std::to_string(at) + "}";
 	}
 
 	int watch(std::unique_lock<std::mutex> &lock, const std::string &kind,
@@ -237,6 +272,11 @@
 	std::condition_variable changed_;
 	std::map<std::string, std::map<std::string, std::string>> objects_;
 	std::map<std::string, uint32_t> calls_;
+	uint32_t stale_calls_ = 0;
+	bool stale_ = false;
+	std::map<std::string, std::map<std::string, std::string>>
+	    stale_objects_;
+	uint64_t stale_revision_ = 0;
 	std::deque<Event> events_;
 	uint64_t revision_ = 10;
 	uint64_t oldest_ = 0;
--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -136,7 +136,20 @@
 	offer(PROOF_ENDPOINTS, store.revision());
 	EXPECT_TRUE(eventually([&] { return has("e2"); }, 1000));
 	prove_for(500);
-	EXPECT_LE(store.calls("servers") + store.calls("config"), before + 2);
+	EXPECT_LE(store.calls("servers") + store.calls("config"), before + 1);
+	EXPECT_EQ(store.stale_calls(), 1u);
+}
+
+TEST_F(Feed, ReadsAnewWhereAStaleAnswerIsTooOld)
+{
+	store.set_stale(true);
+	store.put("servers", "e2", entry_text("app", "127.0.0.1:2"));
+	store.put("config", "main",
+	    configuration_text(5, { { "/a/", "safe" } }));
+	offer(PROOF_ENDPOINTS, store.revision() - 1);
+	offer(PROOF_CONFIGURATION, 5);
+	EXPECT_TRUE(
+	    eventually([&] { return has("e2") && sink.version == 5; }, 1000));
 }
 
 TEST_F(Feed, AsksByItselfWhenNobodyProvesAnything)
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -221,6 +221,22 @@
 	EXPECT_LE(decision.retry_after_ms, 4000u);
 }
 
+TEST_F(Dispatch, ARefusedCallerComesBackOnceTheWorkAheadIsWithinItsLimit)
+{
+	dispatch_decision decision;
+
+	add("e1");
+	do
+		decision = decide(ask(4000));
+	while (decision.start);
+	uint32_t over_ms = decision.forecast.ahead_ms -
+	    decision.forecast.limit_ms;
+	EXPECT_GT(decision.forecast.limit_ms, 0u);
+	EXPECT_GE(decision.retry_after_ms, (int)over_ms < 0 ? 0 : over_ms);
+	/* soon enough to be in time */
+	EXPECT_LE(decision.retry_after_ms, 300u);
+}
+
 TEST_F(Dispatch, ShutsOutNoLargePromptOnAnIdleEngine)
 {
 	add("e1");
