Refuse unasked what would be refused anyway; watch callers only while a call runs

A refusal now says for how long every request of this account for this pool with the same latency target or a shorter one would be refused too: until the least work ahead at any engine is within the account's limit, at most 100 ms. The traffic thread refuses those unasked; before, it did so only for accounts that were allowed nothing at all. The caller of a request is watched from the start of its call on, not while a decision of a millisecond is under way.

Tests: WhatIsHeldWouldBeRefusedAsLongAsItIsHeld, HoldsNobodyWhileAnEngineHasRoom.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -224,8 +224,8 @@
 	LIST_INIT(&gateway->requests);
 	gateway->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	gateway->steady_fd = epoll_create1(EPOLL_CLOEXEC);
-	gateway->shut_accounts = g_hash_table_new_full(g_int64_hash,
-	    g_int64_equal, g_free, g_free);
+	gateway->holds = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    g_free, g_free);
 	gateway->mail_watch.kind = GW_WATCH_MAIL;
 	gateway->mail_watch.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	gw_watch_add(gateway, &gateway->mail_watch, EPOLLIN);
@@ -282,7 +282,7 @@
 	gw_mail_run(gateway);
 	gw_calls_finish(gateway);
 	catalog_unref(gateway->catalog);
-	g_hash_table_destroy(gateway->shut_accounts);
+	g_hash_table_destroy(gateway->holds);
 	pthread_mutex_destroy(&gateway->mail_mutex);
 	close(gateway->mail_watch.fd);
 	close(gateway->steady_fd);
--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -22,7 +22,7 @@
 	if (request->may_have_run)
 		gw_request_refuse(request, 502, "no_answer", 0);
 	else if (decision->reason == REFUSE_QUEUE_FULL) {
-		gw_request_shut_account(request);
+		gw_request_hold_account(request);
 		gw_request_refuse(request, 503, "overloaded",
 		    MAX(decision->retry_after_ms, 1u));
 	} else if (decision->reason == REFUSE_BUDGET)
@@ -45,9 +45,10 @@
 		if (request->decision.start)
 			gw_tell_done(request, OUTCOME_CANCELLED);
 		gw_request_release(request);
-	} else if (request->decision.start)
+	} else if (request->decision.start) {
+		gw_watch_caller(request);
 		gw_call_start(request);
-	else
+	} else
 		refuse_decided(request);
 }
 
--- a/bamboorudderd/gateway_front.c
+++ b/bamboorudderd/gateway_front.c
@@ -49,9 +49,11 @@
 }
 
 /* A suspended connection is not read: only its hang-up is watched. */
-static void
-watch_caller(struct gw_request *request)
+void
+gw_watch_caller(struct gw_request *request)
 {
+	if (request->watched)
+		return;
 	request->watch.kind = GW_WATCH_CALLER;
 	request->watch.fd = connection_fd(request->connection);
 	request->watch.request = request;
@@ -259,7 +261,6 @@
 		return take_body(request, upload, upload_bytes);
 	if (request->state == GW_READING) {
 		suspend(request);
-		watch_caller(request);
 		gw_request_submit(request);
 		return MHD_YES;
 	}
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -12,7 +12,6 @@
 #define DRAIN_RETRY_MS 100u
 /* Between the caller's sending and the check of its key's freshness. */
 #define PROOF_MARGIN_MS 400u
-#define SHUT_ACCOUNT_MS 60u
 #define TEXT_BYTES 24
 #define US_PER_MS 1000u
 
@@ -303,45 +302,65 @@
 	gw_ask(request);
 }
 
-/* An account far over its share is refused for a moment without asking: most
- * of what a flood sends never reaches the control thread. */
+/* What one account gets of one pool. */
+static uint64_t
+hold_key(const struct gw_request *request)
+{
+	return request->ask.account_id ^ request->ask.pool_id;
+}
+
+/* What would be refused like the request before is refused for a moment
+ * without asking: most of what a flood sends never reaches the control thread.
+ */
 void
-gw_request_shut_account(struct gw_request *request)
+gw_request_hold_account(struct gw_request *request)
 {
 	struct gateway *gateway = request->gateway;
-	uint64_t until_ms = gw_now_ms(gateway) + SHUT_ACCOUNT_MS;
+	uint64_t key = hold_key(request);
+	struct gw_hold hold = {
+		.until_ms = gw_now_ms(gateway) + request->decision.hold_ms,
+		.aim_ms = request->ask.aim_ms,
+		.flood = request->decision.forecast.limit_ms == 0,
+	};
 
-	if (request->account == NULL || request->decision.forecast.limit_ms > 0)
+	if (request->decision.hold_ms == 0)
 		return;
-	g_hash_table_replace(gateway->shut_accounts,
-	    g_memdup2(&request->account->account_id, sizeof(uint64_t)),
-	    g_memdup2(&until_ms, sizeof(until_ms)));
+	g_hash_table_replace(gateway->holds, g_memdup2(&key, sizeof(key)),
+	    g_memdup2(&hold, sizeof(hold)));
 }
 
-static bool
-is_shut(const struct gw_request *request)
+static const struct gw_hold *
+find_hold(const struct gw_request *request)
 {
-	const uint64_t *until_ms = request->account == NULL
-	    ? NULL
-	    : g_hash_table_lookup(request->gateway->shut_accounts,
-		  &request->account->account_id);
-
-	return until_ms != NULL && request->arrived_ms < *until_ms;
+	uint64_t key = hold_key(request);
+	const struct gw_hold *hold =
+	    g_hash_table_lookup(request->gateway->holds, &key);
+
+	return hold != NULL && request->arrived_ms < hold->until_ms &&
+		request->ask.aim_ms <= hold->aim_ms
+	    ? hold
+	    : NULL;
 }
 
 void
 gw_request_submit(struct gw_request *request)
 {
+	const struct gw_hold *hold;
+
 	request->submitted = true;
 	gw_request_was_read(request);
 	request->gateway->active_count++;
 	fill_ask(request);
+	hold = find_hold(request);
 	if (request->gateway->ending)
 		gw_request_refuse(request, 503, "shutting_down",
 		    DRAIN_RETRY_MS);
-	else if (is_shut(request))
-		gw_request_refuse(request, 503, "account_over_share",
-		    MAX(dispatch_retry_after_ms(&request->ask), 1u));
+	else if (hold != NULL)
+		gw_request_refuse(request, 503,
+		    hold->flood ? "account_over_share" : "account_held",
+		    MAX(dispatch_retry_after_ms(&request->ask,
+			    hold->until_ms - request->arrived_ms, hold->flood),
+			1u));
 	else
 		gw_request_decide(request);
 }
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -40,6 +40,9 @@
 #define RETRY_SOON_SPREAD_MS 60u
 #define RETRY_AFTER_MIN_MS 500u
 #define RETRY_AFTER_SPREAD_MS 2500u
+/* Other daemons may find room that the last reports do not show. */
+#define HOLD_MAX_MS 100u
+#define FLOOD_HOLD_MS 60u
 /* Callers wait at most a third of the time that they have left. */
 #define RETRY_AFTER_LEFT_PARTS 3u
 /* Where no load tells when there will be room. */
@@ -150,12 +153,17 @@
 }
 
 uint32_t
-dispatch_retry_after_ms(const struct dispatch_ask *ask)
+dispatch_retry_after_ms(const struct dispatch_ask *ask, uint64_t over_ms,
+    bool flood)
 {
-	uint32_t spread_ms = RETRY_AFTER_MIN_MS +
-	    (uint32_t)(ask->request_hash % RETRY_AFTER_SPREAD_MS);
-
-	return MIN(spread_ms, ask->left_ms / RETRY_AFTER_LEFT_PARTS);
+	uint64_t wait_ms = RETRY_AFTER_MIN_MS +
+	    ask->request_hash % RETRY_AFTER_SPREAD_MS;
+
+	if (!flood)
+		wait_ms = MIN(wait_ms,
+		    over_ms + RETRY_SOON_MS +
+			ask->request_hash % RETRY_SOON_SPREAD_MS);
+	return (uint32_t)MIN(wait_ms, ask->left_ms / RETRY_AFTER_LEFT_PARTS);
 }
 
 static void
@@ -228,16 +236,13 @@
 }
 
 static uint32_t
-retry_after_ms(const struct dispatch_ask *ask, uint64_t ahead_ms,
-    uint64_t limit_ms)
+hold_ms(uint64_t least_ahead_ms, uint64_t limit_ms)
 {
-	uint64_t over_ms = ahead_ms > limit_ms ? ahead_ms - limit_ms : 0;
-	uint32_t later_ms = dispatch_retry_after_ms(ask);
-
 	if (limit_ms == 0)
-		return later_ms;
-	return (uint32_t)MIN(later_ms,
-	    over_ms + RETRY_SOON_MS + ask->request_hash % RETRY_SOON_SPREAD_MS);
+		return FLOOD_HOLD_MS;
+	return least_ahead_ms > limit_ms
+	    ? (uint32_t)MIN(least_ahead_ms - limit_ms, HOLD_MAX_MS)
+	    : 0;
 }
 
 static void
@@ -263,7 +268,11 @@
 	if (best->ahead_ms + MIN(best->own_ms, AHEAD_OWN_MAX_MS) > limit_ms &&
 	    best->ahead_ms > 0) {
 		refuse(dispatch, ask, REFUSE_QUEUE_FULL,
-		    retry_after_ms(ask, best->ahead_ms, limit_ms), decision);
+		    dispatch_retry_after_ms(ask,
+			best->ahead_ms - MIN(best->ahead_ms, limit_ms),
+			limit_ms == 0),
+		    decision);
+		decision->hold_ms = hold_ms(best->least_ahead_ms, limit_ms);
 		return;
 	}
 	account->served_tokens += charge_tokens(ask);
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -233,6 +233,7 @@
     const struct dispatch_ask *ask, uint64_t now_ms, GArray *candidates)
 {
 	uint64_t bar = home_bar(candidates), ahead_ms = 0;
+	uint64_t least_ahead_ms = UINT64_MAX;
 	struct dispatch_candidate *best = NULL;
 
 	for (guint i = 0; i < candidates->len; i++) {
@@ -248,6 +249,7 @@
 		else
 			weigh_service(dispatch, candidate);
 		ahead_ms += candidate->ahead_ms;
+		least_ahead_ms = MIN(least_ahead_ms, candidate->ahead_ms);
 		if (endpoint->listing.domain_id != dispatch->config.domain_id)
 			candidate->cost_ms += OTHER_DOMAIN_MS;
 		if (now_ms < endpoint->full_until_ms)
@@ -257,8 +259,10 @@
 			candidate->home_score > best->home_score))
 			best = candidate;
 	}
-	if (best != NULL)
+	if (best != NULL) {
 		best->pool_ahead_ms = ahead_ms / candidates->len;
+		best->least_ahead_ms = least_ahead_ms;
+	}
 	return best;
 }
 
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -123,6 +123,13 @@
 	const char *outcome; /**< for the log */
 };
 
+/** An account whose requests for a pool are refused unasked for a moment. */
+struct gw_hold {
+	uint64_t until_ms;
+	uint32_t aim_ms; /**< those with a longer latency target are asked */
+	bool flood; /**< the account is far over its share */
+};
+
 struct gateway {
 	const struct settings *settings;
 	struct control *control;
@@ -156,8 +163,7 @@
 	uint64_t load_since_ms; /**< begin of the present span of the load */
 	uint64_t idle_us; /**< that the loop waited in it */
 	uint64_t busy_ms; /**< end of the last span without time to spare */
-	GHashTable *shut_accounts; /**< account_id to the time until which its
-				     * requests are refused unasked */
+	GHashTable *holds; /**< account and pool to struct gw_hold */
 	bool resumed; /**< the server has to look at its connections */
 	bool draining;
 	bool ending; /**< it was decided to end: all is refused */
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -34,6 +34,8 @@
 
 gboolean gw_front_init(struct gateway *gateway, GError **error);
 void gw_front_finish(struct gateway *gateway);
+/** Sees from now on whether the caller leaves. */
+void gw_watch_caller(struct gw_request *request);
 /** Makes the server go on with a request. */
 void gw_resume(struct gw_request *request);
 
@@ -50,9 +52,8 @@
 void gw_request_submit(struct gw_request *request);
 /** Asks where the next attempt runs. */
 void gw_request_decide(struct gw_request *request);
-/** Refuses what the request's account sends for a moment, if it is far over
- * its share. */
-void gw_request_shut_account(struct gw_request *request);
+/** Refuses what the request's account sends for as long as the decision says. */
+void gw_request_hold_account(struct gw_request *request);
 /** The answer is complete, or there will be none. */
 void gw_request_end(struct gw_request *request);
 /** The caller left. */
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -66,6 +66,9 @@
 	bool start; /**< else the request is refused */
 	enum refuse_reason reason;
 	uint32_t retry_after_ms;
+	/** For so long all requests of this account for this pool, with this
+	 * latency target or a shorter one, would be refused, too. */
+	uint32_t hold_ms;
 	uint64_t seq; /**< names the attempt in later calls */
 	uint64_t endpoint_id;
 	char name[NAME_MAX_BYTES];
@@ -197,8 +200,13 @@
 void dispatch_decide(struct dispatch *dispatch, const struct dispatch_ask *ask,
     uint64_t now_ms, struct dispatch_decision *decision);
 
-/** @return when a caller whose account is far over its share may come back */
-uint32_t dispatch_retry_after_ms(const struct dispatch_ask *ask);
+/**
+ * Tells when a refused caller may come back.
+ * @param over_ms until the work ahead will be within its account's limit
+ * @param flood its account is far over its share
+ */
+uint32_t dispatch_retry_after_ms(const struct dispatch_ask *ask,
+    uint64_t over_ms, bool flood);
 
 /** @return what an account got lately, in thousandths of its max-min share;
  * 0 while there is enough for all */
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -40,6 +40,7 @@
 	uint64_t own_ms; /**< reading its own prompt */
 	uint64_t cost_ms; /**< what is compared */
 	uint64_t pool_ahead_ms; /**< of the chosen one: mean of its pool */
+	uint64_t least_ahead_ms; /**< of the chosen one: least of its pool */
 };
 
 /**
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -237,6 +237,34 @@
 	EXPECT_LE(decision.retry_after_ms, 300u);
 }
 
+TEST_F(Dispatch, WhatIsHeldWouldBeRefusedAsLongAsItIsHeld)
+{
+	add("e1");
+	add("e2");
+	report(8, "e1", 1, 20000);
+	report(9, "e2", 1, 13000);
+	dispatch_decision decision = decide(ask(3000));
+	EXPECT_FALSE(decision.start);
+	/* 13000 tokens take 260 ms to read, and 200 ms are allowed ahead */
+	EXPECT_EQ(decision.hold_ms, 60u);
+	for (uint32_t tokens : { 1u, 100u, 3000u, 30000u })
+		EXPECT_FALSE(decide(ask(tokens)).start) << tokens;
+	dispatch_ask patient = ask(1);
+	patient.aim_ms = 4000;
+	EXPECT_TRUE(decide(patient).start);
+}
+
+TEST_F(Dispatch, HoldsNobodyWhileAnEngineHasRoom)
+{
+	dispatch_ask large = ask(30000);
+
+	add("e1");
+	EXPECT_TRUE(decide(large).start);
+	add("e2");
+	for (int i = 0; i < 6; i++)
+		EXPECT_EQ(decide(ask(20)).hold_ms, 0u);
+}
+
 TEST_F(Dispatch, ShutsOutNoLargePromptOnAnIdleEngine)
 {
 	add("e1");
