--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -66,6 +66,21 @@
 	members_set_platform_lost(&control->members, lost != 0);
 }
 
+/* The daemon that tells this one of all others' work. */
+static void
+log_hub(struct control *control)
+{
+	uint64_t hub_id = dispatch_hub(&control->dispatch);
+	const struct member *hub;
+
+	if (hub_id == control->logged_hub_id)
+		return;
+	control->logged_hub_id = hub_id;
+	hub = members_find(&control->members, hub_id);
+	log_event(LOG_LEVEL_INFO, "hub", "address",
+	    hub == NULL ? "-" : hub->address, NULL);
+}
+
 static void
 tick(struct control *control)
 {
@@ -81,6 +96,7 @@
 	entry_tick(&control->entry, now_ms, &control->effects);
 	dispatch_tick(&control->dispatch, now_ms, feed_clock_ms(),
 	    &control->effects);
+	log_hub(control);
 	g_hash_table_iter_init(&iter, control->owners);
 	while (g_hash_table_iter_next(&iter, NULL, &owner))
 		owner_tick(owner, now_ms, &control->effects);
--- a/bamboorudderd/gateway_mail.c
+++ b/bamboorudderd/gateway_mail.c
@@ -4,6 +4,8 @@
 #include "bamboorudderd/gateway_private.h"
 #include "common/log.h"
 
+#define TEXT_BYTES 24
+
 void
 gw_mail_post(struct gateway *gateway, void (*run)(struct gateway *, void *),
     void *context)
@@ -84,8 +86,25 @@
 struct attempt_mail {
 	uint64_t seq;
 	enum dispatch_outcome outcome;
+	char endpoint[NAME_MAX_BYTES];
 };
 
+static void
+log_verdict(const char *endpoint, const struct dispatch_verdict *verdict)
+{
+	char failing[TEXT_BYTES], pause[TEXT_BYTES];
+
+	if (verdict->health == HEALTH_SAME)
+		return;
+	g_snprintf(failing, TEXT_BYTES, "%u", verdict->failing_permille);
+	g_snprintf(pause, TEXT_BYTES, "%u", verdict->eject_ms);
+	log_event(LOG_LEVEL_WARN,
+	    verdict->health == HEALTH_EJECTED ? "endpoint_ejected"
+					      : "endpoint_back",
+	    "name", endpoint, "failing_permille", failing, "for_ms", pause,
+	    NULL);
+}
+
 static void
 run_first(struct control *control, struct command *command)
 {
@@ -100,9 +119,11 @@
 run_done(struct control *control, struct command *command)
 {
 	struct attempt_mail *mail = command->context;
+	struct dispatch_verdict verdict;
 
 	dispatch_done(&control->dispatch, mail->seq, mail->outcome,
-	    clk_monotonic_ms(&control->clk));
+	    clk_monotonic_ms(&control->clk), &verdict);
+	log_verdict(mail->endpoint, &verdict);
 	g_free(mail);
 }
 
@@ -123,6 +144,7 @@
 
 	mail->seq = request->decision.seq;
 	mail->outcome = outcome;
+	memcpy(mail->endpoint, request->decision.name, NAME_MAX_BYTES);
 	mailbox_post_work(request->gateway->control, run_done, mail);
 }
 
@@ -140,10 +162,9 @@
 take_catalog(struct gateway *gateway, void *context)
 {
 	struct catalog *catalog = context;
-	char version[24];
+	char version[TEXT_BYTES];
 
-	g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT,
-	    catalog->version);
+	g_snprintf(version, TEXT_BYTES, "%" G_GUINT64_FORMAT, catalog->version);
 	log_event(LOG_LEVEL_INFO, "configuration_in_force", "version", version,
 	    NULL);
 	catalog_unref(gateway->catalog);
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -373,19 +373,26 @@
 
 void
 dispatch_done(struct dispatch *dispatch, uint64_t seq,
-    enum dispatch_outcome outcome, uint64_t now_ms)
+    enum dispatch_outcome outcome, uint64_t now_ms,
+    struct dispatch_verdict *verdict)
 {
 	struct dispatch_attempt *attempt =
 	    g_hash_table_lookup(dispatch->attempts, &seq);
+	struct dispatch_verdict unused;
 	struct dispatch_endpoint *endpoint;
 
+	if (verdict == NULL)
+		verdict = &unused;
+	memset(verdict, 0, sizeof(*verdict));
 	if (attempt == NULL)
 		return;
 	endpoint = g_hash_table_lookup(dispatch->endpoints,
 	    &attempt->endpoint_id);
 	if (endpoint != NULL) {
 		release(endpoint, attempt);
-		dispatch_judge(endpoint, outcome, now_ms);
+		verdict->health = dispatch_judge(endpoint, outcome, now_ms);
+		verdict->failing_permille = endpoint->failing_permille;
+		verdict->eject_ms = endpoint->eject_ms;
 		if (outcome == OUTCOME_REFUSED)
 			endpoint->full_until_ms = now_ms + FULL_HOLD_MS;
 		if (!endpoint->listed && endpoint->own.running_count == 0)
--- a/core/dispatch_health.c
+++ b/core/dispatch_health.c
@@ -24,7 +24,27 @@
 	endpoint->probing = false;
 }
 
-void
+static bool
+fails_too_often(const struct dispatch_endpoint *endpoint, uint64_t now_ms)
+{
+	return now_ms >= endpoint->ejected_until_ms &&
+	    endpoint->results_count >= EJECT_RESULTS_MIN_COUNT &&
+	    endpoint->failing_permille >= EJECT_PERMILLE;
+}
+
+/* A request that tried an ejected endpoint was answered. */
+static enum dispatch_health
+pass_probe(struct dispatch_endpoint *endpoint)
+{
+	endpoint->probing = false;
+	endpoint->failing_permille /= 2;
+	if (endpoint->failing_permille >= EJECT_PERMILLE / 2)
+		return HEALTH_SAME;
+	endpoint->eject_ms = 0;
+	return HEALTH_BACK;
+}
+
+enum dispatch_health
 dispatch_judge(struct dispatch_endpoint *endpoint,
     enum dispatch_outcome outcome, uint64_t now_ms)
 {
@@ -33,23 +53,17 @@
 
 	if (outcome == OUTCOME_CANCELLED || outcome == OUTCOME_REFUSED) {
 		endpoint->probing = false;
-		return;
+		return HEALTH_SAME;
 	}
 	endpoint->results_count++;
 	endpoint->failing_permille = average(endpoint->failing_permille,
 	    failed ? FAILED_PERMILLE : 0);
-	if (failed &&
-	    (endpoint->probing ||
-		(now_ms >= endpoint->ejected_until_ms &&
-		    endpoint->results_count >= EJECT_RESULTS_MIN_COUNT &&
-		    endpoint->failing_permille >= EJECT_PERMILLE)))
-		eject(endpoint, now_ms);
-	else if (!failed && endpoint->probing) {
-		endpoint->probing = false;
-		endpoint->failing_permille /= 2;
-		if (endpoint->failing_permille < EJECT_PERMILLE / 2)
-			endpoint->eject_ms = 0;
-	}
+	if (!failed)
+		return endpoint->probing ? pass_probe(endpoint) : HEALTH_SAME;
+	if (!endpoint->probing && !fails_too_often(endpoint, now_ms))
+		return HEALTH_SAME;
+	eject(endpoint, now_ms);
+	return HEALTH_EJECTED;
 }
 
 bool
--- a/core/dispatch_peers.c
+++ b/core/dispatch_peers.c
@@ -195,8 +195,8 @@
 	return false;
 }
 
-static uint64_t
-present_hub(const struct dispatch *dispatch)
+uint64_t
+dispatch_hub(const struct dispatch *dispatch)
 {
 	return dispatch->own_hubs->len == 0
 	    ? 0
@@ -238,7 +238,7 @@
 		read_proof(&load->proofs[kind], load->echo_ms, &proofs[kind]);
 	/* the present hub speaks for all the others */
 	if (!dispatch->is_hub) {
-		if (msg->from_node_id != present_hub(dispatch))
+		if (msg->from_node_id != dispatch_hub(dispatch))
 			return;
 		g_hash_table_remove_all(dispatch->peers);
 	}
@@ -410,7 +410,7 @@
 report_to_hub(struct dispatch *dispatch, uint64_t now_ms, uint64_t stamp_ms,
     struct effects *effects)
 {
-	uint64_t hub_id = present_hub(dispatch);
+	uint64_t hub_id = dispatch_hub(dispatch);
 	const struct dispatch_peer *hub = g_hash_table_lookup(dispatch->peers,
 	    &hub_id);
 	uint64_t heard_ms = hub == NULL ? dispatch->hub_since_ms
@@ -426,7 +426,7 @@
 		    dispatch->own_hubs->len;
 		dispatch->hub_since_ms = now_ms;
 	}
-	report(dispatch, present_hub(dispatch), NULL, stamp_ms, effects);
+	report(dispatch, dispatch_hub(dispatch), NULL, stamp_ms, effects);
 }
 
 void
--- a/include/bamboorudderd/control.h
+++ b/include/bamboorudderd/control.h
@@ -64,6 +64,7 @@
 	struct entry entry;
 	struct dispatch dispatch;
 	struct catalog *catalog; /**< that dispatch uses, or NULL */
+	uint64_t logged_hub_id;
 	GHashTable *owners; /**< pool_id to struct owner */
 	GHashTable *tickets; /**< seq to struct ticket */
 	struct effects effects;
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -86,6 +86,20 @@
 	OUTCOME_BROKEN /**< no answer, or a spoilt one */
 };
 
+/** How an endpoint is taken after an attempt. */
+enum dispatch_health {
+	HEALTH_SAME,
+	HEALTH_EJECTED, /**< gets no work for a while */
+	HEALTH_BACK /**< gets work as before */
+};
+
+/** What followed from an attempt's end; for the log. */
+struct dispatch_verdict {
+	enum dispatch_health health;
+	uint32_t failing_permille;
+	uint32_t eject_ms; /**< 0 unless ejected */
+};
+
 /** A live daemon, this one included. */
 struct dispatch_daemon {
 	uint64_t node_id;
@@ -193,6 +207,10 @@
 void dispatch_set_live(struct dispatch *dispatch,
     const struct dispatch_daemon *daemons, size_t count);
 
+/** @return node_id of the hub that this daemon reports to, 0: it is one, or
+ * alone */
+uint64_t dispatch_hub(const struct dispatch *dispatch);
+
 /** Takes what this daemon can say of its copy of what it follows. */
 void dispatch_set_proof(struct dispatch *dispatch, enum proof_kind kind,
     uint64_t version, uint64_t as_of_ms);
@@ -220,8 +238,10 @@
 /** The first token of an attempt's answer came. */
 void dispatch_first(struct dispatch *dispatch, uint64_t seq, uint64_t now_ms);
 
+/** @param verdict receives what followed; NULL: not of interest */
 void dispatch_done(struct dispatch *dispatch, uint64_t seq,
-    enum dispatch_outcome outcome, uint64_t now_ms);
+    enum dispatch_outcome outcome, uint64_t now_ms,
+    struct dispatch_verdict *verdict);
 
 /**
  * Takes a peer's report.
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -90,7 +90,7 @@
     uint64_t now_ms);
 
 /** Takes the result of an attempt into an endpoint's health. */
-void dispatch_judge(struct dispatch_endpoint *endpoint,
+enum dispatch_health dispatch_judge(struct dispatch_endpoint *endpoint,
     enum dispatch_outcome outcome, uint64_t now_ms);
 
 /** Whether an endpoint may get work now. */
--- /dev/null
+++ b/tests/e2e/gateway_fixture.h
@@ -0,0 +1,78 @@
+/**
+ * @file
+ * One daemon before the platform's callers, with a few routes.
+ */
+#ifndef TESTS_E2E_GATEWAY_FIXTURE_H
+#define TESTS_E2E_GATEWAY_FIXTURE_H
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include "gateway_world.h"
+
+namespace e2e
+{
+
+inline const std::vector<RouteText> routes = {
+	{ "/safe/", "safe", 2 },
+	{ "/once/", "unsafe", 1 },
+	{ "/flow/", "streaming", 1 },
+	{ "/again/", "streaming", 2, true, true },
+	{ "/keyed/", "safe", 1, false },
+	{ "/short/", "safe", 1, true, false, 400 },
+};
+
+inline const char tenants[] =
+    "{\"name\":\"desk\",\"api_keys\":[\"k1\"],\"priority\":1}";
+
+class Gateway : public ::testing::Test
+{
+      protected:
+	void start(uint64_t version = 3)
+	{
+		world.store.put("config", "main",
+		    configuration_text(version, routes, tenants));
+		world.add("e1", first);
+		ASSERT_TRUE(eventually([&] {
+			return world.ready() && world.knows("e1");
+		})) << world.daemon->log();
+	}
+
+	/** Answers every request whole and counts it. */
+	static ScriptedEndpoint::Script whole(std::atomic<int> *count,
+	    const std::string &body = "whole")
+	{
+		return [count, body](Peer &peer, const std::string &request) {
+			(*count)++;
+			peer.send_text(answer_text(request, body));
+		};
+	}
+
+	ScriptedEndpoint first, second;
+	GatewayWorld world;
+	std::atomic<int> first_count{ 0 }, second_count{ 0 };
+};
+
+inline std::string
+stream_head(const std::string &request)
+{
+	std::string head = answer_text(request, "", "200 OK",
+	    "Content-Type: text/event-stream\r\n");
+	size_t at = head.find("Content-Length");
+
+	return head.substr(0, at) + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string
+chunk(const std::string &text)
+{
+	char size[16];
+
+	snprintf(size, sizeof(size), "%zx\r\n", text.size());
+	return size + text + "\r\n";
+}
+
+} // namespace e2e
+
+#endif
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -114,7 +114,7 @@
 			if (!decision.start)
 				break;
 			dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE,
-			    now_ms);
+			    now_ms, nullptr);
 			count++;
 		}
 		return count;
@@ -127,7 +127,8 @@
 
 		ASSERT_TRUE(decision.start);
 		dispatch_first(&dispatch, decision.seq, now_ms);
-		dispatch_done(&dispatch, decision.seq, outcome, now_ms);
+		dispatch_done(&dispatch, decision.seq, outcome, now_ms,
+		    nullptr);
 	}
 
 	void tick_for(uint64_t duration_ms)
@@ -317,7 +318,7 @@
 			tokens -= queue.front().left_tokens;
 			dispatch_first(dispatch, queue.front().seq, now_ms);
 			dispatch_done(dispatch, queue.front().seq,
-			    OUTCOME_WHOLE, now_ms);
+			    OUTCOME_WHOLE, now_ms, nullptr);
 			queue.pop_front();
 		}
 		if (!queue.empty())
@@ -375,7 +376,8 @@
 		ASSERT_TRUE(decision.start);
 		now_ms += 90;
 		dispatch_first(&dispatch, decision.seq, now_ms);
-		dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE, now_ms);
+		dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE, now_ms,
+		    nullptr);
 	}
 	EXPECT_LE(decide(ask(10000)).forecast.own_ms, 10000u / 50);
 }
@@ -388,7 +390,8 @@
 		ASSERT_TRUE(decision.start);
 		now_ms += 830;
 		dispatch_first(&dispatch, decision.seq, now_ms);
-		dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE, now_ms);
+		dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE, now_ms,
+		    nullptr);
 	}
 	EXPECT_NEAR(decide(ask(10000)).forecast.own_ms, 800u, 40u);
 }
@@ -532,7 +535,7 @@
 	dispatch_decision decision = decide(ask());
 	dispatch_remove_endpoint(&dispatch, "e1");
 	EXPECT_FALSE(decide(ask()).start);
-	dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE, now_ms);
+	dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE, now_ms, nullptr);
 	EXPECT_EQ(g_hash_table_size(dispatch.endpoints), 0u);
 }
 
