Soak the daemon on the users' platform; deny nothing that peers may know already

Cause, from the logs kept: a daemon was cut off from the store for 2.7 s while two configurations came; its proof was still young enough to serve keys, and a key of the second one was unknown to it, though its peers had named the newer version in their reports. Callers do not come back after 401 or 404. A key or route that is unknown is now refused with 503 (configuration_behind) while a peer has named a newer configuration. Ruled out: keys that the soak used too early (each is valid in the configuration before, too) and the bound of two changes within the time a key lives on unproven (changes are at least 1.6 s apart, 3 s allowed).

--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -191,6 +191,18 @@
 	return false;
 }
 
+/* What the configuration does not hold may stand in a newer one that peers
+ * know already: a caller comes back after 503, not after 401 or 404. */
+static bool
+deny(struct gw_request *request, uint32_t status, const char *outcome)
+{
+	if (feed_is_behind(&request->gateway->feed))
+		return refuse_head(request, 503, "configuration_behind",
+		    GW_RETRY_MS);
+	metric_add(METRIC_REQUESTS_UNAUTHORIZED, 1);
+	return refuse_head(request, status, outcome, 0);
+}
+
 static bool
 find_account(struct gw_request *request)
 {
@@ -203,10 +215,7 @@
 	if (!is_fresh(gateway))
 		return refuse_head(request, 503, "configuration_too_old",
 		    GW_RETRY_MS);
-	if (request->account != NULL)
-		return true;
-	metric_add(METRIC_REQUESTS_UNAUTHORIZED, 1);
-	return refuse_head(request, 401, "unknown_key", 0);
+	return request->account != NULL || deny(request, 401, "unknown_key");
 }
 
 static void
@@ -250,10 +259,8 @@
 		return refuse_head(request, 400, "bad_target", 0);
 	request->route = catalog_find_route(request->catalog,
 	    request->head.host, request->target);
-	if (request->route == NULL) {
-		metric_add(METRIC_REQUESTS_UNAUTHORIZED, 1);
-		return refuse_head(request, 404, "no_route", 0);
-	}
+	if (request->route == NULL)
+		return deny(request, 404, "no_route");
 	if (!find_account(request))
 		return false;
 	set_times(request, now_ms);
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -102,6 +102,9 @@
 void feed_offer_proof(struct feed *feed, enum proof_kind kind,
     const struct dispatch_proof *proof);
 
+/** @return whether a peer named a configuration that is not known here yet */
+bool feed_is_behind(const struct feed *feed);
+
 /** @return whether the last call for the configuration failed */
 bool feed_is_lost(const struct feed *feed);
 
--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -163,8 +163,10 @@
 {
 	uint32_t before = store.calls("servers") + store.calls("config");
 
+	EXPECT_FALSE(feed_is_behind(&feed));
 	offer(PROOF_CONFIGURATION, 1000000);
 	offer(PROOF_ENDPOINTS, 1000000);
+	EXPECT_TRUE(feed_is_behind(&feed));
 	std::this_thread::sleep_for(std::chrono::milliseconds(1000));
 	EXPECT_LE(store.calls("servers") + store.calls("config"), before + 24);
 }
--- /dev/null
+++ b/tests/soak/fault_proxy.h
@@ -0,0 +1,213 @@
+/**
+ * @file
+ * A loopback proxy that harms the connections through it.
+ */
+#ifndef TESTS_SOAK_FAULT_PROXY_H
+#define TESTS_SOAK_FAULT_PROXY_H
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace soak
+{
+
+enum Harm {
+	HARM_NONE,
+	HARM_DELAY,
+	HARM_RESET,
+	HARM_ONE_WAY,
+	HARM_SILENCE,
+	HARM_COUNT
+};
+
+inline int
+listen_on_loopback(uint16_t *port)
+{
+	sockaddr_in address = {};
+	socklen_t length = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+	listen(fd, 256);
+	getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length);
+	*port = ntohs(address.sin_port);
+	return fd;
+}
+
+/** Accepts connections and serves each in a thread of its own. */
+class Acceptor
+{
+      public:
+	Acceptor() : fd_(listen_on_loopback(&port_))
+	{
+	}
+
+	virtual ~Acceptor()
+	{
+		close(fd_);
+	}
+
+	Acceptor(const Acceptor &) = delete;
+	Acceptor &operator=(const Acceptor &) = delete;
+
+	std::string address() const
+	{
+		return "127.0.0.1:" + std::to_string(port_);
+	}
+
+      protected:
+	void start()
+	{
+		thread_ = std::thread([this] { accept_all(); });
+	}
+
+	/** To be called by the destructor of the class that serves. */
+	void stop()
+	{
+		stopping_ = true;
+		thread_.join();
+		while (workers_ > 0)
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(5));
+	}
+
+	/** Closes the descriptor. */
+	virtual void serve(int fd) = 0;
+
+	std::atomic<bool> stopping_{ false };
+
+      private:
+	void accept_all()
+	{
+		while (!stopping_) {
+			pollfd item = { fd_, POLLIN, 0 };
+			if (poll(&item, 1, 20) != 1)
+				continue;
+			int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
+			if (fd < 0)
+				continue;
+			workers_++;
+			std::thread([this, fd] {
+				serve(fd);
+				workers_--;
+			}).detach();
+		}
+	}
+
+	uint16_t port_;
+	int fd_;
+	std::atomic<uint32_t> workers_{ 0 };
+	std::thread thread_;
+};
+
+class FaultProxy : public Acceptor
+{
+      public:
+	explicit FaultProxy(uint16_t target) : target_(target)
+	{
+		start();
+	}
+
+	~FaultProxy() override
+	{
+		stop();
+	}
+
+	std::atomic<Harm> harm{ HARM_NONE };
+
+      private:
+	int connect_target() const
+	{
+		sockaddr_in address = {};
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		address.sin_port = htons(target_);
+		if (connect(fd, reinterpret_cast<sockaddr *>(&address),
+			sizeof(address)) == 0)
+			return fd;
+		close(fd);
+		return -1;
+	}
+
+	static void reset(int fd)
+	{
+		linger now = { 1, 0 };
+
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	}
+
+	static bool pass(int from, int to)
+	{
+		char buffer[16384];
+		ssize_t count = recv(from, buffer, sizeof(buffer), 0);
+
+		if (count <= 0)
+			return false;
+		for (ssize_t sent = 0; sent < count;) {
+			ssize_t part = send(to, buffer + sent,
+			    (size_t)(count - sent), MSG_NOSIGNAL);
+			if (part <= 0)
+				return false;
+			sent += part;
+		}
+		return true;
+	}
+
+	/** @return whether the connection goes on */
+	bool step(int caller, int target)
+	{
+		Harm now = harm;
+		pollfd items[] = { { caller, POLLIN, 0 },
+			{ target, (short)(now == HARM_ONE_WAY ? 0 : POLLIN),
+			    0 } };
+
+		if (now == HARM_RESET) {
+			reset(caller);
+			reset(target);
+			return false;
+		}
+		if (now == HARM_SILENCE) {
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(20));
+			return true;
+		}
+		if (poll(items, 2, 20) <= 0)
+			return true;
+		if (now == HARM_DELAY)
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(80));
+		if ((items[0].revents & (POLLIN | POLLHUP)) != 0 &&
+		    !pass(caller, target))
+			return false;
+		return (items[1].revents & POLLIN) == 0 || pass(target, caller);
+	}
+
+	void serve(int fd) override
+	{
+		int target = connect_target();
+
+		while (target >= 0 && !stopping_ && step(fd, target))
+			;
+		if (target >= 0)
+			close(target);
+		close(fd);
+	}
+
+	uint16_t target_;
+};
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/tests/soak/soak.cc
@@ -0,0 +1,404 @@
+/* Runs daemons, harms them from outside, and checks what callers and endpoints
+ * saw. Usage: soak [--seed N] [--seconds S] [--daemons D] */
+#include <curl/curl.h>
+
+#include <cinttypes>
+#include <csignal>
+#include <filesystem>
+
+#include "world.h"
+
+using namespace soak;
+
+namespace
+{
+
+constexpr uint32_t CALLERS = 6;
+constexpr uint32_t REVOKE_MS = 3000;
+/* Between the end of the last fault and the first request that has to be
+ * served: the users' sheets allow 12 s. */
+constexpr uint32_t RECOVERY_MS = 12000;
+constexpr uint32_t JUDGED_MS = 3000;
+constexpr uint32_t SERVED_MIN_PERCENT = 75; /* endpoints fail a tenth */
+constexpr uint32_t CALL_TIMEOUT_MS = 4000;
+
+const std::vector<e2e::RouteText> routes = {
+	{ "/once/", "unsafe", 1, false },
+	{ "/safe/", "safe", 2, true },
+	{ "/flow/", "streaming", 1, false },
+};
+
+struct Options {
+	uint64_t seed = 1;
+	uint32_t seconds = 10;
+	uint32_t daemons = 3;
+};
+
+class Soak
+{
+      public:
+	explicit Soak(const Options &options)
+	    : options_(options),
+	      folder_(::testing::TempDir() + "bamboorudder-soak-XXXXXX")
+	{
+		if (mkdtemp(folder_.data()) == nullptr)
+			exit(2);
+	}
+
+	int run();
+
+      private:
+	void write_configuration();
+	void add_endpoint(const std::string &name);
+	void add_daemon(size_t index, const std::string &seeds);
+	void start(Daemon &daemon);
+	void harm_links(Random random);
+	void harm_processes(Random random);
+	void change(Random random);
+	void call_all(uint64_t number);
+	bool call_one(CURL *handle, const std::string &id, const char *path,
+	    const std::string &key, Daemon &daemon);
+	int judge();
+
+	bool over() const
+	{
+		return over_;
+	}
+
+	void pause(uint32_t duration_ms) const
+	{
+		for (uint32_t i = 0; i < duration_ms && !over(); i += 20)
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(20));
+	}
+
+	Options options_;
+	std::string folder_;
+	Ledger ledger_;
+	Keys keys_;
+	e2e::ObjectStore store_;
+	uint64_t version_ = 0;
+	std::vector<std::unique_ptr<Endpoint>> endpoints_;
+	std::vector<std::unique_ptr<FaultProxy>> links_;
+	std::vector<std::unique_ptr<Daemon>> daemons_;
+	std::atomic<bool> over_{ false }, stopping_{ false }, judged_{ false };
+	std::atomic<uint32_t> faults_{ 0 }, judged_calls_{ 0 },
+	    judged_served_{ 0 };
+};
+
+void
+Soak::write_configuration()
+{
+	std::string tenants = "{\"name\":\"desk\",\"api_keys\":[" +
+	    keys_.next() + "],\"priority\":1}";
+
+	store_.put("config", "main",
+	    e2e::configuration_text(++version_, routes, tenants));
+	keys_.acknowledged();
+}
+
+void
+Soak::add_endpoint(const std::string &name)
+{
+	auto endpoint = std::make_unique<Endpoint>(name, &ledger_,
+	    options_.seed);
+	std::string address = endpoint->address();
+
+	endpoint->key_is_old = [this](const std::string &id) {
+		size_t at = id.find('k');
+		return at != std::string::npos &&
+		    keys_.is_long_gone(std::stoull(id.substr(at + 1)),
+			REVOKE_MS);
+	};
+	links_.push_back(std::make_unique<FaultProxy>(
+	    (uint16_t)std::stoul(address.substr(address.find(':') + 1))));
+	store_.put("servers", name,
+	    e2e::entry_text("app", links_.back()->address()));
+	endpoints_.push_back(std::move(endpoint));
+}
+
+void
+Soak::add_daemon(size_t index, const std::string &seeds)
+{
+	Daemon &daemon = *daemons_[index];
+	std::string url = store_.url();
+
+	daemon.store = std::make_unique<FaultProxy>(
+	    (uint16_t)std::stoul(url.substr(url.rfind(':') + 1)));
+	daemon.settings_path = folder_ + "/daemon" + std::to_string(index) +
+	    ".toml";
+	daemon.log_path = folder_ + "/daemon" + std::to_string(index) + ".log";
+	std::ofstream(daemon.settings_path)
+	    << "[listen]\naddress = \"127.0.0.1:" << daemon.listen_port
+	    << "\"\nreadiness_address = \"127.0.0.1:" << daemon.readiness_port
+	    << "\"\n[admin]\naddress = \"127.0.0.1:" << daemon.admin_port
+	    << "\"\n[peer]\naddress = \"127.0.0.1:" << daemon.peer_port
+	    << "\"\nfailure_domain = \"z" << index % 3 << "\"\nseeds = ["
+	    << seeds << "]\n[platform]\nform = \"objects\"\nurl = \"http://"
+	    << daemon.store->address()
+	    << "\"\ntimeout_ms = 400\nwatch_wait_ms = 800\n"
+	    << "endpoints_age_ms = 1500\nrevoke_ms = " << REVOKE_MS
+	    << "\n[retry]\nslack = 100\n[request]\nconnect_timeout_ms = 400\n"
+	    << "[shutdown]\ngrace_s = 5\n";
+	start(daemon);
+}
+
+void
+Soak::start(Daemon &daemon)
+{
+	daemon.process = std::make_unique<
+	    e2e::Process>(std::vector<std::string>{ getenv("BAMBOORUDDERD"),
+			      daemon.settings_path },
+	    daemon.log_path);
+}
+
+void
+Soak::harm_links(Random random)
+{
+	while (!over()) {
+		size_t at = random() % (links_.size() + daemons_.size());
+		FaultProxy &link = at < links_.size()
+		    ? *links_[at]
+		    : *daemons_[at - links_.size()]->store;
+		Harm harm = (Harm)(1 + random() % (HARM_COUNT - 1));
+		uint32_t length_ms = 200 + random() % 1800;
+
+		link.harm = harm;
+		faults_++;
+		pause(length_ms);
+		link.harm = HARM_NONE;
+		pause(random() % 600);
+	}
+}
+
+void
+Soak::harm_processes(Random random)
+{
+	while (!over()) {
+		Daemon &daemon = *daemons_[random() % daemons_.size()];
+		uint64_t way = random() % 3;
+		uint32_t length_ms = 100 + random() % 2500;
+		std::lock_guard<std::mutex> lock(daemon.mutex);
+
+		faults_++;
+		daemon.process->signal(way == 0 ? SIGSTOP
+			: way == 1              ? SIGKILL
+						: SIGTERM);
+		if (way == 0) {
+			pause(length_ms);
+			daemon.process->signal(SIGCONT);
+		} else {
+			if (daemon.process->wait_for_ms(8000) == -2)
+				fprintf(stderr, "a daemon outlived SIGTERM\n");
+			pause(length_ms);
+			start(daemon);
+		}
+		pause(300 + random() % 1500);
+	}
+}
+
+/* Configurations, and endpoints that leave and come back. */
+void
+Soak::change(Random random)
+{
+	while (!over()) {
+		std::string name = "e" +
+		    std::to_string(random() % endpoints_.size());
+		std::string address = links_[(size_t)(name[1] - '0')]
+					  ->address();
+
+		/* two changes take longer than a key lives on unproven */
+		pause(1200 + random() % 1500);
+		write_configuration();
+		faults_++;
+		store_.put("servers", name,
+		    e2e::entry_text("app", address, "draining"));
+		pause(400 + random() % 1000);
+		store_.put("servers", name, e2e::entry_text("app", address));
+		if (random() % 4 == 0)
+			store_.compact();
+	}
+}
+
+size_t
+collect(char *bytes, size_t size, size_t count, void *context)
+{
+	static_cast<std::string *>(context)->append(bytes, size * count);
+	return size * count;
+}
+
+/** @return whether the request was served: answered by an endpoint */
+bool
+Soak::call_one(CURL *handle, const std::string &id, const char *path,
+    const std::string &key, Daemon &daemon)
+{
+	std::string body,
+	    url = "http://127.0.0.1:" + std::to_string(daemon.listen_port) +
+	    path;
+	curl_slist *headers = nullptr;
+	long status = 0;
+	CURLcode code;
+
+	for (const std::string &line : { std::string("Host: a.example"),
+		 "X-Bamboorudder-Request-Id: " + id,
+		 std::string("X-Bamboorudder-Deadline-Ms: 3000"),
+		 "X-Bamboorudder-Credential: " + key })
+		headers = curl_slist_append(headers, line.c_str());
+	curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(handle, CURLOPT_POSTFIELDS, "x");
+	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, (long)CALL_TIMEOUT_MS);
+	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, collect);
+	curl_easy_setopt(handle, CURLOPT_WRITEDATA, &body);
+	code = curl_easy_perform(handle);
+	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+	curl_slist_free_all(headers);
+	ledger_.told(id, code == CURLE_OK ? (uint32_t)status : 0, body,
+	    strcmp(path, "/safe/") == 0);
+	return code == CURLE_OK && (status == 200 || status == 500);
+}
+
+/* A caller keeps its connections open until their daemon closes them. */
+void
+Soak::call_all(uint64_t number)
+{
+	static const char *const paths[] = { "/once/", "/safe/", "/flow/" };
+	Random random(options_.seed * 1000 + number);
+	CURL *handle = curl_easy_init();
+
+	for (uint64_t i = 0; !stopping_; i++) {
+		std::string key = keys_.current();
+		std::string id = "c" + std::to_string(number) + "n" +
+		    std::to_string(i) + key;
+		bool judged = judged_;
+		bool served = call_one(handle, id, paths[random() % 3], key,
+		    *daemons_[random() % daemons_.size()]);
+
+		judged_calls_ += judged;
+		judged_served_ += judged && served;
+		std::this_thread::sleep_for(
+		    std::chrono::milliseconds(10 + random() % 30));
+	}
+	curl_easy_cleanup(handle);
+}
+
+bool
+is_whole(const std::string &id, const std::string &body)
+{
+	return body == "of:" + id ||
+	    body ==
+	    "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\n"
+	    "id: 3\ndata: x3\n\n";
+}
+
+int
+Soak::judge()
+{
+	uint32_t requests = 0, whole = 0, refused = 0, wrong = 0, twice = 0;
+	uint32_t denied = 0, false_not_run = 0, revoked_ran = 0;
+	uint32_t served_percent = judged_served_ * 100 /
+	    std::max<uint32_t>(judged_calls_, 1);
+
+	for (const auto &[id, entry] : ledger_.take()) {
+		bool promised = entry.status == 503 || entry.status == 429 ||
+		    entry.status == 408 || entry.status == 421;
+
+		requests++;
+		whole += entry.status == 200;
+		refused += promised;
+		wrong += entry.status == 200 && !is_whole(id, entry.body);
+		twice += entry.runs > (entry.repeatable ? 2 : 1);
+		denied += entry.status >= 400 && entry.status < 500 &&
+		    !promised;
+		false_not_run += promised && entry.runs > 0 &&
+		    !entry.repeatable;
+		revoked_ran += entry.after_revoked;
+	}
+	printf("seed=%" PRIu64 "\nfaults=%u\nrequests=%u\nwhole=%u\n"
+	       "refused=%u\nwrong=%u\nran_twice=%u\nfalse_not_run=%u\n"
+	       "denied=%u\nrevoked_ran=%u\nserved_after_percent=%u\n",
+	    options_.seed, faults_.load(), requests, whole, refused, wrong,
+	    twice, false_not_run, denied, revoked_ran, served_percent);
+	if (wrong + twice + false_not_run + denied + revoked_ran == 0 &&
+	    served_percent >= SERVED_MIN_PERCENT && whole > 0)
+		return 0;
+	printf("failed_seed=%" PRIu64 " logs=%s\n", options_.seed,
+	    folder_.c_str());
+	return 1;
+}
+
+int
+Soak::run()
+{
+	Random random(options_.seed);
+	std::vector<std::thread> threads, callers;
+	std::string seeds;
+	int status;
+
+	write_configuration();
+	write_configuration();
+	for (int i = 0; i < 4; i++)
+		add_endpoint("e" + std::to_string(i));
+	for (uint32_t i = 0; i < options_.daemons; i++) {
+		daemons_.push_back(std::make_unique<Daemon>());
+		daemons_[i]->listen_port = e2e::free_port();
+		daemons_[i]->readiness_port = e2e::free_port();
+		daemons_[i]->admin_port = e2e::free_port();
+		daemons_[i]->peer_port = e2e::free_port();
+		seeds += std::string(i == 0 ? "" : ",") +
+		    "\"127.0.0.1:" + std::to_string(daemons_[i]->peer_port) +
+		    "\"";
+	}
+	for (uint32_t i = 0; i < options_.daemons; i++)
+		add_daemon(i, seeds);
+	std::this_thread::sleep_for(std::chrono::seconds(2));
+	for (uint32_t i = 0; i < CALLERS; i++)
+		callers.emplace_back([this, i] { call_all(i); });
+	for (int i = 0; i < 2; i++) {
+		threads.emplace_back(
+		    [this, at = random()] { harm_links(Random(at)); });
+		threads.emplace_back(
+		    [this, at = random()] { harm_processes(Random(at)); });
+	}
+	threads.emplace_back([this, at = random()] { change(Random(at)); });
+	std::this_thread::sleep_for(std::chrono::seconds(options_.seconds));
+	over_ = true;
+	for (auto &thread : threads)
+		thread.join();
+	std::this_thread::sleep_for(std::chrono::milliseconds(RECOVERY_MS));
+	judged_ = true;
+	std::this_thread::sleep_for(std::chrono::milliseconds(JUDGED_MS));
+	stopping_ = true;
+	for (auto &caller : callers)
+		caller.join();
+	status = judge();
+	daemons_.clear();
+	if (status == 0)
+		std::filesystem::remove_all(folder_);
+	return status;
+}
+
+} // namespace
+
+int
+main(int argc, char **argv)
+{
+	Options options;
+
+	for (int i = 1; i + 1 < argc; i += 2) {
+		std::string name = argv[i];
+		uint64_t value = strtoull(argv[i + 1], nullptr, 10);
+
+		if (name == "--seed")
+			options.seed = value;
+		else if (name == "--seconds")
+			options.seconds = (uint32_t)value;
+		else if (name == "--daemons")
+			options.daemons = (uint32_t)value;
+		else
+			return 2;
+	}
+	curl_global_init(CURL_GLOBAL_ALL);
+	return Soak(options).run();
+}
