--- a/bamboorudderd/gateway_call.c
+++ b/bamboorudderd/gateway_call.c
@@ -147,18 +147,6 @@
 	return CURL_SOCKOPT_OK;
 }
 
-void
-gw_headers_clear(GArray *headers)
-{
-	for (guint i = 0; i < headers->len; i++) {
-		struct gw_header *header = &g_array_index(headers,
-		    struct gw_header, i);
-		g_free(header->name);
-		g_free(header->value);
-	}
-	g_array_set_size(headers, 0);
-}
-
 static void
 clear_reply(struct gw_request *request)
 {
@@ -185,24 +173,6 @@
 	g_array_append_val(request->reply_headers, header);
 }
 
-/* The head is complete: what it says of its connection is known. */
-static void
-drop_unpassed(struct gw_request *request)
-{
-	GArray *headers = request->reply_headers;
-
-	for (guint i = headers->len; i-- > 0;) {
-		struct gw_header *header = &g_array_index(headers,
-		    struct gw_header, i);
-		if (wire_passes_to_caller(header->name,
-			request->reply.connection))
-			continue;
-		g_free(header->name);
-		g_free(header->value);
-		g_array_remove_index(headers, i);
-	}
-}
-
 static size_t
 on_header(char *bytes, size_t size, size_t count, void *context)
 {
@@ -224,7 +194,7 @@
 		    &status);
 		request->reply.status = (uint32_t)status;
 		request->reply_head_ended = status >= 200;
-		drop_unpassed(request);
+		gw_headers_drop_unpassed(request);
 	} else
 		take_header(request, line);
 	g_free(line);
@@ -291,73 +261,6 @@
 	return length;
 }
 
-static void
-add_header(void *context, const char *name, const char *value)
-{
-	struct curl_slist **list = context;
-	/* libcurl takes "Name:" for a header to leave out */
-	char *line = value[0] == '\0' ? g_strdup_printf("%s;", name)
-				      : g_strdup_printf("%s: %s", name, value);
-
-	*list = curl_slist_append(*list, line);
-	g_free(line);
-}
-
-struct forward_context {
-	struct curl_slist *list;
-	const char *connection; /**< the caller's Connection header, or NULL */
-	bool resumes;
-	bool content_type;
-	bool accept;
-};
-
-static enum MHD_Result
-forward_header(void *context, enum MHD_ValueKind kind, const char *name,
-    const char *value)
-{
-	struct forward_context *forward = context;
-
-	(void)kind;
-	if (!wire_passes_to_endpoint(name, forward->connection,
-		forward->resumes))
-		return MHD_YES;
-	forward->content_type |= g_ascii_strcasecmp(name, "Content-Type") == 0;
-	forward->accept |= g_ascii_strcasecmp(name, "Accept") == 0;
-	add_header(&forward->list, name, value == NULL ? "" : value);
-	return MHD_YES;
-}
-
-static struct curl_slist *
-build_headers(struct gw_request *request)
-{
-	uint64_t now_ms = gw_now_ms(request->gateway);
-	struct forward_context forward = {
-		.list = curl_slist_append(NULL, "Expect:"),
-		.connection = MHD_lookup_connection_value(request->connection,
-		    MHD_HEADER_KIND, "Connection"),
-		.resumes = request->sse.last_id[0] != '\0',
-	};
-	struct wire_forward told = {
-		.endpoint_name = request->decision.name,
-		.account_name = request->account == NULL
-		    ? NULL
-		    : request->account->name,
-		.resume_after = forward.resumes ? request->sse.last_id : NULL,
-		.left_ms = request->ends_ms > now_ms
-		    ? (uint32_t)(request->ends_ms - now_ms)
-		    : 1,
-	};
-
-	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
-	    forward_header, &forward);
-	if (!forward.content_type)
-		forward.list = curl_slist_append(forward.list, "Content-Type:");
-	if (!forward.accept)
-		forward.list = curl_slist_append(forward.list, "Accept:");
-	wire_forward_headers(&told, add_header, &forward.list);
-	return forward.list;
-}
-
 static void
 set_transfer(struct gw_request *request, CURL *handle)
 {
@@ -407,7 +310,7 @@
 	request->state = request->streaming ? GW_ANSWERING : GW_CALLING;
 	request->first_told = false;
 	clear_reply(request);
-	request->call_headers = build_headers(request);
+	request->call_headers = gw_headers_forward(request);
 	curl_easy_setopt(handle, CURLOPT_URL, url);
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, request->call_headers);
 	set_transfer(request, handle);
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -89,6 +89,12 @@
 /** Looks at the streams that run. */
 void gw_calls_on_period(struct gateway *gateway);
 
+/* gateway_headers.c: headers on their way in either direction */
+
 void gw_headers_clear(GArray *headers);
+/** The head of an answer is complete: drops what does not go on to the caller. */
+void gw_headers_drop_unpassed(struct gw_request *request);
+/** @return the headers for the endpoint; belongs to the caller */
+struct curl_slist *gw_headers_forward(struct gw_request *request);
 
 #endif
