Shed part of what the busiest accounts send while the processor can't keep up

Cause: an instance of 0.12 of a core that gets a hot account's requests takes about 360 a second. The rest waits in its queue of connections for up to 1.4 s (512 of them) and is served late, or finds no room.

core/shed.c: per span of 100 ms, with less than a tenth of idle time more is shed, with over a quarter less; only of accounts with at least an even part of the requests here. What is shed costs no decision, and its caller comes back at another daemon at once.

Ruled out: a shorter queue of connections alone (those beyond it fail only after a second), moving whole callers by readiness (they overload the next instance, seen in the log: mvd-9, mvd-8, mvd-3 in turn).

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -10,11 +10,6 @@
 
 #define EVENTS_PER_WAIT 64
 #define CHECK_PERIOD_MS 50u
-/* A loop that waits less than this part of a span is overloaded. */
-#define LOAD_SPAN_MS 500u
-#define IDLE_MIN_PERCENT 10u
-#define RELIEF_MS 3000u
-#define US_PER_MS 1000u
 /* Without a word of peers the configuration is read after this part of the
  * time in which a key has to stop working. */
 #define PROOF_PART_PERCENT 40u
@@ -119,30 +114,6 @@
 	return due_ms <= now_ms ? 0 : (int32_t)(due_ms - now_ms);
 }
 
-/* A daemon whose loop hardly ever waits can't keep up: it asks the platform to
- * send new connections to others, until it has had time to spare for a while. */
-static void
-measure_load(struct gateway *gateway, uint64_t now_ms)
-{
-	uint64_t span_ms = now_ms - gateway->load_since_ms;
-	uint64_t idle_percent;
-	bool was = gateway->overloaded;
-
-	if (span_ms < LOAD_SPAN_MS)
-		return;
-	idle_percent = gateway->idle_us / US_PER_MS * 100 / span_ms;
-	gateway->load_since_ms = now_ms;
-	gateway->idle_us = 0;
-	if (idle_percent < IDLE_MIN_PERCENT) {
-		gateway->overloaded = true;
-		gateway->busy_ms = now_ms;
-	} else if (now_ms >= gateway->busy_ms + RELIEF_MS)
-		gateway->overloaded = false;
-	if (was != gateway->overloaded)
-		log_event(LOG_LEVEL_WARN,
-		    gateway->overloaded ? "overloaded" : "keeps_up", NULL);
-}
-
 static void
 run_timers(struct gateway *gateway, uint64_t now_ms)
 {
@@ -156,7 +127,7 @@
 	}
 	if (gateway->check_due_ms > now_ms)
 		return;
-	measure_load(gateway, now_ms);
+	gw_load_check(gateway, now_ms);
 	gateway->check_due_ms = now_ms + CHECK_PERIOD_MS;
 	check_requests(gateway, now_ms);
 	if (gateway->draining)
@@ -171,7 +142,7 @@
 	struct gateway *gateway = pointer;
 	struct epoll_event events[EVENTS_PER_WAIT];
 
-	gateway->load_since_ms = gw_now_ms(gateway);
+	gw_load_start(gateway);
 	while (!gateway->stopping) {
 		uint64_t now_ms = gw_now_ms(gateway);
 		int32_t timeout_ms = wait_timeout_ms(gateway, now_ms);
@@ -180,8 +151,8 @@
 		    EVENTS_PER_WAIT, timeout_ms);
 
 		if (timeout_ms > 0)
-			gateway->idle_us += clk_monotonic_us(&gateway->clk) -
-			    from_us;
+			gw_load_waited(gateway,
+			    clk_monotonic_us(&gateway->clk) - from_us);
 		for (int i = 0; i < count; i++)
 			on_event(gateway, &events[i]);
 		g_ptr_array_set_size(gateway->ended_watches, 0);
@@ -226,6 +197,7 @@
 	gateway->steady_fd = epoll_create1(EPOLL_CLOEXEC);
 	gateway->holds = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    g_free, g_free);
+	shed_init(&gateway->shed);
 	gateway->mail_watch.kind = GW_WATCH_MAIL;
 	gateway->mail_watch.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	gw_watch_add(gateway, &gateway->mail_watch, EPOLLIN);
@@ -283,6 +255,7 @@
 	gw_calls_finish(gateway);
 	catalog_unref(gateway->catalog);
 	g_hash_table_destroy(gateway->holds);
+	shed_finish(&gateway->shed);
 	pthread_mutex_destroy(&gateway->mail_mutex);
 	close(gateway->mail_watch.fd);
 	close(gateway->steady_fd);
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -12,6 +12,10 @@
 #define DRAIN_RETRY_MS 100u
 /* Between the caller's sending and the check of its key's freshness. */
 #define PROOF_MARGIN_MS 400u
+/* The callers of what is shed come back at other daemons at once, not all in
+ * the same moment. */
+#define SHED_RETRY_MS 20u
+#define SHED_RETRY_SPREAD_MS 40u
 #define TEXT_BYTES 24
 #define US_PER_MS 1000u
 
@@ -349,6 +353,14 @@
 	    : NULL;
 }
 
+static void
+refuse_shed(struct gw_request *request)
+{
+	metric_add(METRIC_REQUESTS_SHED, 1);
+	gw_request_refuse(request, 503, "daemon_busy",
+	    SHED_RETRY_MS + request->ask.request_hash % SHED_RETRY_SPREAD_MS);
+}
+
 void
 gw_request_submit(struct gw_request *request)
 {
@@ -368,6 +380,9 @@
 		    MAX(dispatch_retry_after_ms(&request->ask,
 			    hold->until_ms - request->arrived_ms, hold->flood),
 			1u));
+	else if (shed_take(&request->gateway->shed, request->ask.account_id,
+		     request->ask.request_hash))
+		refuse_shed(request);
 	else
 		gw_request_decide(request);
 }
--- a/common/metric.c
+++ b/common/metric.c
@@ -16,6 +16,8 @@
 static const struct metric metrics[METRIC_COUNT] = {
 	[METRIC_REQUESTS] = { "requests_total", "counter",
 	    "Requests accepted from callers." },
+	[METRIC_REQUESTS_SHED] = { "requests_shed_total", "counter",
+	    "Requests refused because this daemon's processor is busy." },
 	[METRIC_REQUESTS_REFUSED] = { "requests_refused_total", "counter",
 	    "Requests refused as not run." },
 	[METRIC_REQUESTS_UNKNOWN] = { "requests_unknown_total", "counter",
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -21,6 +21,7 @@
 #include "common/sse.h"
 #include "core/catalog.h"
 #include "core/dispatch.h"
+#include "core/shed.h"
 #include "platform/feed.h"
 #include "platform/wire.h"
 
@@ -130,6 +131,12 @@
 	bool flood; /**< the account is far over its share */
 };
 
+/** A span over which the event loop's load is measured. */
+struct gw_span {
+	uint64_t since_ms;
+	uint64_t idle_us; /**< that the loop waited in it */
+};
+
 struct gateway {
 	const struct settings *settings;
 	struct control *control;
@@ -160,9 +167,10 @@
 	uint64_t proof_ms; /**< feed_clock_ms as of which it was the newest */
 	bool endpoints_known;
 	bool overloaded; /**< new connections are to go elsewhere */
-	uint64_t load_since_ms; /**< begin of the present span of the load */
-	uint64_t idle_us; /**< that the loop waited in it */
+	struct gw_span ready_span;
+	struct gw_span shed_span;
 	uint64_t busy_ms; /**< end of the last span without time to spare */
+	struct shed shed;
 	GHashTable *holds; /**< account and pool to struct gw_hold */
 	bool resumed; /**< the server has to look at its connections */
 	bool draining;
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -16,6 +16,14 @@
 void gw_watch_add(struct gateway *gateway, struct gw_watch *watch,
     uint32_t events);
 
+/* gateway_load.c: whether the loop keeps up */
+
+void gw_load_start(struct gateway *gateway);
+/** The loop waited for so long. */
+void gw_load_waited(struct gateway *gateway, uint64_t waited_us);
+/** To be called every 50 ms. */
+void gw_load_check(struct gateway *gateway, uint64_t now_ms);
+
 /* gateway_mail.c: between the traffic thread and the control thread */
 
 void gw_mail_post(struct gateway *gateway,
