--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -62,7 +62,9 @@
 	GHashTable *known; /**< names given to the sink */
 	GHashTable *lapsed; /**< names that are gone, to the time when the
 			     * sink is told */
-	uint64_t failed_ms; /**< last failed call, 0 if none */
+	uint64_t
+	    regained_ms; /**< first answer after the last failed call, 0: none
+			       * failed */
 	uint32_t backoff_ms;
 	_Atomic uint64_t version; /**< of what the sink was given, 0: none */
 	_Atomic uint64_t heard_version; /**< newest that a peer named */
--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -159,6 +159,27 @@
 	EXPECT_TRUE(eventually([&] { return has("e2") && !has("e1"); }, 3000));
 }
 
+/* What lapsed while the store was away may come back soon after its return;
+ * what goes later has left. */
+TEST_F(Feed, HoldsWhatIsGoneOnlySoonAfterTheStoreIsBack)
+{
+	store.fail_with(503);
+	EXPECT_TRUE(eventually([&] { return feed_is_lost(&feed); }, 5000));
+	store.fail_with(0);
+	EXPECT_TRUE(eventually([&] { return !feed_is_lost(&feed); }, 5000));
+	store.remove("servers", "e1");
+	offer(PROOF_ENDPOINTS, store.revision());
+	std::this_thread::sleep_for(std::chrono::milliseconds(700));
+	EXPECT_TRUE(has("e1"));
+	store.put("servers", "e1", entry_text("app", "127.0.0.1:1"));
+	offer(PROOF_ENDPOINTS, store.revision());
+	std::this_thread::sleep_for(std::chrono::milliseconds(700));
+	EXPECT_TRUE(has("e1"));
+	store.remove("servers", "e1");
+	offer(PROOF_ENDPOINTS, store.revision());
+	EXPECT_TRUE(eventually([&] { return !has("e1"); }, 1300));
+}
+
 TEST_F(Feed, AsksCalmlyForAVersionThatTheStoreDoesNotShow)
 {
 	uint32_t before = store.calls("servers") + store.calls("config");
