Leave a lost store to the peers that watch it

A daemon that does not watch pauses longer now, up to 6.4 s, as long as no peer names anything newer; a proof that is fresh or a newer version ends the pause.

Now it ends when the store need not be asked any more.

--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -110,6 +110,10 @@
 /** @return whether the last call for the configuration failed */
 bool feed_is_lost(const struct feed *feed);
 
+/** @return whether peers watch the store for this daemon, and name nothing that
+ * it does not have */
+bool feed_is_left(const struct feed_follower *follower);
+
 /** Ends the threads. */
 void feed_finish(struct feed *feed);
 
--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -159,6 +159,21 @@
 	EXPECT_TRUE(eventually([&] { return has("e2") && !has("e1"); }, 3000));
 }
 
+/* The daemons that watch find out when the store is back. */
+TEST_F(Feed, LeavesALostStoreToThePeersThatWatch)
+{
+	store.fail_with(503);
+	EXPECT_TRUE(eventually([&] { return feed_is_lost(&feed); }, 5000));
+	uint32_t before = store.calls("servers") + store.calls("config");
+	std::this_thread::sleep_for(std::chrono::milliseconds(5000));
+	/* two kinds, at 0.2, 0.6, 1.4, 3.0 and 6.2 s after the first failure */
+	EXPECT_LE(store.calls("servers") + store.calls("config"), before + 10);
+	store.fail_with(0);
+	store.put("servers", "e2", entry_text("app", "127.0.0.1:2"));
+	offer(PROOF_ENDPOINTS, store.revision());
+	EXPECT_TRUE(eventually([&] { return has("e2"); }, 1000));
+}
+
 /* What lapsed while the store was away may come back soon after its return;
  * what goes later has left. */
 TEST_F(Feed, HoldsWhatIsGoneOnlySoonAfterTheStoreIsBack)
