Tell peers which engine keeps a shared part

A daemon notes where it sends a shared part of 1000 tokens or more and tells it in its reports, every 2 s while it is in use; hubs pass it on once. The choice goes by what is kept; homes are only preferred for what none keeps. 18 bytes an item.

--- a/common/codec_read.c
+++ b/common/codec_read.c
@@ -272,11 +272,21 @@
 	account->served_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
 }
 
+static void
+read_load_kept(struct reader *reader, struct load_kept *kept)
+{
+	if (read_count(reader, LOAD_KEPT_FIELDS) != LOAD_KEPT_FIELDS)
+		reader->failed = true;
+	kept->endpoint_id = read_uint(reader, UINT64_MAX);
+	kept->part_id = read_uint(reader, UINT64_MAX);
+}
+
 static void
 read_load(struct reader *reader, struct msg_load *load)
 {
 	struct load_endpoint *endpoints;
 	struct load_account *accounts;
+	struct load_kept *kept;
 
 	load->stamp_ms = read_uint(reader, UINT64_MAX);
 	load->echo_ms = read_uint(reader, UINT64_MAX);
@@ -295,6 +305,11 @@
 	load->accounts = accounts;
 	for (uint32_t i = 0; i < load->accounts_count; i++)
 		read_load_account(reader, &accounts[i]);
+	load->kept_count = read_count(reader, LOAD_KEPT_MAX_COUNT);
+	kept = g_new0(struct load_kept, load->kept_count);
+	load->kept = kept;
+	for (uint32_t i = 0; i < load->kept_count; i++)
+		read_load_kept(reader, &kept[i]);
 }
 
 static void
@@ -421,7 +436,9 @@
 		g_free((gpointer)msg->u.load.endpoints);
 		g_free((gpointer)msg->u.load.accounts);
 		msg->u.load.endpoints = NULL;
+		g_free((gpointer)msg->u.load.kept);
 		msg->u.load.accounts = NULL;
+		msg->u.load.kept = NULL;
 	} else if (msg->type == MSG_TABLES_DATA) {
 		g_free((gpointer)msg->u.tables_data.text);
 		msg->u.tables_data.text = NULL;
--- a/common/codec_write.c
+++ b/common/codec_write.c
@@ -195,6 +195,12 @@
 		write_uint(out, load->accounts[i].asked_tokens);
 		write_uint(out, load->accounts[i].served_tokens);
 	}
+	write_token(out, mpack_pack_array(load->kept_count));
+	for (uint32_t i = 0; i < load->kept_count; i++) {
+		write_token(out, mpack_pack_array(LOAD_KEPT_FIELDS));
+		write_uint(out, load->kept[i].endpoint_id);
+		write_uint(out, load->kept[i].part_id);
+	}
 }
 
 static void
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -73,6 +73,8 @@
 	dispatch->budgets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, g_free);
 	dispatch->hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	dispatch->kept_news = g_array_new(FALSE, FALSE,
+	    sizeof(struct dispatch_kept_news));
 	dispatch->own_hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->is_hub = true;
 	dispatch->daemons_most_count = 1;
@@ -91,6 +93,7 @@
 	g_hash_table_destroy(dispatch->budgets);
 	g_array_free(dispatch->hubs, TRUE);
 	g_array_free(dispatch->own_hubs, TRUE);
+	g_array_free(dispatch->kept_news, TRUE);
 }
 
 void
@@ -196,7 +199,7 @@
 		    ask->answer_tokens;
 		attempt->forecast_ms = (uint32_t)(candidate->ahead_ms +
 		    candidate->own_ms);
-		dispatch_note_kept(endpoint, ask, now_ms);
+		dispatch_note_kept(dispatch, endpoint, ask, now_ms);
 	}
 	endpoint->own.running_count++;
 	endpoint->own.reading_tokens += attempt->reading_tokens;
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -3,15 +3,12 @@
 
 /* What an engine is taken to read until its first tokens tell its speed. */
 #define READ_TOKENS_PER_MS 50u
-/* Engines drop what was used least lately; what is older counts as dropped. */
-#define KEPT_MS 9000u
-#define KEPT_MAX_COUNT 2048u
-#define KEPT_PART_MIN_TOKENS 64u
-/* Endpoints that all daemons expect to keep a shared part. */
+/* Endpoints that all daemons prefer for a shared part that none keeps. */
 #define HOMES_COUNT 2u
-/* A shared part that is read again takes engine time from others, too, and
- * memory from the parts that are kept there. */
-#define SHARED_READ_WEIGHT 3u
+/* A shared part that is read takes engine time from others, too, and memory from
+ * the parts that are kept there; more so where it is not at home. */
+#define SHARED_READ_WEIGHT 2u
+#define SHARED_READ_HOME_WEIGHT 1u
 #define OTHER_DOMAIN_MS 4u
 #define MEMORY_FULL_PERCENT 85u
 #define WARMUP_SLOW_FACTOR 2u
@@ -44,62 +41,6 @@
 	return hash_bytes(words, sizeof(words));
 }
 
-/* Tokens of the prompt that an endpoint has to read. A part counts as kept
- * only if all before it are. */
-static uint64_t
-unread_tokens(const struct dispatch_endpoint *endpoint,
-    const struct dispatch_ask *ask, bool home, uint64_t now_ms)
-{
-	uint64_t kept_tokens = 0;
-	uint32_t shared_count = ask->parts_count == 0 ? 0
-						      : ask->parts_count - 1;
-
-	for (uint32_t i = 0; i < ask->parts_count; i++) {
-		uint64_t *used_ms = g_hash_table_lookup(endpoint->kept,
-		    &ask->parts[i].part_id);
-		bool kept = used_ms != NULL && now_ms < *used_ms + KEPT_MS;
-		if (!kept && !(home && i < shared_count))
-			break;
-		kept_tokens += ask->parts[i].tokens;
-	}
-	return ask->prompt_tokens > kept_tokens
-	    ? ask->prompt_tokens - kept_tokens
-	    : 1;
-}
-
-static gboolean
-kept_expired(gpointer key, gpointer value, gpointer now_ms)
-{
-	(void)key;
-	return *(uint64_t *)value + KEPT_MS < *(uint64_t *)now_ms;
-}
-
-void
-dispatch_note_kept(struct dispatch_endpoint *endpoint,
-    const struct dispatch_ask *ask, uint64_t now_ms)
-{
-	if (g_hash_table_size(endpoint->kept) > KEPT_MAX_COUNT)
-		g_hash_table_foreach_remove(endpoint->kept, kept_expired,
-		    &now_ms);
-	for (uint32_t i = 0; i < ask->parts_count; i++) {
-		uint64_t *entry,
-		    *used_ms = g_hash_table_lookup(endpoint->kept,
-			&ask->parts[i].part_id);
-
-		if (used_ms != NULL) {
-			*used_ms = now_ms;
-			continue;
-		}
-		if (ask->parts[i].tokens < KEPT_PART_MIN_TOKENS)
-			continue;
-		/* key and value in one block, which the key frees */
-		entry = g_new(uint64_t, 2);
-		entry[0] = ask->parts[i].part_id;
-		entry[1] = now_ms;
-		g_hash_table_insert(endpoint->kept, entry, entry + 1);
-	}
-}
-
 uint64_t
 dispatch_running(const struct dispatch_endpoint *endpoint)
 {
@@ -158,7 +99,7 @@
 
 	if (now_ms < endpoint->warm_at_ms)
 		slow *= WARMUP_SLOW_FACTOR;
-	candidate->read_tokens = unread_tokens(endpoint, ask, home, now_ms);
+	candidate->read_tokens = dispatch_unread_tokens(endpoint, ask, now_ms);
 	candidate->ahead_ms = reading * slow / READ_TOKENS_PER_MS / 1000 +
 	    slot_wait_ms(dispatch, endpoint);
 	needed = memory_of(endpoint) + ask->prompt_tokens + ask->answer_tokens;
@@ -169,8 +110,8 @@
 	    1000;
 	candidate->cost_ms = candidate->ahead_ms + candidate->own_ms +
 	    endpoint->first_token_ms +
-	    SHARED_READ_WEIGHT * missing_shared_tokens(ask, candidate) /
-		READ_TOKENS_PER_MS;
+	    (home ? SHARED_READ_HOME_WEIGHT : SHARED_READ_WEIGHT) *
+		missing_shared_tokens(ask, candidate) / READ_TOKENS_PER_MS;
 }
 
 /* A plain service: how full it is stands for the wait. */
--- a/core/dispatch_peers.c
+++ b/core/dispatch_peers.c
@@ -254,6 +254,7 @@
 	peer->accounts = g_memdup2(load->accounts,
 	    load->accounts_count * sizeof(*load->accounts));
 	g_hash_table_replace(dispatch->peers, &peer->node_id, peer);
+	dispatch_hear_kept(dispatch, load, peer);
 	dispatch->peers_changed = true;
 }
 
@@ -384,6 +385,7 @@
 		    &load->proofs[kind]);
 	fill_endpoints(dispatch, member, load);
 	fill_accounts(dispatch, member, load);
+	dispatch_fill_kept(dispatch, member, load);
 }
 
 static void
@@ -445,4 +447,5 @@
 		report_as_hub(dispatch, stamp_ms, effects);
 	else
 		report_to_hub(dispatch, now_ms, stamp_ms, effects);
+	g_array_set_size(dispatch->kept_news, 0);
 }
--- a/core/effect.c
+++ b/core/effect.c
@@ -21,6 +21,7 @@
 		if (effect->msg.type == MSG_LOAD) {
 			g_free((gpointer)effect->msg.u.load.endpoints);
 			g_free((gpointer)effect->msg.u.load.accounts);
+			g_free((gpointer)effect->msg.u.load.kept);
 		}
 		if (effect->msg.type != MSG_REPORT)
 			continue;
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -166,6 +166,8 @@
 	GHashTable *accounts; /**< account_id to struct dispatch_account */
 	GHashTable *peers; /**< node_id to its last report */
 	GArray *hubs; /**< node_ids of the other hubs */
+	GArray
+	    *kept_news; /**< struct dispatch_kept_news, for the next report */
 	GArray *own_hubs; /**< node_ids, the preferred one first; of a daemon
 			    * that is no hub */
 	bool is_hub;
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -51,8 +51,29 @@
     const struct dispatch_ask *ask, uint64_t now_ms,
     struct dispatch_candidate *chosen);
 
-/** Notes what an endpoint will keep of a request's prompt. */
-void dispatch_note_kept(struct dispatch_endpoint *endpoint,
+/** A part that peers are to be told of. */
+struct dispatch_kept_news {
+	struct load_kept item;
+	uint64_t from_node_id;
+	bool from_hub;
+};
+
+/** Notes what an endpoint will keep of a request's prompt, and tells peers of
+ * the shared part. */
+void dispatch_note_kept(struct dispatch *dispatch,
+    struct dispatch_endpoint *endpoint, const struct dispatch_ask *ask,
+    uint64_t now_ms);
+
+/** Takes what a peer tells of kept parts. */
+void dispatch_hear_kept(struct dispatch *dispatch, const struct msg_load *load,
+    const struct dispatch_peer *peer);
+
+/** Fills the news of kept parts into a report; member NULL: to a hub. */
+void dispatch_fill_kept(const struct dispatch *dispatch,
+    const struct dispatch_peer *member, struct msg_load *load);
+
+/** @return tokens of the prompt that an endpoint has to read */
+uint64_t dispatch_unread_tokens(const struct dispatch_endpoint *endpoint,
     const struct dispatch_ask *ask, uint64_t now_ms);
 
 /** @return requests at an endpoint, as far as known */
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -230,6 +230,12 @@
 	uint32_t served_tokens;
 };
 
+/** A part of a prompt that an endpoint has got to read. */
+struct load_kept {
+	uint64_t endpoint_id;
+	uint64_t part_id;
+};
+
 /** What a daemon follows in the platform's store. */
 enum proof_kind { PROOF_CONFIGURATION, PROOF_ENDPOINTS, PROOF_KIND_COUNT };
 
@@ -251,8 +257,10 @@
 	struct load_proof proofs[PROOF_KIND_COUNT];
 	const struct load_endpoint *endpoints;
 	const struct load_account *accounts;
+	const struct load_kept *kept; /**< since the report before */
 	uint32_t endpoints_count;
 	uint32_t accounts_count;
+	uint32_t kept_count;
 };
 
 enum table_kind { TABLE_ROUTES, TABLE_POOLS, TABLE_KIND_COUNT };
--- a/tests/unit/dispatch_fixture.h
+++ b/tests/unit/dispatch_fixture.h
@@ -168,6 +168,20 @@
 		dispatch_handle(&dispatch, &msg, now_ms, proofs);
 	}
 
+	/** A peer tells that an endpoint has got a part to read. */
+	void keep(uint64_t node_id, const char *endpoint, uint64_t part_id)
+	{
+		load_kept kept = { hash_name(endpoint), part_id };
+		msg msg = {};
+
+		msg.type = MSG_LOAD;
+		msg.from_node_id = node_id;
+		msg.u.load.kept = &kept;
+		msg.u.load.kept_count = 1;
+		dispatch_proof proofs[PROOF_KIND_COUNT];
+		dispatch_handle(&dispatch, &msg, now_ms, proofs);
+	}
+
 	struct dispatch dispatch;
 	struct effects effects;
 	struct catalog *catalog;
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -165,6 +165,27 @@
 	EXPECT_GT(load->accounts[0].asked_tokens, 3000u);
 }
 
+/* Whatever its hash says, a shared part stays where it is kept. */
+TEST_F(Dispatch, ASharedPartStaysWhereAPeerHadItRead)
+{
+	add("e1");
+	add("e2");
+	add("e3");
+	for (uint64_t part = 1; part <= 20; part++)
+		for (const char *name : { "e1", "e2", "e3" }) {
+			dispatch_ask asked = ask(6000);
+
+			asked.parts_count = 2;
+			asked.parts[0] = { part * 8 + name[1], 5000 };
+			asked.parts[1] = { 1000 + hash, 1000 };
+			keep(50, name, asked.parts[0].part_id);
+			dispatch_decision decision = decide(asked);
+			EXPECT_STREQ(decision.name, name);
+			dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE,
+			    now_ms, nullptr);
+		}
+}
+
 TEST_F(Dispatch, AnEndpointThatLeftIsForgottenAfterItsWork)
 {
 	add("e1");
--- a/tests/unit/test_hubs.cc
+++ b/tests/unit/test_hubs.cc
@@ -7,6 +7,7 @@
 
 extern "C" {
 #include "core/dispatch.h"
+#include "core/dispatch_private.h"
 #include "core/hash.h"
 }
 
@@ -72,6 +73,35 @@
 		ASSERT_TRUE(decision.start);
 	}
 
+	/** A request that shares a part with others. */
+	static dispatch_ask ask_of(uint64_t part_id)
+	{
+		dispatch_ask ask = {};
+
+		ask.pool_id = hash_name("service");
+		ask.left_ms = 1000;
+		ask.prompt_tokens = 6000;
+		ask.parts_count = 2;
+		ask.parts[0] = { part_id, 5000 };
+		ask.parts[1] = { ++own_part_id, 1000 };
+		return ask;
+	}
+
+	void keep(size_t i, uint64_t part_id)
+	{
+		dispatch_ask ask = ask_of(part_id);
+
+		dispatch_note_kept(cores[i].get(), endpoint(i), &ask, now_ms);
+	}
+
+	/** What a daemon believes that has to be read of a shared part. */
+	uint64_t unread(size_t i, uint64_t part_id)
+	{
+		dispatch_ask ask = ask_of(part_id);
+
+		return dispatch_unread_tokens(endpoint(i), &ask, now_ms);
+	}
+
 	void run_for(uint64_t duration_ms)
 	{
 		for (uint64_t end_ms = now_ms + duration_ms; now_ms < end_ms;
@@ -83,15 +113,21 @@
 
 	/** What a daemon believes that all daemons run. */
 	uint32_t believed(size_t i)
+	{
+		return endpoint(i)->own.running_count +
+		    endpoint(i)->others.running_count;
+	}
+
+	dispatch_endpoint *endpoint(size_t i)
 	{
 		uint64_t endpoint_id = hash_name("s1");
-		auto *endpoint = static_cast<dispatch_endpoint *>(
-		    g_hash_table_lookup(cores[i]->endpoints, &endpoint_id));
 
-		return endpoint->own.running_count +
-		    endpoint->others.running_count;
+		return static_cast<dispatch_endpoint *>(
+		    g_hash_table_lookup(cores[i]->endpoints, &endpoint_id));
 	}
 
+	static inline uint64_t own_part_id = 1000;
+
 	std::vector<dispatch_daemon> all;
 	std::vector<bool> alive;
 	std::vector<std::unique_ptr<struct dispatch>> cores;
@@ -172,6 +208,28 @@
 	}
 }
 
+TEST(Hubs, EveryDaemonLearnsWhereASharedPartIsKept)
+{
+	for (size_t count : { 2u, 7u, 30u, 76u }) {
+		Fleet fleet(count, 6);
+
+		fleet.run_for(500);
+		fleet.keep(count - 1, 5);
+		fleet.keep(0, 6);
+		EXPECT_EQ(fleet.unread(1 % count, 7), 6000u);
+		fleet.run_for(500);
+		for (size_t i = 0; i < count; i++) {
+			EXPECT_EQ(fleet.unread(i, 5), 1000u) << i;
+			EXPECT_EQ(fleet.unread(i, 6), 1000u) << i;
+			EXPECT_EQ(fleet.unread(i, 7), 6000u) << i;
+			/* told once, not round and round */
+			EXPECT_EQ(fleet.cores[i]->kept_news->len, 0u) << i;
+		}
+		fleet.run_for(10000);
+		EXPECT_EQ(fleet.unread(0, 5), 6000u);
+	}
+}
+
 TEST(Hubs, MessagesOfADaemonDoNotGrowWithTheFleet)
 {
 	for (size_t count : { 30u, 76u, 370u }) {
