--- a/bamboorudderd/gateway_headers.c
+++ b/bamboorudderd/gateway_headers.c
@@ -2,15 +2,18 @@
 
 #include "bamboorudderd/gateway_private.h"
 
+static void
+header_finish(struct gw_header *header)
+{
+	g_free(header->name);
+	g_free(header->value);
+}
+
 void
 gw_headers_clear(GArray *headers)
 {
-	for (guint i = 0; i < headers->len; i++) {
-		struct gw_header *header = &g_array_index(headers,
-		    struct gw_header, i);
-		g_free(header->name);
-		g_free(header->value);
-	}
+	for (guint i = 0; i < headers->len; i++)
+		header_finish(&g_array_index(headers, struct gw_header, i));
 	g_array_set_size(headers, 0);
 }
 
@@ -26,8 +29,7 @@
 		if (wire_passes_to_caller(header->name,
 			request->reply.connection))
 			continue;
-		g_free(header->name);
-		g_free(header->value);
+		header_finish(header);
 		g_array_remove_index(headers, i);
 	}
 }
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -317,13 +317,6 @@
 		start(dispatch, ask, &best, false, now_ms, decision);
 }
 
-static uint32_t
-average(uint64_t before, uint64_t sample)
-{
-	return (uint32_t)((before * (AVERAGE_WEIGHT - 1) + sample) /
-	    AVERAGE_WEIGHT);
-}
-
 /* A first token takes the reading, at the engine's speed, and a time that does
  * not depend on it. */
 static void
@@ -335,14 +328,17 @@
 
 	if (attempt->forecast_ms < SHORT_READING_MS) {
 		taken_ms -= MIN(taken_ms, attempt->forecast_ms);
-		endpoint->first_token_ms = average(first_token_ms,
-		    MIN(taken_ms, FIRST_TOKEN_MAX_MS));
+		endpoint->first_token_ms = (uint32_t)
+		    dispatch_average(first_token_ms,
+			MIN(taken_ms, FIRST_TOKEN_MAX_MS), AVERAGE_WEIGHT);
 		return;
 	}
 	taken_ms -= MIN(taken_ms, first_token_ms);
 	slow = endpoint->slow_permille * taken_ms / attempt->forecast_ms;
-	endpoint->slow_permille = average(endpoint->slow_permille,
-	    CLAMP(slow, SLOW_MIN_PERMILLE, SLOW_MAX_PERMILLE));
+	endpoint->slow_permille = (uint32_t)
+	    dispatch_average(endpoint->slow_permille,
+		CLAMP(slow, SLOW_MIN_PERMILLE, SLOW_MAX_PERMILLE),
+		AVERAGE_WEIGHT);
 }
 
 void
@@ -403,9 +399,7 @@
 			    &attempt->endpoint_id);
 	}
 	if (outcome == OUTCOME_WHOLE && attempt->engine)
-		dispatch->duration_ms = (dispatch->duration_ms *
-						(AVERAGE_WEIGHT - 1) +
-					    now_ms - attempt->started_ms) /
-		    AVERAGE_WEIGHT;
+		dispatch->duration_ms = dispatch_average(dispatch->duration_ms,
+		    now_ms - attempt->started_ms, AVERAGE_WEIGHT);
 	g_hash_table_remove(dispatch->attempts, &seq);
 }
--- a/core/dispatch_health.c
+++ b/core/dispatch_health.c
@@ -1,5 +1,6 @@
 #include "core/dispatch_private.h"
 
+/* The results of a few requests in a row outweigh a good health check. */
 #define HEALTH_WEIGHT 6u
 #define FAILED_PERMILLE 1000u
 #define EJECT_PERMILLE 350u
@@ -7,13 +8,6 @@
 #define EJECT_FIRST_MS 700u
 #define EJECT_MAX_MS 6000u
 
-/* The results of a few requests in a row outweigh a good health check. */
-static uint32_t
-average(uint32_t before, uint32_t sample)
-{
-	return (before * (HEALTH_WEIGHT - 1) + sample) / HEALTH_WEIGHT;
-}
-
 static void
 eject(struct dispatch_endpoint *endpoint, uint64_t now_ms)
 {
@@ -56,8 +50,9 @@
 		return HEALTH_SAME;
 	}
 	endpoint->results_count++;
-	endpoint->failing_permille = average(endpoint->failing_permille,
-	    failed ? FAILED_PERMILLE : 0);
+	endpoint->failing_permille = (uint32_t)
+	    dispatch_average(endpoint->failing_permille,
+		failed ? FAILED_PERMILLE : 0, HEALTH_WEIGHT);
 	if (!failed)
 		return endpoint->probing ? pass_probe(endpoint) : HEALTH_SAME;
 	if (!endpoint->probing && !fails_too_often(endpoint, now_ms))
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -19,6 +19,13 @@
 	bool first; /**< its first token came */
 };
 
+/** @return the moving average after one more sample */
+static inline uint64_t
+dispatch_average(uint64_t before, uint64_t sample, uint64_t weight)
+{
+	return (before * (weight - 1) + sample) / weight;
+}
+
 /** The last report of one peer; the arrays are its own. */
 struct dispatch_peer {
 	uint64_t node_id;
