--- a/tests/unit/dispatch_fixture.h
+++ b/tests/unit/dispatch_fixture.h
@@ -160,12 +160,9 @@
 			reading_tokens, 0 };
 		msg msg = {};
 
-		msg.type = MSG_LOAD;
-		msg.from_node_id = node_id;
 		msg.u.load.endpoints = &load;
 		msg.u.load.endpoints_count = 1;
-		dispatch_proof proofs[PROOF_KIND_COUNT];
-		dispatch_handle(&dispatch, &msg, now_ms, proofs);
+		hear(node_id, &msg);
 	}
 
 	/** A peer tells that an endpoint has got a part to read. */
@@ -174,12 +171,18 @@
 		load_kept kept = { hash_name(endpoint), part_id };
 		msg msg = {};
 
-		msg.type = MSG_LOAD;
-		msg.from_node_id = node_id;
 		msg.u.load.kept = &kept;
 		msg.u.load.kept_count = 1;
+		hear(node_id, &msg);
+	}
+
+	void hear(uint64_t node_id, msg *msg)
+	{
 		dispatch_proof proofs[PROOF_KIND_COUNT];
-		dispatch_handle(&dispatch, &msg, now_ms, proofs);
+
+		msg->type = MSG_LOAD;
+		msg->from_node_id = node_id;
+		dispatch_handle(&dispatch, msg, now_ms, proofs);
 	}
 
 	struct dispatch dispatch;
