--- a/common/codec_read.c
+++ b/common/codec_read.c
@@ -435,8 +435,8 @@
 	} else if (msg->type == MSG_LOAD) {
 		g_free((gpointer)msg->u.load.endpoints);
 		g_free((gpointer)msg->u.load.accounts);
-		msg->u.load.endpoints = NULL;
 		g_free((gpointer)msg->u.load.kept);
+		msg->u.load.endpoints = NULL;
 		msg->u.load.accounts = NULL;
 		msg->u.load.kept = NULL;
 	} else if (msg->type == MSG_TABLES_DATA) {
--- a/core/dispatch_budget.c
+++ b/core/dispatch_budget.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "core/dispatch_private.h"
 
 static struct dispatch_budget *
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -24,13 +24,13 @@
 	return false;
 }
 
-/* The part that a request shares with others: the last but its own. Requests
- * without one are spread evenly. */
+/* Requests that share no part are spread evenly. */
 static uint64_t
 subject_of(const struct dispatch_ask *ask)
 {
-	return ask->parts_count < 2 ? ask->request_hash
-				    : ask->parts[ask->parts_count - 2].part_id;
+	const struct prompt_part *shared = dispatch_shared_part(ask);
+
+	return shared == NULL ? ask->request_hash : shared->part_id;
 }
 
 static uint64_t
@@ -181,7 +181,7 @@
 		struct dispatch_candidate *candidate =
 		    &g_array_index(candidates, struct dispatch_candidate, i);
 		const struct dispatch_endpoint *endpoint = candidate->endpoint;
-		bool home = ask->parts_count > 1 &&
+		bool home = dispatch_shared_part(ask) != NULL &&
 		    candidate->home_score >= bar;
 
 		if (pool->engine)
--- a/core/dispatch_kept.c
+++ b/core/dispatch_kept.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "core/dispatch_private.h"
 
 /* Engines drop what was used least lately; what is older counts as dropped. */
@@ -51,9 +49,8 @@
 		g_array_append_val(dispatch->kept_news, news);
 }
 
-/* The last part that others share: all before it are kept with it. */
-static const struct prompt_part *
-last_shared_part(const struct dispatch_ask *ask)
+const struct prompt_part *
+dispatch_shared_part(const struct dispatch_ask *ask)
 {
 	return ask->parts_count < 2 ? NULL : &ask->parts[ask->parts_count - 2];
 }
@@ -63,7 +60,7 @@
     struct dispatch_endpoint *endpoint, const struct dispatch_ask *ask,
     uint64_t now_ms)
 {
-	const struct prompt_part *shared = last_shared_part(ask);
+	const struct prompt_part *shared = dispatch_shared_part(ask);
 
 	for (uint32_t i = 0; i < ask->parts_count; i++) {
 		const struct prompt_part *part = &ask->parts[i];
--- a/core/dispatch_share.c
+++ b/core/dispatch_share.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "core/dispatch_private.h"
 
 #define DECAY_PERIOD_MS 50u
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -65,6 +65,10 @@
 	bool from_hub;
 };
 
+/** @return the part of the prompt that a request shares with others: the last
+ * but its own, which is kept with all before it; NULL: there is none */
+const struct prompt_part *dispatch_shared_part(const struct dispatch_ask *ask);
+
 /** Notes what an endpoint will keep of a request's prompt, and tells peers of
  * the shared part. */
 void dispatch_note_kept(struct dispatch *dispatch,
