--- a/tests/unit/dispatch_fixture.h
+++ b/tests/unit/dispatch_fixture.h
@@ -127,12 +127,27 @@
 		return count;
 	}
 
-	/** Runs one request that ends in a way. */
-	void run(dispatch_outcome outcome, const dispatch_ask &ask)
+	/** A repeat at the service, whose budget of repeats is spent. */
+	dispatch_ask repeat_without_budget()
+	{
+		dispatch_ask again = ask_service();
+
+		add("s1", "service", 100);
+		add("s2", "service", 100);
+		repeats_allowed("service");
+		again.tried_ids[again.tried_count++] = hash_name("s1");
+		return again;
+	}
+
+	/** Runs one request that ends in a way.
+	 * @param first_token_ms time that its first token takes */
+	void run(dispatch_outcome outcome, const dispatch_ask &ask,
+	    uint64_t first_token_ms = 0)
 	{
 		dispatch_decision decision = decide(ask);
 
 		ASSERT_TRUE(decision.start);
+		now_ms += first_token_ms;
 		dispatch_first(&dispatch, decision.seq, now_ms);
 		dispatch_done(&dispatch, decision.seq, outcome, now_ms,
 		    nullptr);
--- a/tests/unit/test_admission.cc
+++ b/tests/unit/test_admission.cc
@@ -184,12 +184,8 @@
 
 TEST_F(Admission, ARepeatAfterAnAttemptThatReachedNobodyCostsNothing)
 {
-	dispatch_ask again = ask_service();
+	dispatch_ask again = repeat_without_budget();
 
-	add("s1", "service", 100);
-	add("s2", "service", 100);
-	repeats_allowed("service");
-	again.tried_ids[again.tried_count++] = hash_name("s1");
 	EXPECT_FALSE(decide(again).start);
 	again.unreached = true;
 	EXPECT_TRUE(decide(again).start);
@@ -197,13 +193,8 @@
 
 TEST_F(Admission, ARequestWithoutBudgetIsToldATimeToComeBack)
 {
-	dispatch_ask again = ask_service();
+	dispatch_decision decision = decide(repeat_without_budget());
 
-	add("s1", "service", 100);
-	add("s2", "service", 100);
-	repeats_allowed("service");
-	again.tried_ids[again.tried_count++] = hash_name("s1");
-	dispatch_decision decision = decide(again);
 	EXPECT_EQ(decision.reason, REFUSE_BUDGET);
 	EXPECT_GE(decision.retry_after_ms, 100u);
 }
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -80,28 +80,16 @@
 TEST_F(Dispatch, TakesTheTimeOfAFirstTokenForNoSlowReading)
 {
 	add("e1");
-	for (int i = 0; i < 100; i++) {
-		dispatch_decision decision = decide(ask(100));
-		ASSERT_TRUE(decision.start);
-		now_ms += 90;
-		dispatch_first(&dispatch, decision.seq, now_ms);
-		dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE, now_ms,
-		    nullptr);
-	}
+	for (int i = 0; i < 100; i++)
+		run(OUTCOME_WHOLE, ask(100), 90);
 	EXPECT_LE(decide(ask(10000)).forecast.own_ms, 10000u / 50);
 }
 
 TEST_F(Dispatch, LearnsThatAnEngineReadsSlowly)
 {
 	add("e1");
-	for (int i = 0; i < 100; i++) {
-		dispatch_decision decision = decide(ask(10000));
-		ASSERT_TRUE(decision.start);
-		now_ms += 830;
-		dispatch_first(&dispatch, decision.seq, now_ms);
-		dispatch_done(&dispatch, decision.seq, OUTCOME_WHOLE, now_ms,
-		    nullptr);
-	}
+	for (int i = 0; i < 100; i++)
+		run(OUTCOME_WHOLE, ask(10000), 830);
 	EXPECT_NEAR(decide(ask(10000)).forecast.own_ms, 800u, 40u);
 }
 
