Log the load of a daemon that sheds and the share of each request's account

Nothing told how idle a shedding daemon was, what became of its requests, or what share of the fleet the refused account had, so the hypotheses could not be told apart.

A shedding daemon now logs a load line once a second, and the request line gains share_permille and prompt_tokens. No decision changes.

--- a/bamboorudderd/dump_dispatch.c
+++ b/bamboorudderd/dump_dispatch.c
@@ -29,20 +29,6 @@
 	    (int)endpoint->failing_permille);
 }
 
-static const char *
-account_name(const struct config_snapshot *configuration, uint64_t account_id)
-{
-	for (guint i = 0;
-	     configuration != NULL && i < configuration->accounts->len; i++) {
-		const struct config_account *account =
-		    &g_array_index(configuration->accounts,
-			struct config_account, i);
-		if (account->account_id == account_id)
-			return account->name;
-	}
-	return "-";
-}
-
 static json_t *
 dump_account(const struct dispatch *dispatch,
     const struct dispatch_account *account)
@@ -53,7 +39,8 @@
 	    account->remote_served_tokens;
 
 	return json_pack("{s:s, s:I, s:I, s:I}", "account",
-	    account_name(dispatch->configuration, account->account_id),
+	    config_snapshot_account_name(dispatch->configuration,
+		account->account_id),
 	    "asked_tokens", (json_int_t)asked_tokens, "served_tokens",
 	    (json_int_t)served_tokens, "share_permille",
 	    (json_int_t)dispatch_share_permille(dispatch, account));
--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -20,6 +20,7 @@
 {
 	const struct dispatch_decision *decision = &request->decision;
 
+	request->gateway->load_counts.refused_count++;
 	if (request->may_have_run)
 		gw_request_respond_error(request, 502, "no_answer", 0);
 	else if (decision->reason == REFUSE_QUEUE_FULL) {
@@ -48,6 +49,7 @@
 			gw_dispatch_done(request, OUTCOME_CANCELLED);
 		gw_request_release(request);
 	} else if (request->decision.start) {
+		request->gateway->load_counts.started_count++;
 		gw_caller_watch(request);
 		gw_transfer_start(request);
 	} else
--- a/bamboorudderd/gateway_load.c
+++ b/bamboorudderd/gateway_load.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "bamboorudderd/gateway_private.h"
 #include "common/log.h"
 
@@ -7,6 +9,9 @@
 #define IDLE_MIN_PERCENT 10u
 #define RECOVERY_MS 3000u
 #define US_PER_MS 1000u
+/* A daemon that sheds load logs its load once per this period. */
+#define LOG_PERIOD_MS 1000u
+#define TEXT_BYTES 24
 
 static bool
 end_window(struct gw_idle_window *window, uint32_t length_ms, uint64_t now_ms,
@@ -54,9 +59,51 @@
 		    was_shedding ? "sheds_no_more" : "sheds", NULL);
 }
 
+static void
+log_load(const struct gateway *gateway, uint32_t idle_percent)
+{
+	const struct gw_load_counts *counts = &gateway->load_counts;
+	char idle[TEXT_BYTES], reject[TEXT_BYTES];
+	char requests[TEXT_BYTES], shed[TEXT_BYTES], held[TEXT_BYTES];
+	char refused[TEXT_BYTES], started[TEXT_BYTES], active[TEXT_BYTES];
+	char part[TEXT_BYTES];
+	uint32_t part_permille = 0;
+	uint64_t account_id =
+	    load_shedder_busiest_account(&gateway->load_shedder,
+		&part_permille);
+
+	g_snprintf(idle, TEXT_BYTES, "%u", idle_percent);
+	g_snprintf(reject, TEXT_BYTES, "%u",
+	    gateway->load_shedder.reject_permille);
+	g_snprintf(requests, TEXT_BYTES, "%u", counts->requests_count);
+	g_snprintf(shed, TEXT_BYTES, "%u", counts->shed_count);
+	g_snprintf(held, TEXT_BYTES, "%u", counts->held_count);
+	g_snprintf(refused, TEXT_BYTES, "%u", counts->refused_count);
+	g_snprintf(started, TEXT_BYTES, "%u", counts->started_count);
+	g_snprintf(active, TEXT_BYTES, "%u", gateway->active_count);
+	g_snprintf(part, TEXT_BYTES, "%u", part_permille);
+	log_event(LOG_LEVEL_WARN, "load", "idle_percent", idle,
+	    "reject_permille", reject, "requests", requests, "shed", shed,
+	    "held", held, "refused", refused, "started", started, "active",
+	    active, "account",
+	    config_snapshot_account_name(gateway->configuration, account_id),
+	    "account_permille", part, NULL);
+}
+
+static void
+report_load(struct gateway *gateway, uint32_t idle_percent)
+{
+	struct gw_load_counts *counts = &gateway->load_counts;
+
+	if (counts->shed_count > 0 || gateway->overloaded)
+		log_load(gateway, idle_percent);
+	memset(counts, 0, sizeof(*counts));
+}
+
 void
 gw_load_start(struct gateway *gateway)
 {
+	gateway->log_window.start_ms = gw_now_ms(gateway);
 	gateway->readiness_window.start_ms = gw_now_ms(gateway);
 	gateway->shedding_window.start_ms = gateway->readiness_window.start_ms;
 }
@@ -66,6 +113,7 @@
 {
 	gateway->readiness_window.idle_us += idle_us;
 	gateway->shedding_window.idle_us += idle_us;
+	gateway->log_window.idle_us += idle_us;
 }
 
 void
@@ -79,4 +127,7 @@
 	if (end_window(&gateway->readiness_window, READINESS_WINDOW_MS, now_ms,
 		&idle_percent))
 		update_readiness(gateway, idle_percent, now_ms);
+	if (end_window(&gateway->log_window, LOG_PERIOD_MS, now_ms,
+		&idle_percent))
+		report_load(gateway, idle_percent);
 }
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -79,6 +79,7 @@
 	char status[TEXT_BYTES], duration[TEXT_BYTES], attempts[TEXT_BYTES];
 	char backlog[TEXT_BYTES], prefill[TEXT_BYTES], limit[TEXT_BYTES];
 	char age[TEXT_BYTES], version[TEXT_BYTES], running[TEXT_BYTES];
+	char share[TEXT_BYTES], prompt_tokens[TEXT_BYTES];
 	const struct dispatch_forecast *forecast = &request->decision.forecast;
 
 	g_snprintf(status, TEXT_BYTES, "%u", request->status);
@@ -93,6 +94,9 @@
 	g_snprintf(version, TEXT_BYTES, "%" G_GUINT64_FORMAT,
 	    request->configuration == NULL ? 0
 					   : request->configuration->version);
+	g_snprintf(share, TEXT_BYTES, "%u", forecast->share_permille);
+	g_snprintf(prompt_tokens, TEXT_BYTES, "%u",
+	    request->dispatch.prompt_tokens);
 	log_event(LOG_LEVEL_INFO, "request", "id", request->head.request_id,
 	    "route", request->route == NULL ? "-" : request->route->name,
 	    "account", request->account == NULL ? "-" : request->account->name,
@@ -101,7 +105,8 @@
 	    request->decision.name[0] == '\0' ? "-" : request->decision.name,
 	    "attempts", attempts, "ahead_ms", backlog, "own_ms", prefill,
 	    "limit_ms", limit, "running", running, "over_share",
-	    forecast->over_share ? "1" : "0", "peers_age_ms", age,
+	    forecast->over_share ? "1" : "0", "share_permille", share,
+	    "prompt_tokens", prompt_tokens, "peers_age_ms", age,
 	    "configuration", version, NULL);
 }
 
@@ -368,17 +373,31 @@
 refuse_for_load(struct gw_request *request)
 {
 	metric_add(METRIC_REQUESTS_SHED, 1);
+	request->gateway->load_counts.shed_count++;
 	gw_request_respond_error(request, 503, "daemon_busy",
 	    SHEDDING_RETRY_AFTER_MS +
 		request->dispatch.request_hash % SHEDDING_RETRY_SPREAD_MS);
 }
 
+static void
+refuse_by_hold(struct gw_request *request, const struct gw_rejection_hold *hold)
+{
+	uint32_t retry_after_ms = dispatch_retry_after_ms(&request->dispatch,
+	    hold->until_ms - request->arrived_ms, hold->far_over_share);
+
+	request->gateway->load_counts.held_count++;
+	gw_request_respond_error(request, 503,
+	    hold->far_over_share ? "account_over_share" : "account_held",
+	    MAX(retry_after_ms, 1u));
+}
+
 void
 gw_request_submit(struct gw_request *request)
 {
 	const struct gw_rejection_hold *hold;
 
 	request->submitted = true;
+	request->gateway->load_counts.requests_count++;
 	gw_request_received(request);
 	request->gateway->active_count++;
 	fill_dispatch_request(request);
@@ -387,13 +406,7 @@
 		gw_request_respond_error(request, 503, "shutting_down",
 		    DRAIN_RETRY_AFTER_MS);
 	else if (hold != NULL)
-		gw_request_respond_error(request, 503,
-		    hold->far_over_share ? "account_over_share"
-					 : "account_held",
-		    MAX(dispatch_retry_after_ms(&request->dispatch,
-			    hold->until_ms - request->arrived_ms,
-			    hold->far_over_share),
-			1u));
+		refuse_by_hold(request, hold);
 	else if (load_shedder_rejects(&request->gateway->load_shedder,
 		     request->dispatch.account_id,
 		     request->dispatch.request_hash))
--- a/core/config_snapshot.c
+++ b/core/config_snapshot.c
@@ -120,6 +120,21 @@
 	    index - 1);
 }
 
+const char *
+config_snapshot_account_name(const struct config_snapshot *configuration,
+    uint64_t account_id)
+{
+	for (guint i = 0;
+	     configuration != NULL && i < configuration->accounts->len; i++) {
+		const struct config_account *account =
+		    &g_array_index(configuration->accounts,
+			struct config_account, i);
+		if (account->account_id == account_id)
+			return account->name;
+	}
+	return "-";
+}
+
 const struct config_pool *
 config_snapshot_find_pool(const struct config_snapshot *configuration,
     uint64_t pool_id)
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -275,7 +275,9 @@
 		ADMISSION_LIMIT_TARGET_PERCENT / 100;
 
 	account->asked_tokens += tokens_to_charge(request);
-	share_permille = dispatch_share_permille(dispatch, account) *
+	share_permille = dispatch_share_permille(dispatch, account);
+	forecast->share_permille = (uint32_t)MIN(share_permille, UINT32_MAX);
+	share_permille = share_permille *
 	    MIN(best->pool_mean_backlog_ms, SHARES_FULL_EFFECT_BACKLOG_MS) /
 	    SHARES_FULL_EFFECT_BACKLOG_MS;
 	forecast->over_share = share_permille > SHARE_FAIR_PERMILLE;
--- a/core/load_shedder.c
+++ b/core/load_shedder.c
@@ -94,6 +94,27 @@
 	return request_hash % ALL_PERMILLE < shedder->reject_permille;
 }
 
+uint64_t
+load_shedder_busiest_account(const struct load_shedder *shedder,
+    uint32_t *part_permille)
+{
+	uint64_t account_id = 0, most_count = 0;
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, shedder->request_counts);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const uint64_t *count = value;
+		if (*count <= most_count)
+			continue;
+		most_count = *count;
+		account_id = *(const uint64_t *)key;
+	}
+	*part_permille = (uint32_t)(most_count * ALL_PERMILLE /
+	    MAX(shedder->total_count, 1));
+	return account_id;
+}
+
 uint32_t
 load_shedder_stream_period_ms(const struct load_shedder *shedder,
     uint32_t delay_ms)
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -141,6 +141,15 @@
 	uint64_t idle_us; /**< time spent waiting for events */
 };
 
+/** What happened to the requests of one second, for the log. */
+struct gw_load_counts {
+	uint32_t requests_count; /**< submitted */
+	uint32_t shed_count;
+	uint32_t held_count; /**< refused by a rejection hold */
+	uint32_t refused_count; /**< refused by a decision */
+	uint32_t started_count; /**< attempts */
+};
+
 struct gateway {
 	const struct settings *settings;
 	struct control *control;
@@ -175,6 +184,8 @@
 	bool overloaded; /**< not ready for new connections */
 	struct gw_idle_window readiness_window;
 	struct gw_idle_window shedding_window;
+	struct gw_idle_window log_window;
+	struct gw_load_counts load_counts; /**< since the log window began */
 	uint64_t overloaded_ms; /**< end of the last overloaded window */
 	struct load_shedder load_shedder;
 	/** Hash of account and pool to struct gw_rejection_hold. */
--- a/include/core/config_snapshot.h
+++ b/include/core/config_snapshot.h
@@ -97,6 +97,12 @@
 config_snapshot_find_account(const struct config_snapshot *configuration,
     const char *key);
 
+/** @return the account's name for logs and dumps, "-" if it is unknown or the
+ * configuration is NULL */
+const char *
+config_snapshot_account_name(const struct config_snapshot *configuration,
+    uint64_t account_id);
+
 /** @return the pool, or NULL */
 const struct config_pool *
 config_snapshot_find_pool(const struct config_snapshot *configuration,
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -61,6 +61,8 @@
 	uint32_t admission_limit_ms;
 	uint32_t running_count; /**< requests known at the endpoint */
 	uint32_t peers_age_ms; /**< of the oldest load report in use */
+	/** Recent use of the account in thousandths of its fair share. */
+	uint32_t share_permille;
 	bool over_share; /**< the account exceeds its fair share */
 };
 
--- a/include/core/load_shedder.h
+++ b/include/core/load_shedder.h
@@ -41,6 +41,14 @@
 bool load_shedder_rejects(struct load_shedder *shedder, uint64_t account_id,
     uint64_t request_hash);
 
+/**
+ * Finds the account with the most requests at this daemon.
+ * @param part_permille receives its part of all requests
+ * @return its account_id, 0 if there is none
+ */
+uint64_t load_shedder_busiest_account(const struct load_shedder *shedder,
+    uint32_t *part_permille);
+
 /**
  * Computes how often the events of running streams are passed on: in larger
  * batches while the processor is busy.
