Do not take a busy daemon's lag for slowness of the engines

An account that entered at one small daemon was refused as overloaded with a limit of 50 to 110 ms and 45 ms ahead, while an account at 1.7 times its share was started elsewhere with nothing ahead.

Cause: a daemon measures each engine's speed and its time to a first token by when it notices the first event. Short of processor time it notices late and books its own lag on the engine.

The traffic thread now tells the control thread while its processor is busy, and no times are learned then. The test failed before: 103 ms instead of 200 ms for a prefill, 1485 ms instead of 230 ms for the mean duration.

--- a/bamboorudderd/gateway_load.c
+++ b/bamboorudderd/gateway_load.c
@@ -52,8 +52,11 @@
 update_shedding(struct gateway *gateway, uint32_t idle_percent)
 {
 	bool was_shedding = gateway->load_shedder.reject_permille > 0;
+	bool was_busy = gateway->load_shedder.busy;
 
 	load_shedder_end_window(&gateway->load_shedder, idle_percent);
+	if (was_busy != gateway->load_shedder.busy)
+		gw_dispatch_busy(gateway, gateway->load_shedder.busy);
 	if (was_shedding != (gateway->load_shedder.reject_permille > 0))
 		log_event(LOG_LEVEL_WARN,
 		    was_shedding ? "sheds_no_more" : "sheds", NULL);
--- a/bamboorudderd/gateway_mailbox.c
+++ b/bamboorudderd/gateway_mailbox.c
@@ -142,6 +142,19 @@
 	mailbox_post_context(request->gateway->control, run_first_token, args);
 }
 
+static void
+run_busy(struct control *control, struct control_task *task)
+{
+	dispatch_set_daemon_busy(&control->dispatch,
+	    GPOINTER_TO_INT(task->context));
+}
+
+void
+gw_dispatch_busy(struct gateway *gateway, bool busy)
+{
+	mailbox_post_context(gateway->control, run_busy, GINT_TO_POINTER(busy));
+}
+
 void
 gw_dispatch_done(struct gw_request *request, enum dispatch_outcome outcome)
 {
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -341,6 +341,12 @@
 		start(dispatch, request, &best, false, now_ms, decision);
 }
 
+void
+dispatch_set_daemon_busy(struct dispatch *dispatch, bool busy)
+{
+	dispatch->daemon_busy = busy;
+}
+
 /* Splits the time to a first token into the prefill, which depends on the
  * engine's speed, and a constant part. */
 static void
@@ -383,7 +389,7 @@
 	if (endpoint == NULL)
 		return;
 	endpoint->local.prefill_tokens -= attempt->prefill_tokens;
-	if (attempt->engine)
+	if (attempt->engine && !dispatch->daemon_busy)
 		update_speed(endpoint, attempt, now_ms);
 }
 
@@ -426,7 +432,8 @@
 			g_hash_table_remove(dispatch->endpoints,
 			    &attempt->endpoint_id);
 	}
-	if (outcome == OUTCOME_COMPLETE && attempt->engine)
+	if (outcome == OUTCOME_COMPLETE && attempt->engine &&
+	    !dispatch->daemon_busy)
 		dispatch->mean_duration_ms =
 		    dispatch_moving_average(dispatch->mean_duration_ms,
 			now_ms - attempt->started_ms, AVERAGE_WEIGHT);
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -180,6 +180,8 @@
 	/** node_ids of hubs, the preferred one first; empty on a hub. */
 	GArray *hub_candidates;
 	bool is_hub;
+	/** This daemon's processor is busy: it notices responses late. */
+	bool daemon_busy;
 	bool peers_changed; /**< the sums of remote load are out of date */
 	uint32_t live_count;
 	uint64_t hub_chosen_ms; /**< when the current hub was chosen */
@@ -250,6 +252,10 @@
 uint32_t dispatch_peers_age_ms(const struct dispatch *dispatch,
     uint64_t now_ms);
 
+/** Sets whether this daemon notices responses late since its processor is busy.
+ * While it does, times that it measures tell nothing about the engines. */
+void dispatch_set_daemon_busy(struct dispatch *dispatch, bool busy);
+
 /** Records that the first token of an attempt's response arrived. */
 void dispatch_record_first_token(struct dispatch *dispatch, uint64_t seq,
     uint64_t now_ms);
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -94,6 +94,23 @@
 	EXPECT_NEAR(decide(make_request(10000)).forecast.prefill_ms, 800u, 40u);
 }
 
+TEST_F(Dispatch, EnginesAreNotSlowForTheLagOfABusyDaemon)
+{
+	dispatch_request large = make_request(10000);
+
+	add_endpoint("e1");
+	for (int i = 0; i < 100; i++)
+		run(OUTCOME_COMPLETE, large, 230);
+	uint64_t duration_ms = dispatch.mean_duration_ms;
+	dispatch_set_daemon_busy(&dispatch, true);
+	for (int i = 0; i < 100; i++) {
+		run(OUTCOME_COMPLETE, large, 1500);
+		run(OUTCOME_COMPLETE, make_request(100), 1500);
+	}
+	EXPECT_NEAR(decide(large).forecast.prefill_ms, 200u, 10u);
+	EXPECT_EQ(dispatch.mean_duration_ms, duration_ms);
+}
+
 TEST_F(Dispatch, EjectsFailingEndpointThenSendsOneProbeRequest)
 {
 	dispatch_request request = make_request(0, 0);
