Suspend streams without events, so that refusals stay cheap

Callers saw an account that entered at one small daemon get less than half of its share: the daemon refused nearly all of it as daemon_busy.

Cause: the server was never told that a stream has no event to pass on. It kept each one as ready and asked all of them on each turn of the event loop, of which a new connection takes three. A flood of refusals then takes the time that the streams need, more is shed, and each caller comes back once, so that it does not recover.

A stream is now suspended until its next event. The count of requests being received, which kept the loop from spinning meanwhile, is no longer needed.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -111,10 +111,7 @@
 		due_ms = MIN(due_ms, gateway->transfers_due_ms);
 	if (gateway->streams_count > 0)
 		due_ms = MIN(due_ms, gateway->stream_poll_due_ms);
-	/* while streams wait for their next event, the server always asks to be
-	 * run at once; only requests that are being received need that */
-	if ((gateway->streams_count == 0 || gateway->receiving_count > 0) &&
-	    MHD_get_timeout(gateway->server, &server_ms) == MHD_YES) {
+	if (MHD_get_timeout(gateway->server, &server_ms) == MHD_YES) {
 		due_ms = MIN(due_ms, now_ms + server_ms);
 		gateway->server_due |= server_ms == 0;
 	}
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -38,25 +38,14 @@
 	request->outcome = "unread";
 	sse_parser_init(&request->sse);
 	LIST_INSERT_HEAD(&gateway->requests, request, entries);
-	request->receiving = true;
-	gateway->receiving_count++;
 	return request;
 }
 
-void
-gw_request_received(struct gw_request *request)
-{
-	if (request->receiving)
-		request->gateway->receiving_count--;
-	request->receiving = false;
-}
-
 void
 gw_request_release(struct gw_request *request)
 {
 	if (!request->server_done || request->decision_pending)
 		return;
-	gw_request_received(request);
 	if (request->streaming)
 		request->gateway->streams_count--;
 	LIST_REMOVE(request, entries);
@@ -398,7 +387,6 @@
 
 	request->submitted = true;
 	request->gateway->load_counts.requests_count++;
-	gw_request_received(request);
 	request->gateway->active_count++;
 	fill_dispatch_request(request);
 	hold = find_hold(request);
--- a/bamboorudderd/gateway_server.c
+++ b/bamboorudderd/gateway_server.c
@@ -163,7 +163,8 @@
 		return MHD_CONTENT_READER_END_WITH_ERROR;
 	if (request->response_complete)
 		return MHD_CONTENT_READER_END_OF_STREAM;
-	/* no data yet: the next MHD_run() calls this function again */
+	/* relayed events resume the connection */
+	suspend(request);
 	return 0;
 }
 
@@ -193,7 +194,6 @@
 	struct MHD_Response *response = make_response(request);
 	enum MHD_Result result;
 
-	gw_request_received(request);
 	for (guint i = 0; i < request->response_headers->len; i++) {
 		const struct gw_header *header =
 		    &g_array_index(request->response_headers, struct gw_header,
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -89,7 +89,6 @@
 	uint64_t caller_deadline_ms;
 	uint64_t deadline_ms; /**< earlier of caller deadline, route timeout */
 	enum gw_state state;
-	bool receiving; /**< counted in receiving_count of the gateway */
 	bool head_received;
 	bool submitted; /**< received; counted in active_count */
 	bool close_connection; /**< the connection can't be reused */
@@ -161,7 +160,6 @@
 	uint64_t stream_poll_due_ms;
 	uint32_t streams_count;
 	uint32_t connections_count; /**< connections of callers */
-	uint32_t receiving_count; /**< requests being received */
 	struct gw_source server_source;
 	struct gw_source readiness_source;
 	struct gw_source mailbox_source;
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -58,8 +58,6 @@
 /** Frees a request unless the server or the control thread still refers to
  * it. */
 void gw_request_release(struct gw_request *request);
-/** Records that a request is fully received or that its rest is not needed. */
-void gw_request_received(struct gw_request *request);
 /** Finds the route and account of a request. @return false if it was
  * refused */
 bool gw_request_accept_head(struct gw_request *request);
