Answer a refusal that needs no decision in the same turn of the loop

A daemon that sheds spends its time on refusals. The server suspended each request before it was looked at and resumed it for the refusal: two more calls of epoll_ctl and one more turn of the loop for each.

A request is now suspended only if it waits for a decision. Behaviour is unchanged: the tests of refusals, callers and responses pass.

--- a/bamboorudderd/gateway_server.c
+++ b/bamboorudderd/gateway_server.c
@@ -268,9 +268,11 @@
 	if (*upload_bytes > 0)
 		return receive_body(request, upload, upload_bytes);
 	if (request->state == GW_STATE_RECEIVING) {
-		suspend(request);
 		gw_request_submit(request);
-		return MHD_YES;
+		if (request->state != GW_STATE_ENDED) {
+			suspend(request);
+			return MHD_YES;
+		}
 	}
 	if (request->disconnected)
 		return MHD_NO;
