Steer the rejected part by the load instead of by fixed steps

Callers saw an account that enters at one small daemon lose most of its requests to daemon_busy, also in seconds in which that daemon was idle for a third of the time.

A flood drove it to 95 % in six windows, it fell from there over two seconds, and each caller that was refused came back and cost the time of another refusal.

The accepted part is now scaled by target over actual load, by a quarter a window at most.

--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -14,10 +14,6 @@
 /* Allowance for the time from the sending of a request to the check whether the
  * configuration is fresh enough for its key. */
 #define FRESHNESS_MARGIN_MS 400u
-/* Callers of shed requests retry at other daemons almost at once; the spread
- * keeps them from doing so in the same moment. */
-#define SHEDDING_RETRY_AFTER_MS 20u
-#define SHEDDING_RETRY_SPREAD_MS 40u
 #define TEXT_BYTES 24
 #define US_PER_MS 1000u
 
@@ -364,8 +360,8 @@
 	metric_add(METRIC_REQUESTS_SHED, 1);
 	request->gateway->load_counts.shed_count++;
 	gw_request_respond_error(request, 503, "daemon_busy",
-	    SHEDDING_RETRY_AFTER_MS +
-		request->dispatch.request_hash % SHEDDING_RETRY_SPREAD_MS);
+	    load_shedder_retry_after_ms(&request->gateway->load_shedder,
+		request->dispatch.request_hash));
 }
 
 static void
--- a/core/load_shedder.c
+++ b/core/load_shedder.c
@@ -1,13 +1,18 @@
 #include "core/load_shedder.h"
 
 #define ALL_PERMILLE 1000u
-/* The rejected part grows below the low mark of idle time and shrinks above the
- * high mark. The event loop needs some idle time to respond quickly. */
-#define IDLE_LOW_PERCENT 10u
-#define IDLE_HIGH_PERCENT 25u
-#define STEP_UP_PERMILLE 150u
-#define STEP_DOWN_PERMILLE 50u
+/* The accepted part of the requests is steered towards this idle time. The event
+ * loop needs some to respond quickly. */
+#define IDLE_TARGET_PERCENT 15u
+/* The accepted part grows by a quarter in a window at most. */
+#define GROWTH_MAX_PERCENT 125u
+/* With less idle time than this, a daemon counts as busy. */
+#define IDLE_BUSY_PERCENT 25u
 #define REJECT_MAX_PERMILLE 950u
+/* Callers retry almost at once; the spread keeps them from doing so in the same
+ * moment. */
+#define RETRY_AFTER_MIN_MS 20u
+#define RETRY_SPREAD_MS 40u
 /* Halves the counts in about seven windows. */
 #define DECAY_PERCENT 90u
 /* Events of a stream are passed on once per permitted delay divided by this.
@@ -51,18 +56,31 @@
 	}
 }
 
+/* Scales the accepted part by target over actual load, so that a little too much
+ * load takes a little away. */
+static uint32_t
+accepted_permille(uint32_t previous_permille, uint32_t busy_percent)
+{
+	uint32_t scale_percent = (100 - IDLE_TARGET_PERCENT) * 100 /
+	    MAX(busy_percent, 1u);
+	/* rounded up, so that a small part can grow */
+	uint32_t permille = (previous_permille *
+				    MIN(scale_percent, GROWTH_MAX_PERCENT) +
+				99) /
+	    100;
+
+	return CLAMP(permille, ALL_PERMILLE - REJECT_MAX_PERMILLE,
+	    ALL_PERMILLE);
+}
+
 void
 load_shedder_end_window(struct load_shedder *shedder, uint32_t idle_percent)
 {
 	decay(shedder);
-	shedder->busy = idle_percent <= IDLE_HIGH_PERCENT;
-	if (idle_percent < IDLE_LOW_PERCENT)
-		shedder->reject_permille = MIN(shedder->reject_permille +
-			STEP_UP_PERMILLE,
-		    REJECT_MAX_PERMILLE);
-	else if (idle_percent > IDLE_HIGH_PERCENT)
-		shedder->reject_permille -= MIN(shedder->reject_permille,
-		    STEP_DOWN_PERMILLE);
+	shedder->busy = idle_percent <= IDLE_BUSY_PERCENT;
+	shedder->reject_permille = ALL_PERMILLE -
+	    accepted_permille(ALL_PERMILLE - shedder->reject_permille,
+		100 - idle_percent);
 }
 
 static uint64_t
@@ -94,6 +112,14 @@
 	return request_hash % ALL_PERMILLE < shedder->reject_permille;
 }
 
+uint32_t
+load_shedder_retry_after_ms(const struct load_shedder *shedder,
+    uint64_t request_hash)
+{
+	(void)shedder;
+	return RETRY_AFTER_MIN_MS + request_hash % RETRY_SPREAD_MS;
+}
+
 uint64_t
 load_shedder_busiest_account(const struct load_shedder *shedder,
     uint32_t *part_permille)
--- a/include/core/load_shedder.h
+++ b/include/core/load_shedder.h
@@ -41,6 +41,10 @@
 bool load_shedder_rejects(struct load_shedder *shedder, uint64_t account_id,
     uint64_t request_hash);
 
+/** @return when the caller of a rejected request may try again */
+uint32_t load_shedder_retry_after_ms(const struct load_shedder *shedder,
+    uint64_t request_hash);
+
 /**
  * Finds the account with the most requests at this daemon.
  * @param part_permille receives its part of all requests
--- a/tests/unit/test_load_shedder.cc
+++ b/tests/unit/test_load_shedder.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <vector>
+
 extern "C" {
 #include "core/hash.h"
 #include "core/load_shedder.h"
@@ -103,6 +105,50 @@
 	EXPECT_EQ(others_rejected, 0u);
 }
 
+TEST(LoadShedder, AFloodFromOneAccountDoesNotLoseWhatTheDaemonCouldServe)
+{
+	/* a refusal costs 100 us; a served request 300 us, and 10 us for each
+	 * of the next 15 windows; the rest of the daemon 1.2 ms a window */
+	constexpr uint32_t WINDOWS = 200, STREAM_WINDOWS = 15;
+	constexpr uint32_t FLOOD_PER_WINDOW = 26;
+	Daemon daemon;
+	std::vector<uint32_t> returning(WINDOWS + 30), ending(WINDOWS + 30);
+	uint64_t backlog_us = 0, streams = 0;
+	uint32_t served = 0, seq = 0;
+
+	for (uint32_t window = 0; window < WINDOWS; window++) {
+		backlog_us += 1200 + streams * 10;
+		for (uint32_t i = 0; i < FLOOD_PER_WINDOW + returning[window];
+		     i++) {
+			uint64_t hash = hash_bytes(&seq, sizeof(seq));
+			bool first = i < FLOOD_PER_WINDOW;
+			seq++;
+			if (!load_shedder_rejects(&daemon.shedder,
+				HEAVY_ACCOUNT, hash)) {
+				backlog_us += 300;
+				served++;
+				streams++;
+				ending[window + STREAM_WINDOWS]++;
+				continue;
+			}
+			backlog_us += 100;
+			if (first)
+				returning[window + 1 +
+				    load_shedder_retry_after_ms(&daemon.shedder,
+					hash) /
+					LOAD_SHEDDER_WINDOW_MS]++;
+		}
+		streams -= ending[window];
+		load_shedder_end_window(&daemon.shedder,
+		    backlog_us < Daemon::WINDOW_US
+			? (uint32_t)((Daemon::WINDOW_US - backlog_us) * 100 /
+			      Daemon::WINDOW_US)
+			: 0);
+		backlog_us -= MIN(backlog_us, Daemon::WINDOW_US);
+	}
+	EXPECT_GE(served, WINDOWS * FLOOD_PER_WINDOW / 2);
+}
+
 TEST(LoadShedder, StreamPeriodIsLongerWhileProcessorIsBusy)
 {
 	Daemon daemon;
