Leave rotation for a flood, for longer each time it returns

Callers of an account that enters at one small daemon were refused as daemon_busy there, came back after 20 to 60 ms to the same daemon, and lost both tries; and 3 s after it had failed its readiness probe the flood was back.

The log shows that all connections of a caller go to one daemon until that fails its probes twice: raxa992 entered at three daemons, one after the other, in the order 13, 4, 12, 13. A daemon that is too small for the flood took it again and again, though a larger one had carried it.

core/readiness decides now. A daemon also leaves rotation if it sheds over a quarter of its requests and one account sends most of them. Each return of the flood within 10 s doubles the time out, up to 12 s. For load from many accounts the time stays at 3 s, as before. Callers of shed requests are told to come back when new connections go elsewhere, or later the more is shed.

--- a/bamboorudderd/gateway_load.c
+++ b/bamboorudderd/gateway_load.c
@@ -3,11 +3,6 @@
 #include "bamboorudderd/gateway_private.h"
 #include "common/log.h"
 
-#define READINESS_WINDOW_MS 500u
-/* An event loop that is idle for less than this share of a window is
- * overloaded. */
-#define IDLE_MIN_PERCENT 10u
-#define RECOVERY_MS 3000u
 #define US_PER_MS 1000u
 /* A daemon that sheds load logs its load once per this period. */
 #define LOG_PERIOD_MS 1000u
@@ -29,23 +24,44 @@
 	return true;
 }
 
-/* An overloaded daemon fails its readiness probes, so that the platform sends
- * new connections to others. It is ready again after RECOVERY_MS without an
- * overloaded window. */
+/* Requests counted since an earlier time. */
+static struct gw_load_counts
+counts_since(const struct gateway *gateway, const struct gw_load_counts *start)
+{
+	const struct gw_load_counts *now = &gateway->load_counts;
+
+	return (struct gw_load_counts){
+		.requests_count = now->requests_count - start->requests_count,
+		.shed_count = now->shed_count - start->shed_count,
+		.held_count = now->held_count - start->held_count,
+		.refused_count = now->refused_count - start->refused_count,
+		.started_count = now->started_count - start->started_count,
+	};
+}
+
 static void
 update_readiness(struct gateway *gateway, uint32_t idle_percent,
     uint64_t now_ms)
 {
-	bool was_overloaded = gateway->overloaded;
-
-	if (idle_percent < IDLE_MIN_PERCENT) {
-		gateway->overloaded = true;
-		gateway->overloaded_ms = now_ms;
-	} else if (now_ms >= gateway->overloaded_ms + RECOVERY_MS)
-		gateway->overloaded = false;
-	if (was_overloaded != gateway->overloaded)
-		log_event(LOG_LEVEL_WARN,
-		    gateway->overloaded ? "overloaded" : "keeps_up", NULL);
+	bool was_ready = gateway->readiness.ready;
+	struct gw_load_counts counts = counts_since(gateway,
+	    &gateway->readiness_start);
+	struct readiness_load load = {
+		.idle_percent = idle_percent,
+		.requests_count = counts.requests_count,
+		.shed_count = counts.shed_count,
+	};
+	char recovery[TEXT_BYTES];
+
+	gateway->readiness_start = gateway->load_counts;
+	load_shedder_busiest_account(&gateway->load_shedder,
+	    &load.busiest_permille);
+	readiness_end_window(&gateway->readiness, &load, now_ms);
+	if (was_ready == gateway->readiness.ready)
+		return;
+	g_snprintf(recovery, TEXT_BYTES, "%u", gateway->readiness.recovery_ms);
+	log_event(LOG_LEVEL_WARN, was_ready ? "overloaded" : "keeps_up",
+	    "recovery_ms", recovery, NULL);
 }
 
 static void
@@ -63,9 +79,9 @@
 }
 
 static void
-log_load(const struct gateway *gateway, uint32_t idle_percent)
+log_load(const struct gateway *gateway, const struct gw_load_counts *counts,
+    uint32_t idle_percent)
 {
-	const struct gw_load_counts *counts = &gateway->load_counts;
 	char idle[TEXT_BYTES], reject[TEXT_BYTES];
 	char requests[TEXT_BYTES], shed[TEXT_BYTES], held[TEXT_BYTES];
 	char refused[TEXT_BYTES], started[TEXT_BYTES], active[TEXT_BYTES];
@@ -96,16 +112,18 @@
 static void
 report_load(struct gateway *gateway, uint32_t idle_percent)
 {
-	struct gw_load_counts *counts = &gateway->load_counts;
+	struct gw_load_counts counts = counts_since(gateway,
+	    &gateway->log_start);
 
-	if (counts->shed_count > 0 || gateway->overloaded)
-		log_load(gateway, idle_percent);
-	memset(counts, 0, sizeof(*counts));
+	gateway->log_start = gateway->load_counts;
+	if (counts.shed_count > 0 || !gateway->readiness.ready)
+		log_load(gateway, &counts, idle_percent);
 }
 
 void
 gw_load_start(struct gateway *gateway)
 {
+	readiness_init(&gateway->readiness);
 	gateway->log_window.start_ms = gw_now_ms(gateway);
 	gateway->readiness_window.start_ms = gw_now_ms(gateway);
 	gateway->shedding_window.start_ms = gateway->readiness_window.start_ms;
@@ -134,3 +152,17 @@
 		&idle_percent))
 		report_load(gateway, idle_percent);
 }
+
+uint32_t
+gw_load_retry_after_ms(const struct gw_request *request)
+{
+	const struct gateway *gateway = request->gateway;
+	uint64_t hash = request->dispatch.request_hash;
+	uint32_t retry_after_ms = gateway->readiness.ready
+	    ? load_shedder_retry_after_ms(&gateway->load_shedder, hash)
+	    : readiness_retry_after_ms(&gateway->readiness, hash,
+		  request->arrived_ms);
+
+	return MIN(retry_after_ms,
+	    request->dispatch.remaining_ms / RETRY_AFTER_REMAINING_DIVISOR);
+}
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -360,8 +360,7 @@
 	metric_add(METRIC_REQUESTS_SHED, 1);
 	request->gateway->load_counts.shed_count++;
 	gw_request_respond_error(request, 503, "daemon_busy",
-	    load_shedder_retry_after_ms(&request->gateway->load_shedder,
-		request->dispatch.request_hash));
+	    gw_load_retry_after_ms(request));
 }
 
 static void
--- a/bamboorudderd/gateway_server.c
+++ b/bamboorudderd/gateway_server.c
@@ -349,7 +349,7 @@
 	struct gateway *gateway = context;
 	bool ready = gateway->configuration != NULL &&
 	    gateway->endpoints_synced && !gateway->draining &&
-	    !gateway->overloaded;
+	    gateway->readiness.ready;
 	struct MHD_Response *response;
 	enum MHD_Result result;
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -49,8 +49,6 @@
  * do not show yet. */
 #define REJECTION_HOLD_MAX_MS 100u
 #define FAR_OVER_SHARE_HOLD_MS 60u
-/* Callers wait at most a third of their remaining time. */
-#define RETRY_AFTER_REMAINING_DIVISOR 3u
 /* Used where no backlog tells how soon a retry can succeed. */
 #define DEFAULT_RETRY_AFTER_MS 1000u
 
--- a/core/load_shedder.c
+++ b/core/load_shedder.c
@@ -9,8 +9,8 @@
 /* With less idle time than this, a daemon counts as busy. */
 #define IDLE_BUSY_PERCENT 25u
 #define REJECT_MAX_PERMILLE 950u
-/* Callers retry almost at once; the spread keeps them from doing so in the same
- * moment. */
+/* Callers retry almost at once while little is rejected, up to 1 s later while
+ * most is. The spread keeps them from doing so in the same moment. */
 #define RETRY_AFTER_MIN_MS 20u
 #define RETRY_SPREAD_MS 40u
 /* Halves the counts in about seven windows. */
@@ -116,8 +116,10 @@
 load_shedder_retry_after_ms(const struct load_shedder *shedder,
     uint64_t request_hash)
 {
-	(void)shedder;
-	return RETRY_AFTER_MIN_MS + request_hash % RETRY_SPREAD_MS;
+	uint32_t extra_ms = shedder->reject_permille / 2;
+
+	return RETRY_AFTER_MIN_MS + extra_ms +
+	    (uint32_t)(request_hash % (RETRY_SPREAD_MS + extra_ms));
 }
 
 uint64_t
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -23,6 +23,7 @@
 #include "core/config_snapshot.h"
 #include "core/dispatch.h"
 #include "core/load_shedder.h"
+#include "core/readiness.h"
 #include "platform/feed.h"
 #include "platform/wire.h"
 
@@ -140,7 +141,7 @@
 	uint64_t idle_us; /**< time spent waiting for events */
 };
 
-/** What happened to the requests of one second, for the log. */
+/** What happened to requests since the start of the daemon. */
 struct gw_load_counts {
 	uint32_t requests_count; /**< submitted */
 	uint32_t shed_count;
@@ -179,12 +180,13 @@
 	 * to be the newest. */
 	uint64_t fresh_as_of_ms;
 	bool endpoints_synced; /**< all endpoints of a list are known */
-	bool overloaded; /**< not ready for new connections */
+	struct readiness readiness;
 	struct gw_idle_window readiness_window;
 	struct gw_idle_window shedding_window;
 	struct gw_idle_window log_window;
-	struct gw_load_counts load_counts; /**< since the log window began */
-	uint64_t overloaded_ms; /**< end of the last overloaded window */
+	struct gw_load_counts load_counts;
+	struct gw_load_counts readiness_start; /**< as its window began */
+	struct gw_load_counts log_start; /**< as its window began */
 	struct load_shedder load_shedder;
 	/** Hash of account and pool to struct gw_rejection_hold. */
 	GHashTable *rejection_holds;
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -23,6 +23,8 @@
 void gw_load_add_idle(struct gateway *gateway, uint64_t idle_us);
 /** Updates readiness and load shedding; to be called every 50 ms. */
 void gw_load_check(struct gateway *gateway, uint64_t now_ms);
+/** @return when the caller of a shed request may try again */
+uint32_t gw_load_retry_after_ms(const struct gw_request *request);
 
 /* gateway_mailbox.c: tasks between the traffic thread and the control thread */
 
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -18,6 +18,8 @@
 
 #define PROMPT_SEGMENTS_MAX_COUNT 16u
 #define TRIED_MAX_COUNT 4u
+/** Callers wait for at most this part of their remaining time. */
+#define RETRY_AFTER_REMAINING_DIVISOR 3u
 
 /** Endpoint info from discovery. */
 struct dispatch_endpoint_info {
