Refuse accounts far over their share while others wait for engines

An account that enters at one daemon is judged by a view that holds all its own requests; one that enters everywhere is judged by views of which each is a report behind, so it finds engines idle that are not, and takes what the other was refused for.

The limit is zero from 1.3 times the share on, and then an idle engine does not help. The test failed before (an account at 1.3 times its share started beside one at 0.7). It still counts for nothing while engines have little backlog: nobody waits then.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -22,7 +22,7 @@
  * near their fair share. */
 #define SHARE_FULL_LIMIT_PERMILLE 600u
 #define SHARE_FAIR_PERMILLE 1000u
-#define SHARE_ZERO_LIMIT_PERMILLE 1600u
+#define SHARE_ZERO_LIMIT_PERMILLE 1300u
 #define LIMIT_AT_FAIR_SHARE_PERCENT 30u
 /* Below this mean backlog of a pool's engines, shares affect the limit in part
  * only: the tokens served lately tell little of the capacity while engines are
@@ -259,6 +259,20 @@
 	    : 0;
 }
 
+/* An idle engine takes any request, except one whose account has a limit of zero:
+ * other accounts wait for that engine time. */
+static bool
+exceeds_limit(const struct dispatch_candidate *candidate,
+    uint64_t admission_limit_ms)
+{
+	if (admission_limit_ms == 0)
+		return true;
+	return candidate->backlog_ms > 0 &&
+	    candidate->backlog_ms +
+		MIN(candidate->prefill_ms, COUNTED_PREFILL_MAX_MS) >
+	    admission_limit_ms;
+}
+
 static void
 admit(struct dispatch *dispatch, const struct dispatch_request *request,
     const struct dispatch_candidate *best, uint64_t now_ms,
@@ -284,9 +298,7 @@
 	forecast->backlog_ms = (uint32_t)best->backlog_ms;
 	forecast->prefill_ms = (uint32_t)best->prefill_ms;
 	forecast->admission_limit_ms = (uint32_t)admission_limit_ms;
-	if (best->backlog_ms + MIN(best->prefill_ms, COUNTED_PREFILL_MAX_MS) >
-		admission_limit_ms &&
-	    best->backlog_ms > 0) {
+	if (exceeds_limit(best, admission_limit_ms)) {
 		refuse(dispatch, request, REFUSE_QUEUE_FULL,
 		    dispatch_retry_after_ms(request,
 			best->backlog_ms -
