Give up responses that never end

A new test plays seven such endpoints, eight callers each, and asks the same daemon for other requests meanwhile. Before: - An event without end: for each piece the daemon searched all bytes before it for the event's end. A request of another caller got no answer within 10 s. Now only new bytes are searched, and an event above 1 MB is given up. - Header lines without end were read until the caller's deadline (8 s): the library bounds a line, not their number. Now all heads and trailers of an attempt together have 64 KB. - A body without end took 8 MB for each caller, 33 MB for eight. Now responses above 256 KB share 8 MB. The smallest instance has 88 MB. A single line without end, interim responses, no head at all and the body of another request were bounded already. With sanitizers the memory is not checked, since they keep freed memory.

The class is work or memory that grows with what the other side sends. Not looked at: what the platform's store sends, and the other front end.

--- a/bamboorudderd/gateway_transfer.c
+++ b/bamboorudderd/gateway_transfer.c
@@ -9,6 +9,13 @@
 
 #define EVENTS_PER_POLL 64
 #define RESPONSE_MAX_BYTES (8u * 1024u * 1024u)
+/* Responses above the first size share the second: an endpoint that sends
+ * without end must not fill the memory of the smallest instances. */
+#define RESPONSE_SMALL_BYTES (256u * 1024u)
+#define RESPONSES_MAX_BYTES (8u * 1024u * 1024u)
+#define EVENT_MAX_BYTES (1024u * 1024u)
+/* Of all heads and trailers of an attempt. */
+#define RESPONSE_HEADS_MAX_BYTES (64u * 1024u)
 #define RESPONSE_HEADERS_MAX_COUNT 64u
 #define IDLE_HANDLES_MAX_COUNT 64u
 /* Time without an acknowledgement after which a connection is given up. */
@@ -186,6 +193,9 @@
 	char *line;
 	long status = 0;
 
+	request->endpoint_heads_bytes += length;
+	if (request->endpoint_heads_bytes > RESPONSE_HEADS_MAX_BYTES)
+		return 0;
 	if (length > 5 && strncmp(bytes, "HTTP/", 5) == 0) {
 		clear_endpoint_response(request);
 		return length;
@@ -230,13 +240,13 @@
 }
 
 /* Relays complete events only, so that the caller never receives part of an
- * event from a stream that breaks. */
+ * event from a stream that breaks. No event ends in the bytes checked before. */
 static void
-relay_events(struct gw_request *request)
+relay_events(struct gw_request *request, size_t checked_bytes)
 {
 	GByteArray *pending = request->endpoint_body;
 	size_t length = sse_complete_events_bytes((const char *)pending->data,
-	    pending->len, 0);
+	    pending->len, checked_bytes);
 
 	if (length == 0)
 		return;
@@ -252,21 +262,43 @@
 	gw_resume(request);
 }
 
+static size_t
+unsent_bytes(const struct gw_request *request)
+{
+	return request->endpoint_body->len + request->response_bytes->len;
+}
+
+static bool
+may_grow_by(const struct gw_request *request, size_t length)
+{
+	size_t own_bytes = unsent_bytes(request) + length, total_bytes = length;
+	const struct gw_request *other;
+
+	if (own_bytes <= RESPONSE_SMALL_BYTES)
+		return true;
+	LIST_FOREACH(other, &request->gateway->requests, entries)
+	{
+		total_bytes += unsent_bytes(other);
+	}
+	return own_bytes <= RESPONSE_MAX_BYTES &&
+	    total_bytes <= RESPONSES_MAX_BYTES;
+}
+
 static size_t
 on_body(char *bytes, size_t size, size_t count, void *context)
 {
 	struct gw_request *request = context;
 	size_t length = size * count;
+	size_t checked_bytes = request->endpoint_body->len;
 
-	if (request->endpoint_body->len + request->response_bytes->len +
-		length >
-	    RESPONSE_MAX_BYTES)
+	if (!may_grow_by(request, length))
 		return 0;
 	g_byte_array_append(request->endpoint_body, (const guint8 *)bytes,
 	    (guint)length);
-	if (is_live_stream(request))
-		relay_events(request);
-	return length;
+	if (!is_live_stream(request))
+		return length;
+	relay_events(request, checked_bytes);
+	return request->endpoint_body->len > EVENT_MAX_BYTES ? 0 : length;
 }
 
 static void
@@ -318,6 +350,7 @@
 	request->state = request->streaming ? GW_STATE_RESPONDING
 					    : GW_STATE_FORWARDING;
 	request->first_token_reported = false;
+	request->endpoint_heads_bytes = 0;
 	clear_endpoint_response(request);
 	request->transfer_headers = gw_headers_for_endpoint(request);
 	curl_easy_setopt(handle, CURLOPT_URL, url);
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -114,6 +114,7 @@
 	/** Received bytes that are not in response_bytes yet. */
 	GByteArray *endpoint_body;
 	bool endpoint_head_complete;
+	size_t endpoint_heads_bytes; /**< heads and trailers of the attempt */
 	/* of the response to the caller */
 	uint32_t status;
 	GArray *response_headers; /**< struct gw_header */
--- /dev/null
+++ b/tests/e2e/test_gateway_endless.cc
@@ -0,0 +1,144 @@
+#include "gateway_fixture.h"
+
+using namespace e2e;
+
+namespace
+{
+
+/* Sanitizers use memory of their own for each byte, and keep freed memory. */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr bool SANITIZED = true;
+#else
+constexpr bool SANITIZED = false;
+#endif
+constexpr uint32_t CALLERS_COUNT = 8;
+/* What the requests of all callers may add to the daemon's memory. */
+constexpr uint64_t MEMORY_MAX_KB = 32 * 1024;
+
+/** A response that never ends: its start, then a piece again and again. */
+struct EndlessResponse {
+	const char *name, *path;
+	std::function<std::string(const std::string &request)> start;
+	std::string piece;
+};
+
+std::string
+repeat(const std::string &text, size_t count)
+{
+	std::string all;
+
+	for (size_t i = 0; i < count; i++)
+		all += text;
+	return all;
+}
+
+std::string
+status_line(const std::string &)
+{
+	return "HTTP/1.1 200 OK\r\n";
+}
+
+std::string
+foreign_head(const std::string &)
+{
+	return "HTTP/1.1 200 OK\r\nX-Bamboorudder-Request-Id: other\r\n"
+	       "X-Bamboorudder-Replica-Signature: sig\r\n\r\n";
+}
+
+std::string
+own_head(const std::string &request)
+{
+	std::string head = event_stream_head(request);
+
+	return head.substr(0, head.find("Content-Type")) +
+	    "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+class GatewayEndless : public Gateway,
+		       public ::testing::WithParamInterface<EndlessResponse>
+{
+      protected:
+	uint64_t memory_peak_kb()
+	{
+		std::ifstream status("/proc/" +
+		    std::to_string(harness.daemon->pid()) + "/status");
+		std::string line;
+
+		while (std::getline(status, line))
+			if (line.rfind("VmHWM:", 0) == 0)
+				return std::stoull(line.substr(6));
+		return 0;
+	}
+
+	Response send_endless(uint32_t number) const
+	{
+		return send_request("POST",
+		    "http://127.0.0.1:" + std::to_string(harness.listen_port) +
+			GetParam().path,
+		    "b",
+		    { "Host: a.example",
+			"X-Bamboorudder-Request-Id: endless" +
+			    std::to_string(number),
+			"X-Bamboorudder-Deadline-Ms: 8000" },
+		    12000);
+	}
+};
+
+TEST_P(GatewayEndless, BytesThatNeverEndNeitherFillMemoryNorHoldUpOthers)
+{
+	std::atomic<uint32_t> closed_count{ 0 };
+	std::vector<std::thread> callers;
+	const EndlessResponse &endless = GetParam();
+
+	first_endpoint.set_script([&](Connection &connection,
+				      const std::string &request) {
+		if (request.find("/safe/") != std::string::npos) {
+			connection.send_text(response_text(request, "whole"));
+			return;
+		}
+		connection.send_text(endless.start(request));
+		while (connection.send_text(endless.piece))
+			continue;
+		closed_count++;
+	});
+	start();
+	ASSERT_EQ(harness.send("GET", "/safe/").status, 200);
+	uint64_t before_kb = memory_peak_kb();
+	for (uint32_t i = 0; i < CALLERS_COUNT; i++)
+		callers.emplace_back([&, i] {
+			Response response = send_endless(i);
+			EXPECT_FALSE(
+			    response.status == 200 && response.complete);
+		});
+	for (int i = 0; i < 10; i++) {
+		EXPECT_EQ(harness.send("GET", "/safe/").status, 200);
+		std::this_thread::sleep_for(std::chrono::milliseconds(50));
+	}
+	EXPECT_TRUE(
+	    eventually([&] { return closed_count >= CALLERS_COUNT; }, 4000));
+	for (auto &caller : callers)
+		caller.join();
+	uint64_t added_kb = memory_peak_kb() - before_kb;
+	EXPECT_TRUE(SANITIZED || added_kb < MEMORY_MAX_KB) << added_kb;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, GatewayEndless,
+    ::testing::Values(EndlessResponse{ "HeaderLines", "/once/", status_line,
+			  repeat("X-A: 1\r\n", 1000) },
+	EndlessResponse{ "HeaderLine", "/once/", status_line,
+	    repeat("X-A: 12", 1000) },
+	EndlessResponse{ "InterimResponses", "/once/",
+	    [](const std::string &) { return std::string(); },
+	    repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1000) },
+	EndlessResponse{ "NoHead", "/once/",
+	    [](const std::string &) { return std::string(); },
+	    repeat("garbage", 1000) },
+	EndlessResponse{ "BodyOfAnotherRequest", "/once/", foreign_head,
+	    repeat("garbage", 1000) },
+	EndlessResponse{ "Body", "/once/", own_head,
+	    http_chunk(repeat("garbage", 1000)) },
+	EndlessResponse{ "Event", "/flow/", event_stream_head,
+	    http_chunk(repeat("data: a\n", 1000)) }),
+    [](const auto &info) { return std::string(info.param.name); });
+
+} // namespace
