--- a/bamboorudderd/gateway_load.c
+++ b/bamboorudderd/gateway_load.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "bamboorudderd/gateway_private.h"
 #include "common/log.h"
 
