Give up trailers that never end, in calls to the store and the other front end

An endpoint or the platform's store may send bytes without end.

Cause: both bound the head of a response, libcurl by itself and the relay by its own count, but nothing counted what comes after the body. Trailers without end held one thread until the timeout of the request (20 s in the test) or of the call (10 s): a caller waited that long for the end of a body that it had, and one thread of the daemon was lost for others. The relay's count also began again with each interim response; there libcurl's own bound ended it.

Now all heads and trailers of an attempt, and of a call to the store, share 64 KB. The tests failed before for trailers (9999 ms of a bound of 5000 in the client; over 5 s in the relay) and passed for header lines and interim responses. The platform's front end passes the same case, added to its test.

--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -103,6 +103,7 @@
 	curl_off_t first_byte_us = 0;
 	CURLcode code;
 
+	transfer->headers_bytes = 0;
 	curl_easy_reset(handle);
 	curl_easy_setopt(handle, CURLOPT_URL, url);
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
--- a/bamboorudderd/transfer.c
+++ b/bamboorudderd/transfer.c
@@ -58,7 +58,6 @@
 {
 	g_ptr_array_set_size(transfer->headers, 0);
 	g_clear_pointer(&transfer->connection, g_free);
-	transfer->headers_bytes = 0;
 	transfer->headers_complete = false;
 	transfer->is_stream = false;
 	transfer->not_run = false;
@@ -85,15 +84,16 @@
 	size_t length = size * count;
 	char *line;
 
+	transfer->headers_bytes += length;
+	if (transfer->headers_bytes > HEADERS_MAX_BYTES)
+		return 0;
 	if (transfer->headers_sent && transfer->resume_count == 0)
 		return length;
 	if (length > 5 && strncmp(bytes, "HTTP/", 5) == 0) {
 		clear_headers(transfer);
 		return length;
 	}
-	transfer->headers_bytes += length;
-	if (transfer->headers_bytes > HEADERS_MAX_BYTES ||
-	    transfer->headers->len >= HEADERS_MAX_COUNT)
+	if (transfer->headers->len >= HEADERS_MAX_COUNT)
 		return 0;
 	line = g_strchomp(g_strndup(bytes, length));
 	transfer->headers_complete = line[0] == '\0';
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -30,6 +30,9 @@
 	struct http_response *response = context;
 	char *value;
 
+	response->heads_bytes += size * count;
+	if (response->heads_bytes > HTTP_HEADS_MAX_BYTES)
+		return 0;
 	if (size * count > strlen(name) &&
 	    g_ascii_strncasecmp(bytes, name, strlen(name)) == 0) {
 		value = g_strndup(bytes + strlen(name),
--- a/include/bamboorudderd/transfer.h
+++ b/include/bamboorudderd/transfer.h
@@ -18,7 +18,7 @@
 	const struct relay *relay;
 	CURL *handle;
 	GPtrArray *headers; /**< lines of the headers without CR LF */
-	size_t headers_bytes;
+	size_t headers_bytes; /**< of all heads and trailers of an attempt */
 	char *connection; /**< value of the Connection header or NULL */
 	long status;
 	bool is_stream;
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -10,6 +10,8 @@
 #include <stdint.h>
 
 #define HTTP_RESPONSE_MAX_BYTES (4u * 1024u * 1024u)
+/** Of all heads and trailers of a response. */
+#define HTTP_HEADS_MAX_BYTES (64u * 1024u)
 #define HTTP_ETAG_MAX_BYTES 64u
 
 #define HTTP_ERROR (http_error_quark())
@@ -36,6 +38,7 @@
 	uint32_t status;
 	char etag[HTTP_ETAG_MAX_BYTES];
 	GString *body;
+	size_t heads_bytes; /**< of all heads and trailers received */
 	uint64_t duration_us; /**< set for a failed request, too */
 };
 
--- a/tests/e2e/test_gateway_endless.cc
+++ b/tests/e2e/test_gateway_endless.cc
@@ -135,6 +135,11 @@
 	    repeat("garbage", 1000) },
 	EndlessResponse{ "BodyOfAnotherRequest", "/once/", foreign_head,
 	    repeat("garbage", 1000) },
+	EndlessResponse{ "Trailers", "/once/",
+	    [](const std::string &request) {
+		    return own_head(request) + http_chunk("whole") + "0\r\n";
+	    },
+	    repeat("X-A: 1\r\n", 1000) },
 	EndlessResponse{ "Body", "/once/", own_head,
 	    http_chunk(repeat("garbage", 1000)) },
 	EndlessResponse{ "Event", "/flow/", event_stream_head,
--- /dev/null
+++ b/tests/e2e/test_http_client.cc
@@ -0,0 +1,80 @@
+#include <gtest/gtest.h>
+
+#include "scripted_endpoint.h"
+
+extern "C" {
+/* C++ has no _Atomic; the layout is the same without it, and the test uses no
+ * atomic field */
+#define _Atomic
+#include "common/http_client.h"
+#undef _Atomic
+}
+
+using namespace e2e;
+
+namespace
+{
+
+constexpr uint32_t TIMEOUT_MS = 10000;
+
+class HttpClient : public ::testing::Test
+{
+      protected:
+	/** @return whether a complete response came */
+	bool perform()
+	{
+		std::string url = "http://" + server.address() + "/objects/a";
+		http_request request = {};
+		GError *error = nullptr;
+
+		request.method = "GET";
+		request.url = url.c_str();
+		request.timeout_ms = TIMEOUT_MS;
+		if (http_perform(&request, &response, &error) != FALSE) {
+			http_response_finish(&response);
+			return true;
+		}
+		g_error_free(error);
+		return false;
+	}
+
+	ScriptedEndpoint server;
+	http_response response = {};
+};
+
+TEST_F(HttpClient, HeadsThatNeverEndAreNotReadUntilTheTimeout)
+{
+	const std::pair<std::string, std::string> endless[] = {
+		{ "HTTP/1.1 200 OK\r\n", "X-A: 1\r\n" },
+		{ "", "HTTP/1.1 103 Early Hints\r\n\r\n" },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "2\r\n{}\r\n0\r\n",
+		    "X-A: 1\r\n" },
+	};
+
+	for (const auto &[start, line] : endless) {
+		server.set_script(
+		    [start = start, line = line](Connection &connection,
+			const std::string &) {
+			    connection.send_text(start);
+			    while (connection.send_text(line))
+				    continue;
+		    });
+		EXPECT_FALSE(perform()) << start;
+		EXPECT_LT(response.duration_us, TIMEOUT_MS * 1000 / 2) << start;
+	}
+}
+
+TEST_F(HttpClient, TakesAResponseAfterInterimResponses)
+{
+	server.set_script([](Connection &connection, const std::string &) {
+		connection.send_text("HTTP/1.1 103 Early Hints\r\n\r\n"
+				     "HTTP/1.1 200 OK\r\nETag: \"7\"\r\n"
+				     "Content-Length: 2\r\n\r\n{}");
+	});
+	EXPECT_TRUE(perform());
+	EXPECT_EQ(response.status, 200u);
+	EXPECT_EQ(http_etag_version(response.etag), 7u);
+}
+
+} // namespace
--- a/tests/e2e/test_responses.cc
+++ b/tests/e2e/test_responses.cc
@@ -265,3 +265,33 @@
 	EXPECT_NE(text.find("\r\n\r\nonetwo"), std::string::npos) << text;
 	EXPECT_EQ(text.substr(text.size() - 6), "onetwo");
 }
+
+TEST_F(Responses, HeadsThatNeverEndDoNotHoldAWorkerUntilTheTimeout)
+{
+	const std::pair<std::string, std::string> endless[] = {
+		{ "HTTP/1.1 200 OK\r\n", "X-A: 1\r\n" },
+		{ "", "HTTP/1.1 103 Early Hints\r\n\r\n" },
+		{ response_head("Transfer-Encoding: chunked\r\n") +
+			http_chunk("whole") + "0\r\n",
+		    "X-A: 1\r\n" },
+	};
+
+	for (const auto &[start, line] : endless) {
+		auto started = std::chrono::steady_clock::now();
+
+		scripted.set_script(
+		    [start = start, line = line](Connection &connection,
+			const std::string &) {
+			    connection.send_text(start);
+			    while (connection.send_text(line))
+				    continue;
+		    });
+		Response response = send_request("POST",
+		    fleet.daemons[0].url("/plain"), "x", AUTHORIZATION);
+		EXPECT_FALSE(response.status == 200 && response.complete)
+		    << start;
+		EXPECT_LT(std::chrono::steady_clock::now() - started,
+		    std::chrono::seconds(5))
+		    << start;
+	}
+}
