--- a/tests/torture/torture.cc
+++ b/tests/torture/torture.cc
@@ -1,22 +1,15 @@
 /* Runs eight daemons under load, injects seeded faults, alone and in pairs, and
  * checks what callers and endpoints recorded:
  *   torture [--seed N] [--seconds S] */
+#include "torture.h"
+
 #include <signal.h>
 
 #include <algorithm>
-#include <atomic>
-#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
-#include <map>
 #include <memory>
-#include <mutex>
-#include <random>
-#include <set>
-#include <thread>
-
-#include "../e2e/fleet.h"
 
 extern "C" {
 #include <jansson.h>
@@ -24,81 +17,15 @@
 
 using namespace e2e;
 
-namespace
+namespace torture
 {
 
-constexpr size_t DAEMONS = 8, CALLERS_PER_ACCOUNT = 3, FLOODERS = 12;
+constexpr size_t CALLERS_PER_ACCOUNT = 3, FLOODERS = 12;
 constexpr int CHAT_TOKENS = 20;
 constexpr long REQUEST_TIMEOUT_MS = 8000;
 constexpr uint32_t SETTLE_MS = 3000, IN_FORCE_TIMEOUT_MS = 20000;
 const char *const ACCOUNTS[] = { "a", "b", "c" };
 
-using Clock = std::chrono::steady_clock;
-
-void
-sleep_ms(int64_t duration_ms)
-{
-	std::this_thread::sleep_for(std::chrono::milliseconds(duration_ms));
-}
-
-int64_t
-ms_since(Clock::time_point begin)
-{
-	return std::chrono::duration_cast<std::chrono::milliseconds>(
-	    Clock::now() - begin)
-	    .count();
-}
-
-class Torture
-{
-      public:
-	explicit Torture(uint64_t seed) : random_(seed)
-	{
-	}
-	int run(int seconds, uint64_t seed);
-
-      private:
-	size_t pick(size_t count)
-	{
-		return std::uniform_int_distribution<size_t>(0, count - 1)(
-		    random_);
-	}
-	void start();
-	std::string pools(bool second_leaving) const;
-	std::string routes(int weight) const;
-	bool apply_table(const std::string &table, const std::string &text,
-	    size_t daemon);
-	void send_booking(const std::string &account, uint64_t number);
-	void send_chat(const std::string &account, size_t index);
-	void run_caller(const std::string &account, size_t caller);
-	void run_flooder();
-	void check_versions();
-	void inject_fault(size_t kind);
-	void restart(size_t index, int signal_number);
-	void apply_concurrently();
-	void measure_edit_propagation();
-	void measure_leaving_endpoint();
-	void check_runs();
-	size_t run_count(const std::string &address) const;
-
-	std::mt19937_64 random_;
-	Fleet fleet_{ "test.hooks = true\nshutdown.drain_timeout_ms = 20000\n"
-		      "request.queue_timeout_ms = 4000\n" };
-	std::vector<std::string> engines_, services_;
-	std::vector<std::thread> threads_;
-	std::atomic<bool> stopping_{ false }, flooding_{ false };
-	std::atomic<uint64_t> requests_{ 0 }, complete_{ 0 }, wrong_{ 0 };
-	std::atomic<uint64_t> reverts_{ 0 };
-	std::atomic<uint64_t> restarts_[DAEMONS] = {};
-	std::mutex mutex_;
-	std::set<std::string> reported_not_run_;
-	std::map<std::string, uint64_t> completed_;
-	uint64_t run_twice_ = 0, false_not_run_ = 0, bad_exits_ = 0,
-		 starved_ = 0, faults_ = 0;
-	int64_t in_force_max_ms_ = 0, leaving_max_ms_ = 0;
-	int weight_ = 1;
-};
-
 std::string
 Torture::pools(bool second_leaving) const
 {
@@ -485,7 +412,7 @@
 	    : 1;
 }
 
-} // namespace
+} // namespace torture
 
 int
 main(int argc, char **argv)
@@ -499,8 +426,8 @@
 		else if (strcmp(argv[i], "--seconds") == 0)
 			seconds = atoi(argv[i + 1]);
 	}
-	Torture torture(seed);
-	status = torture.run(seconds, seed);
+	torture::Torture fleet(seed);
+	status = fleet.run(seconds, seed);
 	if (status != 0)
 		fprintf(stderr, "failed with seed %llu\n",
 		    (unsigned long long)seed);
