Let daemons see each other before one is paused with its claim

Cause, from the logs that the failing run left: the service ran the request 15 ms after daemon 0 logged member_up, and daemon 1 logged none, while in a passing run both log it before their first tables. So both daemons took themselves for the pool's owner, daemon 0 started the request beside the one that held the only slot, and it was paused after it had sent it. Nothing ran twice and the response is the right one; the test had assumed that daemon 0 waits. Over-admission while daemons do not know each other is what docs/DESIGN.md states.

The test now waits until both daemons see each other. Its checks are unchanged. What test_members had for that moves to the fleet.

--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -416,6 +416,36 @@
 		}));
 }
 
+long
+Fleet::metric(size_t index, const std::string &name) const
+{
+	std::string text =
+	    send_request("GET", daemons[index].admin_url("/metrics")).body;
+	std::string line = "\nbamboorudder_" + name + " ";
+	size_t at = text.find(line);
+
+	if (at == std::string::npos)
+		return -1;
+	return std::stol(text.substr(at + line.size()));
+}
+
+bool
+Fleet::sees_live(size_t index, long live_count) const
+{
+	return eventually(
+	    [&] { return metric(index, "members_live") == live_count; });
+}
+
+bool
+Fleet::all_see_live(long live_count) const
+{
+	bool all_agree = true;
+
+	for (size_t i = 0; i < daemons.size(); i++)
+		all_agree = sees_live(i, live_count) && all_agree;
+	return all_agree;
+}
+
 std::string
 table_json(const std::string &rows)
 {
--- a/tests/e2e/fleet.h
+++ b/tests/e2e/fleet.h
@@ -106,6 +106,13 @@
 	    size_t daemon_index = 0);
 	/** Waits until all running daemons have tables in force. */
 	void wait_ready();
+	/** @return the value of a daemon's gauge or counter, -1 if there is
+	 * none */
+	long metric(size_t index, const std::string &name) const;
+	/** Waits until a daemon sees that many live ones. */
+	bool sees_live(size_t index, long live_count) const;
+	/** Waits until all daemons see that many live ones. */
+	bool all_see_live(long live_count) const;
 	std::string platform_url(const std::string &path) const;
 	/** Starts or restarts the platform with an empty store. */
 	void start_platform();
--- a/tests/e2e/test_at_most_once.cc
+++ b/tests/e2e/test_at_most_once.cc
@@ -105,6 +105,8 @@
 	Response other, late;
 
 	start_fleet(2, 1, 1);
+	/* before, each daemon grants the slot by itself */
+	ASSERT_TRUE(fleet.all_see_live(2));
 	configure_service(0, "delay_ms=3000");
 	slot_holder = book_async(1, "long");
 	ASSERT_TRUE(wait_until_run("long"));
--- a/tests/e2e/test_members.cc
+++ b/tests/e2e/test_members.cc
@@ -13,36 +13,6 @@
 class Members : public ::testing::Test
 {
       protected:
-	/* Returns the value of a gauge or counter, or -1 if there is none. */
-	long metric(size_t index, const std::string &name)
-	{
-		std::string text = send_request("GET",
-		    fleet.daemons[index].admin_url("/metrics"))
-				       .body;
-		std::string line = "\nbamboorudder_" + name + " ";
-		size_t at = text.find(line);
-
-		if (at == std::string::npos)
-			return -1;
-		return std::stol(text.substr(at + line.size()));
-	}
-
-	bool sees_live(size_t index, long live_count)
-	{
-		return eventually([&] {
-			return metric(index, "members_live") == live_count;
-		});
-	}
-
-	bool all_see_live(long live_count)
-	{
-		bool all_agree = true;
-
-		for (size_t i = 0; i < fleet.daemons.size(); i++)
-			all_agree = sees_live(i, live_count) && all_agree;
-		return all_agree;
-	}
-
 	void partition(size_t index, const std::string &query)
 	{
 		EXPECT_EQ(fleet
@@ -67,48 +37,48 @@
 TEST_F(Members, RejoinsAfterAPartitionHeals)
 {
 	fleet.add_daemons(3);
-	ASSERT_TRUE(all_see_live(3));
+	ASSERT_TRUE(fleet.all_see_live(3));
 	partition(0, "peers=*");
-	EXPECT_TRUE(sees_live(0, 1));
-	EXPECT_TRUE(sees_live(1, 2));
-	EXPECT_TRUE(sees_live(2, 2));
+	EXPECT_TRUE(fleet.sees_live(0, 1));
+	EXPECT_TRUE(fleet.sees_live(1, 2));
+	EXPECT_TRUE(fleet.sees_live(2, 2));
 	heal(0);
-	EXPECT_TRUE(all_see_live(3));
+	EXPECT_TRUE(fleet.all_see_live(3));
 }
 
 TEST_F(Members, RemovesAKilledDaemonAndAdmitsItsRestart)
 {
 	fleet.add_daemons(4);
-	ASSERT_TRUE(all_see_live(4));
+	ASSERT_TRUE(fleet.all_see_live(4));
 	fleet.daemons[1].process->signal(SIGKILL);
 	fleet.daemons[1].process->wait();
-	EXPECT_TRUE(sees_live(0, 3));
-	EXPECT_TRUE(sees_live(2, 3));
+	EXPECT_TRUE(fleet.sees_live(0, 3));
+	EXPECT_TRUE(fleet.sees_live(2, 3));
 	fleet.start(1);
-	EXPECT_TRUE(all_see_live(4));
+	EXPECT_TRUE(fleet.all_see_live(4));
 }
 
 TEST_F(Members, RecoversFromAPauseDuringAPartition)
 {
 	fleet.add_daemons(4);
-	ASSERT_TRUE(all_see_live(4));
+	ASSERT_TRUE(fleet.all_see_live(4));
 	partition(0, "peers=" + fleet.daemons[1].peer_address());
 	fleet.daemons[2].process->signal(SIGSTOP);
-	EXPECT_TRUE(sees_live(3, 3));
-	EXPECT_TRUE(sees_live(0, 3));
+	EXPECT_TRUE(fleet.sees_live(3, 3));
+	EXPECT_TRUE(fleet.sees_live(0, 3));
 	fleet.daemons[2].process->signal(SIGCONT);
-	EXPECT_TRUE(all_see_live(4));
+	EXPECT_TRUE(fleet.all_see_live(4));
 	heal(0);
-	EXPECT_TRUE(all_see_live(4));
+	EXPECT_TRUE(fleet.all_see_live(4));
 }
 
 TEST_F(Members, AnnouncesAShutdownAtOnce)
 {
 	fleet.add_daemons(3);
-	ASSERT_TRUE(all_see_live(3));
+	ASSERT_TRUE(fleet.all_see_live(3));
 	fleet.daemons[2].process->signal(SIGTERM);
 	EXPECT_EQ(fleet.daemons[2].process->wait_with_timeout(20000), 0);
-	EXPECT_TRUE(sees_live(0, 2));
+	EXPECT_TRUE(fleet.sees_live(0, 2));
 	std::string dump = fleet.admin_request(0, "GET", "/v1/dump").body;
 	EXPECT_NE(dump.find("\"down\""), std::string::npos) << dump;
 }
