Let scripts of test endpoints own what they use

LateInADrainServesOnlyRequestsThatEndWithinTheGracePeriod failed in build-tsan: data race on the stack of the main thread. The script of an endpoint runs in threads that end with the fixture, after the locals of the test, and read one of them.

Such state is now shared with the script, or is what the endpoint records itself, in all tests with a gateway; the fixture's counters outlive its endpoints.

--- a/tests/e2e/gateway_fixture.h
+++ b/tests/e2e/gateway_fixture.h
@@ -51,9 +51,10 @@
 		};
 	}
 
+	/* before the endpoints, whose scripts use them until they end */
+	std::atomic<int> first_request_count{ 0 }, second_request_count{ 0 };
 	ScriptedEndpoint first_endpoint, second_endpoint;
 	GatewayHarness harness;
-	std::atomic<int> first_request_count{ 0 }, second_request_count{ 0 };
 };
 
 inline std::string
--- a/tests/e2e/scripted_endpoint.h
+++ b/tests/e2e/scripted_endpoint.h
@@ -77,7 +77,9 @@
 	int fd_;
 };
 
-/** Runs a script for the first request of each connection, then closes it. */
+/** Runs a script for the first request of each connection, then closes it. A
+ * script may run until the endpoint is destroyed, so it must not refer to locals
+ * of a test. */
 class ScriptedEndpoint
 {
       public:
--- a/tests/e2e/test_gateway.cc
+++ b/tests/e2e/test_gateway.cc
@@ -7,13 +7,8 @@
 
 TEST_F(Gateway, RelaysTheResponseAndFiltersHeaders)
 {
-	std::mutex mutex;
-	std::string received;
-
-	first_endpoint.set_script([&](Connection &connection,
+	first_endpoint.set_script([](Connection &connection,
 				      const std::string &request) {
-		std::lock_guard<std::mutex> lock(mutex);
-		received = request;
 		connection.send_text(response_text(request, "four", "200 OK",
 		    "X-Kept: yes\r\nX-Hop: no\r\n"
 		    "Connection: close, X-Hop\r\n"));
@@ -30,7 +25,8 @@
 	EXPECT_EQ(response.headers["x-bamboorudder-replica-signature"], "sig");
 	EXPECT_EQ(response.headers["x-kept"], "yes");
 	EXPECT_EQ(response.headers.count("x-hop"), 0u);
-	std::lock_guard<std::mutex> lock(mutex);
+	ASSERT_EQ(first_endpoint.requests().size(), 1u);
+	std::string received = first_endpoint.requests()[0];
 	EXPECT_EQ(received.rfind("POST /keyed/a%2fb?q=1 HTTP/1.1\r\n", 0), 0u);
 	EXPECT_NE(received.find("Host: a.example\r\n"), std::string::npos);
 	EXPECT_NE(received.find("X-Other: kept"), std::string::npos);
@@ -256,18 +252,18 @@
 
 TEST_F(Gateway, CancelsTheTransferWhenTheCallerDisconnects)
 {
-	std::atomic<bool> closed{ false };
+	auto closed = std::make_shared<std::atomic<bool>>(false);
 
 	first_endpoint.set_script(
-	    [&](Connection &connection, const std::string &) {
+	    [=](Connection &connection, const std::string &) {
 		    first_request_count++;
 		    /* returns when the daemon closes the connection, because it
 		     * sends no further request */
-		    closed = connection.read_request().empty();
+		    *closed = connection.read_request().empty();
 	    });
 	start();
 	harness.send("POST", "/flow/", {}, "b", 300);
-	EXPECT_TRUE(eventually([&] { return closed.load(); }, 1000));
+	EXPECT_TRUE(eventually([&] { return closed->load(); }, 1000));
 	EXPECT_EQ(first_request_count, 1);
 }
 
--- a/tests/e2e/test_gateway_endless.cc
+++ b/tests/e2e/test_gateway_endless.cc
@@ -86,21 +86,22 @@
 
 TEST_P(GatewayEndless, BytesThatNeverEndNeitherFillMemoryNorHoldUpOthers)
 {
-	std::atomic<uint32_t> closed_count{ 0 };
+	auto closed_count = std::make_shared<std::atomic<uint32_t>>(0);
 	std::vector<std::thread> callers;
-	const EndlessResponse &endless = GetParam();
-
-	first_endpoint.set_script([&](Connection &connection,
-				      const std::string &request) {
-		if (request.find("/safe/") != std::string::npos) {
-			connection.send_text(response_text(request, "whole"));
-			return;
-		}
-		connection.send_text(endless.start(request));
-		while (connection.send_text(endless.piece))
-			continue;
-		closed_count++;
-	});
+
+	first_endpoint.set_script(
+	    [closed_count, endless = GetParam()](Connection &connection,
+		const std::string &request) {
+		    if (request.find("/safe/") != std::string::npos) {
+			    connection.send_text(
+				response_text(request, "whole"));
+			    return;
+		    }
+		    connection.send_text(endless.start(request));
+		    while (connection.send_text(endless.piece))
+			    continue;
+		    (*closed_count)++;
+	    });
 	start();
 	ASSERT_EQ(harness.send("GET", "/safe/").status, 200);
 	uint64_t before_kb = memory_peak_kb();
@@ -115,7 +116,7 @@
 		std::this_thread::sleep_for(std::chrono::milliseconds(50));
 	}
 	EXPECT_TRUE(
-	    eventually([&] { return closed_count >= CALLERS_COUNT; }, 4000));
+	    eventually([&] { return *closed_count >= CALLERS_COUNT; }, 4000));
 	for (auto &caller : callers)
 		caller.join();
 	uint64_t added_kb = memory_peak_kb() - before_kb;
--- a/tests/e2e/test_gateway_state.cc
+++ b/tests/e2e/test_gateway_state.cc
@@ -17,12 +17,12 @@
 /* The platform still sends requests while it has too few other daemons. */
 TEST_F(Gateway, LateInADrainServesOnlyRequestsThatEndWithinTheGracePeriod)
 {
-	std::atomic<bool> respond_now{ false };
+	auto respond_now = std::make_shared<std::atomic<bool>>(false);
 
 	first_endpoint.set_script(
-	    [&](Connection &connection, const std::string &request) {
+	    [=](Connection &connection, const std::string &request) {
 		    while (request.find("/again/") != std::string::npos &&
-			!respond_now)
+			!*respond_now)
 			    std::this_thread::sleep_for(
 				std::chrono::milliseconds(5));
 		    connection.send_text(response_text(request, "whole"));
@@ -44,7 +44,7 @@
 	EXPECT_TRUE(harness.logged("outcome=shutting_down"));
 	/* its deadline is after the end of the grace period */
 	EXPECT_EQ(harness.send("GET", "/safe/").status, 503);
-	respond_now = true;
+	*respond_now = true;
 	caller.join();
 	EXPECT_EQ(harness.daemon->wait_with_timeout(15000), 0);
 }
@@ -146,13 +146,13 @@
 
 TEST_F(Gateway, CompletesReceivedRequestsBeforeItExits)
 {
-	std::atomic<bool> respond_now{ false };
+	auto respond_now = std::make_shared<std::atomic<bool>>(false);
 	Response response;
 
 	first_endpoint.set_script(
-	    [&](Connection &connection, const std::string &request) {
+	    [=](Connection &connection, const std::string &request) {
 		    first_request_count++;
-		    while (!respond_now)
+		    while (!*respond_now)
 			    std::this_thread::sleep_for(
 				std::chrono::milliseconds(5));
 		    connection.send_text(response_text(request, "late"));
@@ -163,7 +163,7 @@
 	EXPECT_TRUE(eventually([&] { return first_request_count == 1; }));
 	harness.daemon->signal(SIGTERM);
 	EXPECT_TRUE(eventually([&] { return !harness.is_ready(); }));
-	respond_now = true;
+	*respond_now = true;
 	caller.join();
 	EXPECT_EQ(response.body, "late");
 	EXPECT_EQ(harness.daemon->wait_with_timeout(15000), 0);
