Take back the pause of a busy daemon before each turn of its loop

The server takes a limited number of new connections in a turn of the event loop. With a wait of 4 ms before each turn, a daemon that one account floods takes fewer than arrive, and its backlog of 512 runs full. The wait also counted as idle time, so that less was shed than the daemon lacked. (The number was not measured; what is shown is that the connections fail with the wait only.)

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -10,9 +10,6 @@
 
 #define EVENTS_PER_WAIT 64
 #define CHECK_PERIOD_MS 50u
-/* A busy daemon waits this long before it looks for events, so that one turn of
- * the event loop handles several. */
-#define BUSY_PAUSE_US 4000u
 /* Share of the time within which a revoked key has to stop working; the
  * configuration is read from the store if peers have not confirmed it for that
  * long. */
@@ -146,15 +143,6 @@
 	gateway->server_due = true;
 }
 
-static void
-pause_if_busy(struct gateway *gateway)
-{
-	if (!gateway->load_shedder.busy)
-		return;
-	g_usleep(BUSY_PAUSE_US);
-	gw_load_add_idle(gateway, BUSY_PAUSE_US);
-}
-
 static void *
 gateway_main(void *pointer)
 {
@@ -163,16 +151,11 @@
 
 	gw_load_start(gateway);
 	while (!gateway->stopping) {
-		uint64_t now_ms, wait_start_us;
-		int32_t timeout_ms;
-		int count;
-
-		pause_if_busy(gateway);
-		now_ms = gw_now_ms(gateway);
-		timeout_ms = wait_timeout_ms(gateway, now_ms);
-		wait_start_us = clk_monotonic_us(&gateway->clk);
-		count = epoll_wait(gateway->epoll_fd, events, EVENTS_PER_WAIT,
-		    timeout_ms);
+		uint64_t now_ms = gw_now_ms(gateway);
+		int32_t timeout_ms = wait_timeout_ms(gateway, now_ms);
+		uint64_t wait_start_us = clk_monotonic_us(&gateway->clk);
+		int count = epoll_wait(gateway->epoll_fd, events,
+		    EVENTS_PER_WAIT, timeout_ms);
 
 		if (timeout_ms > 0)
 			gw_load_add_idle(gateway,
