Log the prompt's segments of lost responses, as warnings

Attempts now log their segments, and lost responses are warnings, which have a rate limit of their own.

--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -64,21 +64,40 @@
 	    gw_now_ms(request->gateway) < request->deadline_ms;
 }
 
+/* @return the ids of the prompt's segments, separated by commas; to be freed */
+static char *
+format_segments(const struct gw_request *request)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < request->dispatch.segments_count; i++)
+		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x",
+		    i == 0 ? "" : ",",
+		    request->dispatch.segments[i].segment_id);
+	if (text->len == 0)
+		g_string_append_c(text, '-');
+	return g_string_free(text, FALSE);
+}
+
+/* Lost responses are logged as warnings, which the lines of a flood of requests
+ * do not displace: the segments that they share tell what crashed an engine. */
 static void
-log_attempt(const struct gw_request *request, const char *result_name,
-    CURLcode code)
+log_attempt(const struct gw_request *request, enum log_level level,
+    const char *result_name, CURLcode code)
 {
 	char status[TEXT_BYTES], duration[TEXT_BYTES], events[TEXT_BYTES];
+	char *segments = format_segments(request);
 
 	g_snprintf(status, TEXT_BYTES, "%u", request->endpoint_response.status);
 	g_snprintf(duration, TEXT_BYTES, "%" G_GUINT64_FORMAT,
 	    gw_now_ms(request->gateway) - request->attempt_ms);
 	g_snprintf(events, TEXT_BYTES, "%" G_GSIZE_FORMAT,
 	    (gsize)request->sse.token_events_count);
-	log_event(LOG_LEVEL_INFO, "attempt", "id", request->head.request_id,
-	    "endpoint", request->decision.name, "ended", result_name, "status",
-	    status, "taken_ms", duration, "events", events, "error",
-	    code == CURLE_OK ? "-" : curl_easy_strerror(code), NULL);
+	log_event(level, "attempt", "id", request->head.request_id, "endpoint",
+	    request->decision.name, "ended", result_name, "status", status,
+	    "taken_ms", duration, "events", events, "segments", segments,
+	    "error", code == CURLE_OK ? "-" : curl_easy_strerror(code), NULL);
+	g_free(segments);
 }
 
 /* Requests a decision for another endpoint. */
@@ -249,6 +268,9 @@
 	request->attempts_count++;
 	if (result != ATTEMPT_COMPLETE ||
 	    request->endpoint_response.status >= 500)
-		log_attempt(request, result_handlers[result].name, code);
+		log_attempt(request,
+		    result == ATTEMPT_NO_RESPONSE ? LOG_LEVEL_WARN
+						  : LOG_LEVEL_INFO,
+		    result_handlers[result].name, code);
 	result_handlers[result].handle(request);
 }
