--- /dev/null
+++ b/tests/unit/crash_fleet.h
@@ -0,0 +1,306 @@
+/**
+ * @file
+ * Daemons that exchange messages without delay and send requests to engines
+ * that can crash, under a virtual clock.
+ */
+#ifndef TESTS_UNIT_CRASH_FLEET_H
+#define TESTS_UNIT_CRASH_FLEET_H
+
+#include <gtest/gtest.h>
+
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "core/dispatch.h"
+#include "core/dispatch_private.h"
+#include "core/hash.h"
+}
+
+namespace crash_tests
+{
+
+constexpr uint64_t FIRST_ID = 100;
+constexpr uint64_t STEP_MS = 50;
+/** Time from the start of an attempt to its first token. */
+constexpr uint64_t FIRST_TOKEN_MS = 200;
+constexpr uint64_t DURATION_MS = 1000;
+/** Time after which a crashed engine has a new process. */
+constexpr uint64_t RESTART_MS = 3000;
+/** Segment that all requests of a route share. */
+constexpr uint64_t ROUTE_SEGMENT = 1;
+constexpr uint64_t DEADLY_SEGMENT = 666;
+
+struct attempt {
+	size_t daemon;
+	uint64_t seq;
+	uint64_t started_ms;
+	uint64_t endpoint_id;
+	bool deadly;
+	bool begun;
+};
+
+struct engine {
+	std::string name;
+	uint64_t process_start_ms;
+	uint64_t back_at_ms; /**< 0 while it runs */
+};
+
+class CrashFleet
+{
+      public:
+	CrashFleet(size_t daemons_count, size_t engines_count)
+	{
+		configuration = config_snapshot_new();
+		config_pool pool = {};
+		pool.pool_id = hash_name("engines");
+		pool.engine = true;
+		g_array_append_val(configuration->pools, pool);
+		effects_init(&effects);
+		for (size_t i = 0; i < engines_count; i++)
+			engines.push_back(
+			    { "e" + std::to_string(i), now_ms, 0 });
+		for (size_t i = 0; i < daemons_count; i++) {
+			daemons.push_back({ FIRST_ID + i, i % 3, i < 9 });
+			cores.push_back(nullptr);
+			cut_off.push_back(false);
+		}
+		for (size_t i = 0; i < daemons_count; i++)
+			start_daemon(i);
+	}
+
+	~CrashFleet()
+	{
+		effects_finish(&effects);
+		for (auto &core : cores)
+			dispatch_finish(core.get());
+		config_snapshot_unref(configuration);
+	}
+
+	CrashFleet(const CrashFleet &) = delete;
+	CrashFleet &operator=(const CrashFleet &) = delete;
+
+	/** Starts a daemon, or restarts it without what it knew. */
+	void start_daemon(size_t i)
+	{
+		dispatch_config config = {};
+
+		attempts.remove_if(
+		    [i](const attempt &item) { return item.daemon == i; });
+		if (cores[i] != nullptr)
+			dispatch_finish(cores[i].get());
+		cores[i] = std::make_unique<struct dispatch>();
+		config.node_id = daemons[i].node_id;
+		config.domain_id = daemons[i].domain_id;
+		config.report_period_ms = 100;
+		config.retry_percent = 20;
+		config.retry_slack_count = 50;
+		config.retry_window_ms = 10000;
+		dispatch_init(cores[i].get(), &config);
+		dispatch_set_configuration(cores[i].get(), configuration);
+		dispatch_set_daemons(cores[i].get(), daemons.data(),
+		    daemons.size());
+		for (const engine &item : engines)
+			if (item.back_at_ms == 0)
+				put_engine(i, item);
+	}
+
+	/** A prompt with the route's segment, a subject's, further ones and one
+	 * of its own. */
+	dispatch_request make_request(uint64_t subject,
+	    const std::vector<uint64_t> &further = {})
+	{
+		dispatch_request request = {};
+		std::vector<uint64_t> ids = { ROUTE_SEGMENT, subject };
+
+		ids.insert(ids.end(), further.begin(), further.end());
+		ids.push_back(++last_own_segment);
+		request.pool_id = hash_name("engines");
+		request.account_id = 1;
+		request.request_hash = hash_bytes(&last_own_segment,
+		    sizeof(last_own_segment));
+		for (uint64_t id : ids)
+			request.segments[request.segments_count++] = { id,
+				100 };
+		request.prompt_tokens = 100 * request.segments_count;
+		request.response_tokens = 100;
+		request.latency_target_ms = 800;
+		request.remaining_ms = 15000;
+		return request;
+	}
+
+	/** @return the decision of a daemon, whose attempt then runs */
+	dispatch_decision send(size_t i, const dispatch_request &request)
+	{
+		dispatch_decision decision;
+		bool deadly = false;
+
+		for (uint32_t k = 0; k + 1 < request.segments_count; k++)
+			deadly |= deadly_segments.count(
+				      request.segments[k].segment_id) > 0;
+		dispatch_decide(cores[i].get(), &request, now_ms, &decision);
+		if (!decision.start)
+			return decision;
+		attempts.push_back({ i, decision.seq, now_ms,
+		    decision.endpoint_id, deadly, false });
+		if (deadly)
+			deadly_sent_ms.push_back(now_ms);
+		return decision;
+	}
+
+	/** Loses all attempts at an engine and replaces its process later. */
+	void crash(const std::string &name)
+	{
+		uint64_t endpoint_id = hash_name(name.c_str());
+
+		for (engine &item : engines)
+			if (item.name == name)
+				item.back_at_ms = now_ms + RESTART_MS;
+		lose_attempts(endpoint_id,
+		    [](const attempt &) { return true; });
+		for (auto &core : cores)
+			dispatch_remove_endpoint(core.get(), name.c_str());
+		crashes_ms.push_back(now_ms);
+	}
+
+	/** Loses the attempts at an endpoint that the predicate names. */
+	template <typename Predicate>
+	void lose_attempts(uint64_t endpoint_id, Predicate predicate)
+	{
+		for (auto item = attempts.begin(); item != attempts.end();) {
+			if (item->endpoint_id != endpoint_id ||
+			    !predicate(*item)) {
+				++item;
+				continue;
+			}
+			dispatch_end_attempt(cores[item->daemon].get(),
+			    item->seq, OUTCOME_BROKEN, now_ms, nullptr);
+			item = attempts.erase(item);
+		}
+	}
+
+	void step()
+	{
+		now_ms += STEP_MS;
+		restart_engines();
+		advance_attempts();
+		for (size_t i = 0; i < cores.size(); i++)
+			tick(i);
+	}
+
+	void run_for(uint64_t duration_ms)
+	{
+		for (uint64_t end_ms = now_ms + duration_ms; now_ms < end_ms;)
+			step();
+	}
+
+	/** Deadly requests sent later than a time after the fifth crash. */
+	size_t deadly_sent_after_fifth_crash(uint64_t later_ms) const
+	{
+		size_t count = 0;
+
+		for (uint64_t sent_ms : deadly_sent_ms)
+			count += crashes_ms.size() >= 5 &&
+			    sent_ms > crashes_ms[4] + later_ms;
+		return count;
+	}
+
+	std::vector<dispatch_daemon> daemons;
+	std::vector<bool> cut_off; /**< exchanges no messages */
+	std::vector<std::unique_ptr<struct dispatch>> cores;
+	std::vector<engine> engines;
+	std::list<attempt> attempts;
+	std::set<uint64_t> deadly_segments;
+	std::vector<uint64_t> crashes_ms;
+	std::vector<uint64_t> deadly_sent_ms;
+	uint64_t now_ms = 50000;
+
+      private:
+	void put_engine(size_t i, const engine &item)
+	{
+		dispatch_endpoint_info info = {};
+
+		g_strlcpy(info.name, item.name.c_str(), sizeof(info.name));
+		info.pool_id = hash_name("engines");
+		info.process_start_ms = item.process_start_ms;
+		info.slots = 32;
+		dispatch_put_endpoint(cores[i].get(), &info, now_ms);
+	}
+
+	void restart_engines()
+	{
+		for (engine &item : engines) {
+			if (item.back_at_ms == 0 || now_ms < item.back_at_ms)
+				continue;
+			item.back_at_ms = 0;
+			item.process_start_ms = now_ms;
+			for (size_t i = 0; i < cores.size(); i++)
+				put_engine(i, item);
+		}
+	}
+
+	void advance_attempts()
+	{
+		std::vector<uint64_t> crashed;
+
+		for (auto item = attempts.begin(); item != attempts.end();) {
+			struct dispatch *core = cores[item->daemon].get();
+
+			if (now_ms >= item->started_ms + DURATION_MS) {
+				dispatch_end_attempt(core, item->seq,
+				    OUTCOME_COMPLETE, now_ms, nullptr);
+				item = attempts.erase(item);
+				continue;
+			}
+			if (!item->begun &&
+			    now_ms >= item->started_ms + FIRST_TOKEN_MS) {
+				item->begun = true;
+				if (item->deadly)
+					crashed.push_back(item->endpoint_id);
+				else
+					dispatch_record_first_token(core,
+					    item->seq, now_ms);
+			}
+			++item;
+		}
+		for (uint64_t endpoint_id : crashed)
+			for (const engine &item : engines)
+				if (hash_name(item.name.c_str()) ==
+					endpoint_id &&
+				    item.back_at_ms == 0)
+					crash(item.name);
+	}
+
+	void tick(size_t i)
+	{
+		dispatch_tick(cores[i].get(), now_ms, now_ms, &effects);
+		for (size_t at = 0; at < effects.count; at++)
+			if (effects.items[at].type == EFFECT_SEND)
+				deliver(i, effects.items[at]);
+		effects_clear(&effects);
+	}
+
+	void deliver(size_t from, effect &effect)
+	{
+		size_t to = (size_t)(effect.to_node_id - FIRST_ID);
+		dispatch_freshness reported[RESOURCE_KIND_COUNT];
+
+		if (cut_off[from] || cut_off[to])
+			return;
+		effect.msg.from_node_id = FIRST_ID + from;
+		if (effect.msg.type == MSG_LOAD)
+			dispatch_handle_load_report(cores[to].get(),
+			    &effect.msg, now_ms, reported);
+	}
+
+	struct config_snapshot *configuration;
+	struct effects effects;
+	uint64_t last_own_segment = 100000;
+};
+
+} // namespace crash_tests
+
+#endif
