Block prompt segments that crash engines

Callers of sound requests saw their streams break, again and again: a request whose prompt holds a certain segment crashes the engine that begins its response, and the next such request was sent to the next engine. Class of fault: a request that kills its server is routed on without memory of what it did; failures were only counted against the engine, never against what was sent there.

Ruled out: load and memory (no common cause in the crashes with few attempts), and retries (no request was lost twice).

core/crash_suspects finds the segments: those of requests without a first token at an engine all of whose attempts end at once, less those under which responses began. Two crashes block a segment in the whole fleet; single trials lift a wrong suspicion or confirm it. A broken connection (OUTCOME_BROKEN) is now told from an invalid response and from one that was never made, which say nothing of a crash.

CrashSuspects.ASegmentThatCrashesEnginesStopsReachingThem failed before: 79 requests with the segment later than 3 s after the fifth crash (3 allowed), 100 crashes, in fleets of 1 to 76 daemons.

--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -5,6 +5,8 @@
 #include "common/metric.h"
 #include "core/owner.h"
 
+#define TEXT_BYTES 24
+
 static void
 ticket_set_result(struct ticket *ticket, enum ticket_state state,
     const struct effect *effect)
@@ -80,6 +82,18 @@
 	    member == NULL ? "?" : member->address, NULL);
 }
 
+static void
+log_suspect(const struct effect *effect)
+{
+	char segment[TEXT_BYTES], crashes[TEXT_BYTES];
+
+	g_snprintf(segment, TEXT_BYTES, "%" G_GINT64_MODIFIER "x",
+	    effect->segment_id);
+	g_snprintf(crashes, TEXT_BYTES, "%u", effect->crashes_count);
+	log_event(LOG_LEVEL_WARN, "prompt_segment", "segment", segment, "state",
+	    suspect_phase_name(effect->phase), "crashes", crashes, NULL);
+}
+
 void
 control_run_effects(struct control *control, uint64_t now_ms)
 {
@@ -101,6 +115,9 @@
 		case EFFECT_MEMBER_DOWN:
 			on_member_down(control, effect.to_node_id, now_ms);
 			break;
+		case EFFECT_SUSPECT_CHANGED:
+			log_suspect(&effect);
+			break;
 		}
 	}
 	effects_clear(&control->effects);
@@ -197,6 +214,9 @@
 	case MSG_LOAD:
 		handle_load(control, msg, now_ms);
 		break;
+	case MSG_CRASH_RECORDS:
+		dispatch_handle_crash_records(&control->dispatch, msg, now_ms);
+		break;
 	case MSG_SLOT_REQUEST:
 		deliver_to_owner(control, msg->u.slot_request.pool_id, msg,
 		    now_ms);
--- a/bamboorudderd/dump_dispatch.c
+++ b/bamboorudderd/dump_dispatch.c
@@ -1,5 +1,7 @@
 #include "bamboorudderd/dump.h"
 
+#define SEGMENT_TEXT_BYTES 24
+
 /* Dumps the known load of an endpoint and whether it takes requests. */
 static json_t *
 dump_endpoint(const struct dispatch_endpoint *endpoint, uint64_t now_ms)
@@ -46,6 +48,34 @@
 	    (json_int_t)dispatch_share_permille(dispatch, account));
 }
 
+static json_t *
+dump_suspect(const struct suspect *suspect, uint64_t now_ms)
+{
+	const struct crash_record *record = &suspect->record;
+	char segment[SEGMENT_TEXT_BYTES];
+
+	g_snprintf(segment, sizeof(segment), "%" G_GINT64_MODIFIER "x",
+	    record->segment_id);
+	return json_pack("{s:s, s:s, s:i, s:i, s:I}", "segment", segment,
+	    "state", suspect_phase_name(suspect_phase(suspect, now_ms)),
+	    "crashes", (int)record->crashes_count, "failed_trials",
+	    (int)record->failed_trials_count, "age_ms",
+	    (json_int_t)(now_ms - suspect->changed_ms));
+}
+
+static json_t *
+dump_suspects(const struct crash_suspects *suspects, uint64_t now_ms)
+{
+	json_t *items = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, suspects->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		json_array_append_new(items, dump_suspect(value, now_ms));
+	return items;
+}
+
 json_t *
 dump_dispatch(const struct dispatch *dispatch, uint64_t now_ms)
 {
@@ -59,12 +89,14 @@
 	g_hash_table_iter_init(&iter, dispatch->accounts);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		json_array_append_new(accounts, dump_account(dispatch, value));
-	return json_pack("{s:I, s:b, s:i, s:i, s:I, s:o, s:o}", "configuration",
+	return json_pack("{s:I, s:b, s:i, s:i, s:I, s:o, s:o, s:o}",
+	    "configuration",
 	    (json_int_t)(dispatch->configuration == NULL
 		    ? 0
 		    : dispatch->configuration->version),
 	    "is_hub", dispatch->is_hub, "daemons", (int)dispatch->live_count,
 	    "peers_age_ms", (int)dispatch_peers_age_ms(dispatch, now_ms),
 	    "refusals", (json_int_t)dispatch->refusals_count, "endpoints",
-	    endpoints, "accounts", accounts);
+	    endpoints, "accounts", accounts, "suspects",
+	    dump_suspects(&dispatch->crash_suspects, now_ms));
 }
--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -27,6 +27,10 @@
 		gw_request_hold_account(request);
 		gw_request_respond_error(request, 503, "overloaded",
 		    MAX(decision->retry_after_ms, 1u));
+	} else if (decision->reason == REFUSE_CRASH_SUSPECT) {
+		metric_add(METRIC_REQUESTS_SUSPECT, 1);
+		gw_request_respond_error(request, 503, "prompt_suspect",
+		    MAX(decision->retry_after_ms, 1u));
 	} else if (decision->reason == REFUSE_RETRY_BUDGET)
 		gw_request_respond_error(request, 503, "retry_budget",
 		    MAX(decision->retry_after_ms, 1u));
@@ -143,10 +147,10 @@
 }
 
 static void
-on_no_response(struct gw_request *request)
+on_lost_response(struct gw_request *request, enum dispatch_outcome outcome)
 {
 	request->may_have_run = true;
-	gw_dispatch_done(request, OUTCOME_BROKEN);
+	gw_dispatch_done(request, outcome);
 	if (may_retry(request) && attempts_remain(request)) {
 		if (request->streaming)
 			metric_add(METRIC_STREAMS_RESUMED, 1);
@@ -155,10 +159,23 @@
 		gw_request_respond_error(request, 502, "no_answer", 0);
 }
 
+/* The connection ended without a whole response. */
+static void
+on_no_response(struct gw_request *request)
+{
+	on_lost_response(request, OUTCOME_BROKEN);
+}
+
+static void
+on_invalid_response(struct gw_request *request)
+{
+	on_lost_response(request, OUTCOME_INVALID);
+}
+
 static void
 on_unreached(struct gw_request *request)
 {
-	gw_dispatch_done(request, OUTCOME_BROKEN);
+	gw_dispatch_done(request, OUTCOME_UNREACHED);
 	request->attempts_count--;
 	if (++request->unreached_count <= UNREACHED_MAX_COUNT &&
 	    request->dispatch.tried_count < TRIED_MAX_COUNT)
@@ -189,7 +206,7 @@
 	bool failed = request->endpoint_response.status >= 500;
 
 	if (request->streaming && request->endpoint_response.status != 200) {
-		on_no_response(request);
+		on_invalid_response(request);
 		return;
 	}
 	if (request->streaming) {
@@ -227,6 +244,7 @@
 	ATTEMPT_MOVED,
 	ATTEMPT_COMPLETE,
 	ATTEMPT_NO_RESPONSE,
+	ATTEMPT_INVALID_RESPONSE,
 	ATTEMPT_RESULT_COUNT
 };
 
@@ -239,6 +257,7 @@
 	[ATTEMPT_MOVED] = { "moved", on_moved },
 	[ATTEMPT_COMPLETE] = { "whole", on_complete },
 	[ATTEMPT_NO_RESPONSE] = { "no_answer", on_no_response },
+	[ATTEMPT_INVALID_RESPONSE] = { "no_answer", on_invalid_response },
 };
 
 static enum attempt_result
@@ -255,7 +274,10 @@
 	if (code == CURLE_OK && request->endpoint_head_complete &&
 	    wire_response_matches(&request->endpoint_response, &request->head))
 		return ATTEMPT_COMPLETE;
-	return ATTEMPT_NO_RESPONSE;
+	/* the callbacks end responses that are too large or malformed */
+	return code == CURLE_OK || code == CURLE_WRITE_ERROR
+	    ? ATTEMPT_INVALID_RESPONSE
+	    : ATTEMPT_NO_RESPONSE;
 }
 
 void
@@ -269,8 +291,10 @@
 	if (result != ATTEMPT_COMPLETE ||
 	    request->endpoint_response.status >= 500)
 		log_attempt(request,
-		    result == ATTEMPT_NO_RESPONSE ? LOG_LEVEL_WARN
-						  : LOG_LEVEL_INFO,
+		    result == ATTEMPT_NO_RESPONSE ||
+			    result == ATTEMPT_INVALID_RESPONSE
+			? LOG_LEVEL_WARN
+			: LOG_LEVEL_INFO,
 		    result_handlers[result].name, code);
 	result_handlers[result].handle(request);
 }
--- a/common/codec_decode.c
+++ b/common/codec_decode.c
@@ -318,6 +318,33 @@
 		read_load_cached_segment(reader, &cached_segments[i]);
 }
 
+static void
+read_crash_record(struct reader *reader, struct crash_record *record)
+{
+	if (read_count(reader, CRASH_RECORD_FIELDS) != CRASH_RECORD_FIELDS)
+		reader->failed = true;
+	record->segment_id = read_uint(reader, UINT64_MAX);
+	record->crashes_count = read_count(reader, CRASH_RECORD_IDS_COUNT);
+	for (uint32_t i = 0; i < record->crashes_count; i++)
+		record->crash_ids[i] = read_uint(reader, UINT64_MAX);
+	record->failed_trials_count = (uint32_t)read_uint(reader, UINT32_MAX);
+	record->epoch = (uint32_t)read_uint(reader, UINT32_MAX);
+	record->age_ms = (uint32_t)read_uint(reader, UINT32_MAX);
+	record->cleared = read_uint(reader, 1) != 0;
+}
+
+static void
+read_crash_records(struct reader *reader, struct msg_crash_records *records)
+{
+	struct crash_record *items;
+
+	records->count = read_count(reader, CRASH_RECORDS_MAX_COUNT);
+	items = g_new0(struct crash_record, records->count);
+	records->items = items;
+	for (uint32_t i = 0; i < records->count; i++)
+		read_crash_record(reader, &items[i]);
+}
+
 static void
 read_body(struct reader *reader, struct msg *msg)
 {
@@ -376,6 +403,9 @@
 	case MSG_LOAD:
 		read_load(reader, &msg->u.load);
 		break;
+	case MSG_CRASH_RECORDS:
+		read_crash_records(reader, &msg->u.crash_records);
+		break;
 	case MSG_TYPE_COUNT:
 		reader->failed = true;
 		break;
@@ -445,6 +475,9 @@
 		msg->u.load.endpoints = NULL;
 		msg->u.load.accounts = NULL;
 		msg->u.load.cached_segments = NULL;
+	} else if (msg->type == MSG_CRASH_RECORDS) {
+		g_free((gpointer)msg->u.crash_records.items);
+		msg->u.crash_records.items = NULL;
 	} else if (msg->type == MSG_TABLES_DATA) {
 		g_free((gpointer)msg->u.tables_data.text);
 		msg->u.tables_data.text = NULL;
--- a/common/codec_encode.c
+++ b/common/codec_encode.c
@@ -203,6 +203,28 @@
 	}
 }
 
+static void
+write_crash_record(GByteArray *out, const struct crash_record *record)
+{
+	write_token(out, mpack_pack_array(CRASH_RECORD_FIELDS));
+	write_uint(out, record->segment_id);
+	write_token(out, mpack_pack_array(record->crashes_count));
+	for (uint32_t i = 0; i < record->crashes_count; i++)
+		write_uint(out, record->crash_ids[i]);
+	write_uint(out, record->failed_trials_count);
+	write_uint(out, record->epoch);
+	write_uint(out, record->age_ms);
+	write_uint(out, record->cleared);
+}
+
+static void
+write_crash_records(GByteArray *out, const struct msg_crash_records *records)
+{
+	write_token(out, mpack_pack_array(records->count));
+	for (uint32_t i = 0; i < records->count; i++)
+		write_crash_record(out, &records->items[i]);
+}
+
 static void
 write_cancel(GByteArray *out, const struct msg_cancel *cancel)
 {
@@ -269,6 +291,9 @@
 	case MSG_LOAD:
 		write_load(out, &msg->u.load);
 		break;
+	case MSG_CRASH_RECORDS:
+		write_crash_records(out, &msg->u.crash_records);
+		break;
 	case MSG_TYPE_COUNT:
 		break;
 	}
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -76,6 +76,9 @@
 	    NULL, dispatch_peer_free);
 	dispatch->budgets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, g_free);
+	crash_suspects_init(&dispatch->crash_suspects);
+	dispatch->losses = g_array_new(FALSE, FALSE,
+	    sizeof(struct dispatch_loss));
 	dispatch->hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->cache_updates = g_array_new(FALSE, FALSE,
 	    sizeof(struct dispatch_cache_update));
@@ -95,6 +98,8 @@
 	g_hash_table_destroy(dispatch->accounts);
 	g_hash_table_destroy(dispatch->peers);
 	g_hash_table_destroy(dispatch->budgets);
+	crash_suspects_finish(&dispatch->crash_suspects);
+	g_array_free(dispatch->losses, TRUE);
 	g_array_free(dispatch->hubs, TRUE);
 	g_array_free(dispatch->hub_candidates, TRUE);
 	g_array_free(dispatch->cache_updates, TRUE);
@@ -187,9 +192,22 @@
 	dispatch->refusals_count++;
 }
 
+/* The time to wait is not shortened to the caller's remaining time: until then,
+ * the request would be refused again. */
+static void
+refuse_suspect(struct dispatch *dispatch, uint32_t retry_after_ms,
+    struct dispatch_decision *decision)
+{
+	decision->start = false;
+	decision->reason = REFUSE_CRASH_SUSPECT;
+	decision->retry_after_ms = retry_after_ms;
+	dispatch->refusals_count++;
+}
+
 static void
 start(struct dispatch *dispatch, const struct dispatch_request *request,
-    const struct dispatch_candidate *candidate, bool engine, uint64_t now_ms,
+    const struct dispatch_candidate *candidate, bool engine,
+    uint64_t trial_segment_id, uint64_t now_ms,
     struct dispatch_decision *decision)
 {
 	struct dispatch_endpoint *endpoint = candidate->endpoint;
@@ -207,6 +225,11 @@
 		    candidate->prefill_ms);
 		dispatch_cache_record(dispatch, endpoint, request, now_ms);
 	}
+	attempt->shared_segments_count = dispatch_shared_segment_ids(request,
+	    attempt->shared_segment_ids);
+	attempt->trial_segment_id = trial_segment_id;
+	crash_suspects_start_trial(&dispatch->crash_suspects, trial_segment_id,
+	    now_ms);
 	endpoint->local.running_count++;
 	endpoint->local.prefill_tokens += attempt->prefill_tokens;
 	endpoint->local.kv_tokens += attempt->kv_tokens;
@@ -275,8 +298,8 @@
 
 static void
 admit(struct dispatch *dispatch, const struct dispatch_request *request,
-    const struct dispatch_candidate *best, uint64_t now_ms,
-    struct dispatch_decision *decision)
+    const struct dispatch_candidate *best, uint64_t trial_segment_id,
+    uint64_t now_ms, struct dispatch_decision *decision)
 {
 	struct dispatch_forecast *forecast = &decision->forecast;
 	struct dispatch_account *account = dispatch_get_account(dispatch,
@@ -311,7 +334,8 @@
 		return;
 	}
 	account->served_tokens += tokens_to_charge(request);
-	start(dispatch, request, best, true, now_ms, decision);
+	start(dispatch, request, best, true, trial_segment_id, now_ms,
+	    decision);
 }
 
 void
@@ -324,11 +348,17 @@
 	    : config_snapshot_find_pool(dispatch->configuration,
 		  request->pool_id);
 	struct dispatch_candidate best;
+	struct suspect_verdict verdict;
 
 	memset(decision, 0, sizeof(*decision));
 	dispatch_sum_remote_load(dispatch);
 	decision->forecast.peers_age_ms = dispatch_peers_age_ms(dispatch,
 	    now_ms);
+	dispatch_check_suspects(dispatch, request, now_ms, &verdict);
+	if (verdict.refuse) {
+		refuse_suspect(dispatch, verdict.retry_after_ms, decision);
+		return;
+	}
 	if (request->tried_count == 0)
 		dispatch_count_request(dispatch, request->pool_id, now_ms);
 	else if (!request->unreached &&
@@ -346,9 +376,11 @@
 	decision->forecast.running_count = (uint32_t)dispatch_running_requests(
 	    best.endpoint);
 	if (pool->engine)
-		admit(dispatch, request, &best, now_ms, decision);
+		admit(dispatch, request, &best, verdict.trial_segment_id,
+		    now_ms, decision);
 	else
-		start(dispatch, request, &best, false, now_ms, decision);
+		start(dispatch, request, &best, false, verdict.trial_segment_id,
+		    now_ms, decision);
 }
 
 void
@@ -383,6 +415,15 @@
 		AVERAGE_WEIGHT);
 }
 
+static void
+record_begin(struct dispatch *dispatch, const struct dispatch_attempt *attempt,
+    uint64_t now_ms)
+{
+	crash_suspects_record_begin(&dispatch->crash_suspects,
+	    attempt->shared_segment_ids, attempt->shared_segments_count,
+	    now_ms);
+}
+
 void
 dispatch_record_first_token(struct dispatch *dispatch, uint64_t seq,
     uint64_t now_ms)
@@ -394,6 +435,7 @@
 	if (attempt == NULL || attempt->first_token_arrived)
 		return;
 	attempt->first_token_arrived = true;
+	record_begin(dispatch, attempt, now_ms);
 	endpoint = g_hash_table_lookup(dispatch->endpoints,
 	    &attempt->endpoint_id);
 	if (endpoint == NULL)
@@ -428,10 +470,15 @@
 	memset(health_update, 0, sizeof(*health_update));
 	if (attempt == NULL)
 		return;
+	if (outcome == OUTCOME_COMPLETE && !attempt->first_token_arrived)
+		record_begin(dispatch, attempt, now_ms);
 	endpoint = g_hash_table_lookup(dispatch->endpoints,
 	    &attempt->endpoint_id);
 	if (endpoint != NULL) {
 		release(endpoint, attempt);
+		if (outcome == OUTCOME_BROKEN)
+			dispatch_record_loss(dispatch, endpoint, attempt,
+			    now_ms);
 		health_update->change = dispatch_update_health(endpoint,
 		    outcome, now_ms);
 		health_update->failing_permille = endpoint->failing_permille;
--- /dev/null
+++ b/core/dispatch_crash.c
@@ -0,0 +1,185 @@
+#include "core/dispatch_private.h"
+#include "core/hash.h"
+
+/* A crash ends all connections to an engine. A daemon notices them within this
+ * time, a busy one within the second. */
+#define CRASH_SPREAD_MS 100u
+#define CRASH_SPREAD_MAX_MS 600u
+
+uint32_t
+dispatch_shared_segment_ids(const struct dispatch_request *request,
+    uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT - 1])
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i + 1 < request->segments_count; i++)
+		segment_ids[count++] = request->segments[i].segment_id;
+	return count;
+}
+
+void
+dispatch_check_suspects(const struct dispatch *dispatch,
+    const struct dispatch_request *request, uint64_t now_ms,
+    struct suspect_verdict *verdict)
+{
+	uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT - 1];
+	uint32_t count = dispatch_shared_segment_ids(request, segment_ids);
+	uint64_t lot = request->request_hash % MAX(dispatch->live_count, 1);
+
+	crash_suspects_check(&dispatch->crash_suspects, segment_ids, count, lot,
+	    now_ms, verdict);
+}
+
+void
+dispatch_record_loss(struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint,
+    const struct dispatch_attempt *attempt, uint64_t now_ms)
+{
+	uint64_t process[] = { endpoint->endpoint_id,
+		endpoint->info.process_start_ms };
+	struct dispatch_loss loss = {
+		.attempt = *attempt,
+		.crash_id = hash_bytes(process, sizeof(process)),
+		.lost_ms = now_ms,
+	};
+
+	if (!attempt->first_token_arrived && attempt->shared_segments_count > 0)
+		g_array_append_val(dispatch->losses, loss);
+}
+
+/* An engine whose other attempts go on has not crashed. */
+static bool
+engine_runs_on(const struct dispatch *dispatch,
+    const struct dispatch_loss *loss)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dispatch_attempt *attempt = value;
+		if (attempt->endpoint_id == loss->attempt.endpoint_id &&
+		    attempt->started_ms < loss->lost_ms)
+			return true;
+	}
+	return false;
+}
+
+/* @return whether the loss has been dealt with */
+static bool
+judge_loss(struct dispatch *dispatch, const struct dispatch_loss *loss,
+    uint64_t now_ms)
+{
+	const struct dispatch_attempt *attempt = &loss->attempt;
+
+	if (now_ms < loss->lost_ms + CRASH_SPREAD_MS)
+		return false;
+	if (engine_runs_on(dispatch, loss))
+		return now_ms >= loss->lost_ms + CRASH_SPREAD_MAX_MS;
+	crash_suspects_record_crash(&dispatch->crash_suspects, loss->crash_id,
+	    attempt->shared_segment_ids, attempt->shared_segments_count,
+	    attempt->trial_segment_id, now_ms);
+	return true;
+}
+
+static void
+find_crashes(struct dispatch *dispatch, uint64_t now_ms)
+{
+	GArray *losses = dispatch->losses;
+
+	for (guint i = 0; i < losses->len;)
+		if (judge_loss(dispatch,
+			&g_array_index(losses, struct dispatch_loss, i),
+			now_ms))
+			g_array_remove_index(losses, i);
+		else
+			i++;
+}
+
+static void
+send_records(const GArray *records, uint64_t to_node_id,
+    struct effects *effects)
+{
+	struct msg_crash_records *message = &effects_send(effects, to_node_id,
+	    MSG_CRASH_RECORDS)
+						 ->u.crash_records;
+
+	message->count = records->len;
+	message->items = g_memdup2(records->data,
+	    records->len * sizeof(struct crash_record));
+}
+
+/* Sends to the daemons that receive this daemon's load reports. */
+static void
+send_to_peers(const struct dispatch *dispatch, const GArray *records,
+    struct effects *effects)
+{
+	uint64_t hub_id = dispatch_hub_id(dispatch);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!dispatch->is_hub) {
+		if (hub_id != 0)
+			send_records(records, hub_id, effects);
+		return;
+	}
+	for (guint i = 0; i < dispatch->hubs->len; i++)
+		send_records(records,
+		    g_array_index(dispatch->hubs, uint64_t, i), effects);
+	g_hash_table_iter_init(&iter, dispatch->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dispatch_peer *peer = value;
+		if (!peer->is_hub)
+			send_records(records, peer->node_id, effects);
+	}
+}
+
+static void
+log_changes(struct dispatch *dispatch, uint64_t now_ms, struct effects *effects)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->crash_suspects.suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct suspect *suspect = value;
+		struct effect *effect;
+
+		if (!suspect->to_log)
+			continue;
+		suspect->to_log = false;
+		effect = effects_add(effects, EFFECT_SUSPECT_CHANGED);
+		effect->segment_id = suspect->record.segment_id;
+		effect->phase = suspect_phase(suspect, now_ms);
+		effect->crashes_count = suspect->record.crashes_count +
+		    suspect->record.failed_trials_count;
+	}
+}
+
+void
+dispatch_tick_crashes(struct dispatch *dispatch, uint64_t now_ms,
+    struct effects *effects)
+{
+	GArray *records;
+
+	find_crashes(dispatch, now_ms);
+	if (g_hash_table_size(dispatch->crash_suspects.suspects) == 0)
+		return;
+	log_changes(dispatch, now_ms, effects);
+	records = g_array_new(FALSE, FALSE, sizeof(struct crash_record));
+	crash_suspects_collect(&dispatch->crash_suspects, now_ms, records);
+	if (records->len > 0)
+		send_to_peers(dispatch, records, effects);
+	g_array_free(records, TRUE);
+}
+
+void
+dispatch_handle_crash_records(struct dispatch *dispatch, const struct msg *msg,
+    uint64_t now_ms)
+{
+	const struct msg_crash_records *records = &msg->u.crash_records;
+
+	for (uint32_t i = 0; i < records->count; i++)
+		crash_suspects_merge(&dispatch->crash_suspects,
+		    &records->items[i], now_ms);
+}
--- a/core/dispatch_health.c
+++ b/core/dispatch_health.c
@@ -44,7 +44,8 @@
 dispatch_update_health(struct dispatch_endpoint *endpoint,
     enum dispatch_outcome outcome, uint64_t now_ms)
 {
-	bool failed = outcome == OUTCOME_FAILED || outcome == OUTCOME_BROKEN ||
+	bool failed = outcome == OUTCOME_FAILED || outcome == OUTCOME_INVALID ||
+	    outcome == OUTCOME_UNREACHED || outcome == OUTCOME_BROKEN ||
 	    outcome == OUTCOME_MOVED;
 
 	if (outcome == OUTCOME_CANCELLED || outcome == OUTCOME_REFUSED) {
--- a/core/dispatch_peers.c
+++ b/core/dispatch_peers.c
@@ -243,6 +243,8 @@
 	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++)
 		read_freshness(&load->freshness[kind], load->echo_ms,
 		    &freshness[kind]);
+	if (!g_hash_table_contains(dispatch->peers, &msg->from_node_id))
+		crash_suspects_announce_again(&dispatch->crash_suspects);
 	/* the current hub reports the load of all other daemons */
 	if (!dispatch->is_hub) {
 		if (msg->from_node_id != dispatch_hub_id(dispatch))
@@ -451,6 +453,7 @@
 		dispatch->peers_changed = true;
 	dispatch_sum_remote_load(dispatch);
 	dispatch_update_shares(dispatch, now_ms);
+	dispatch_tick_crashes(dispatch, now_ms, effects);
 	if (now_ms < dispatch->report_due_ms)
 		return;
 	dispatch->report_due_ms = now_ms + dispatch->config.report_period_ms;
--- a/core/effect.c
+++ b/core/effect.c
@@ -23,6 +23,8 @@
 			g_free((gpointer)effect->msg.u.load.accounts);
 			g_free((gpointer)effect->msg.u.load.cached_segments);
 		}
+		if (effect->msg.type == MSG_CRASH_RECORDS)
+			g_free((gpointer)effect->msg.u.crash_records.items);
 		if (effect->msg.type != MSG_REQUEST_REPORT)
 			continue;
 		g_free((gpointer)effect->msg.u.request_report.items);
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "core/config_snapshot.h"
+#include "core/crash_suspects.h"
 #include "core/effect.h"
 #include "core/msg.h"
 
@@ -89,7 +90,11 @@
 	OUTCOME_REFUSED, /**< the endpoint is full */
 	OUTCOME_MOVED, /**< another endpoint has the address now */
 	OUTCOME_FAILED, /**< the endpoint responded with an error */
-	OUTCOME_BROKEN /**< no response, or an invalid one */
+	OUTCOME_INVALID, /**< the response was invalid */
+	OUTCOME_UNREACHED, /**< the request was not sent */
+	/** The connection ended without a whole response: the endpoint may have
+	 * crashed. */
+	OUTCOME_BROKEN
 };
 
 /** Change in an endpoint's health after an attempt. */
@@ -197,6 +202,8 @@
 	 * capacity suffices for all. */
 	uint64_t fair_share_tokens;
 	uint64_t mean_duration_ms; /**< moving average of complete responses */
+	struct crash_suspects crash_suspects;
+	GArray *losses; /**< struct dispatch_loss */
 	GHashTable *budgets; /**< pool_id to struct dispatch_retry_budget */
 	uint64_t refusals_count;
 };
@@ -279,6 +286,10 @@
     const struct msg *msg, uint64_t now_ms,
     struct dispatch_freshness freshness[RESOURCE_KIND_COUNT]);
 
+/** Handles a peer's records of prompt segments that were in engine crashes. */
+void dispatch_handle_crash_records(struct dispatch *dispatch,
+    const struct msg *msg, uint64_t now_ms);
+
 /**
  * Expires old load reports, updates the fair share and sends load reports when
  * they are due. To be called at least every 50 ms.
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -17,6 +17,17 @@
 	uint32_t forecast_ms; /**< until the end of its prefill */
 	bool engine;
 	bool first_token_arrived;
+	/** Segments of the prompt but the request's own. */
+	uint64_t shared_segment_ids[PROMPT_SEGMENTS_MAX_COUNT - 1];
+	uint32_t shared_segments_count;
+	uint64_t trial_segment_id; /**< a trial of a suspect; 0: none */
+};
+
+/** An attempt at an engine that was lost before its first token. */
+struct dispatch_loss {
+	struct dispatch_attempt attempt;
+	uint64_t crash_id; /**< identifies the engine's process */
+	uint64_t lost_ms;
 };
 
 static inline uint64_t
@@ -125,6 +136,27 @@
 bool dispatch_take_retry(struct dispatch *dispatch, uint64_t pool_id,
     uint64_t now_ms);
 
+/** Copies the segments of a prompt but the request's own. @return their number
+ */
+uint32_t dispatch_shared_segment_ids(const struct dispatch_request *request,
+    uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT - 1]);
+
+/** Decides whether a request may reach an engine although its prompt may have
+ * crashed others. */
+void dispatch_check_suspects(const struct dispatch *dispatch,
+    const struct dispatch_request *request, uint64_t now_ms,
+    struct suspect_verdict *verdict);
+
+/** Records an attempt whose connection ended without a whole response. */
+void dispatch_record_loss(struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint,
+    const struct dispatch_attempt *attempt, uint64_t now_ms);
+
+/** Finds the crashes among the recorded losses, and sends changed records to
+ * other daemons. */
+void dispatch_tick_crashes(struct dispatch *dispatch, uint64_t now_ms,
+    struct effects *effects);
+
 /** Updates an endpoint's health with the outcome of an attempt. */
 enum dispatch_health_change
 dispatch_update_health(struct dispatch_endpoint *endpoint,
--- a/include/core/effect.h
+++ b/include/core/effect.h
@@ -9,6 +9,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/crash_suspects.h"
 #include "core/msg.h"
 
 enum effect_type {
@@ -16,7 +17,9 @@
 	EFFECT_START, /**< start the request seq at endpoint_id */
 	EFFECT_REFUSE, /**< refuse the request seq, which has not run */
 	EFFECT_MEMBER_UP,
-	EFFECT_MEMBER_DOWN
+	EFFECT_MEMBER_DOWN,
+	/** log that the phase of the prompt segment segment_id has changed */
+	EFFECT_SUSPECT_CHANGED
 };
 
 struct effect {
@@ -26,6 +29,9 @@
 	uint64_t endpoint_id;
 	uint32_t retry_after_ms;
 	enum refuse_reason reason;
+	uint64_t segment_id;
+	enum suspect_phase phase;
+	uint32_t crashes_count; /**< engine processes that crashed with it */
 	struct msg msg;
 };
 
--- a/include/core/limits.h
+++ b/include/core/limits.h
@@ -14,6 +14,10 @@
 #define ENDPOINTS_MAX_COUNT 1024u
 #define LOAD_ACCOUNTS_MAX_COUNT 1024u
 #define LOAD_CACHED_SEGMENTS_MAX_COUNT 256u
+/** Records of suspected prompt segments in one message. */
+#define CRASH_RECORDS_MAX_COUNT 64u
+/** Crashes that a record of a prompt segment names. */
+#define CRASH_RECORD_IDS_COUNT 4u
 /** Requests that a daemon holds in all pools together. */
 #define REPORT_ITEMS_MAX_COUNT 4096u
 
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -6,6 +6,7 @@
 #ifndef CORE_MSG_H
 #define CORE_MSG_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "core/limits.h"
@@ -29,6 +30,7 @@
 	MSG_TABLES_PULL,
 	MSG_TABLES_DATA,
 	MSG_LOAD,
+	MSG_CRASH_RECORDS,
 	MSG_TYPE_COUNT
 };
 
@@ -40,6 +42,7 @@
 	REFUSE_NO_ENDPOINT,
 	REFUSE_SHUTDOWN,
 	REFUSE_RETRY_BUDGET, /**< no further attempt is allowed now */
+	REFUSE_CRASH_SUSPECT, /**< its prompt may crash engines */
 	REFUSE_REASON_COUNT
 };
 
@@ -280,6 +283,25 @@
 	uint32_t cached_segments_count;
 };
 
+/** What a daemon knows of a prompt segment that was in engine crashes. */
+struct crash_record {
+	uint64_t segment_id;
+	uint64_t crash_ids[CRASH_RECORD_IDS_COUNT]; /**< engine processes */
+	uint32_t crashes_count; /**< valid entries of crash_ids */
+	uint32_t failed_trials_count;
+	/** Grows when the segment is suspected again after it was cleared. */
+	uint32_t epoch;
+	uint32_t age_ms; /**< of the latest evidence */
+	bool cleared; /**< a response began since */
+};
+
+/** Records that changed, and those of blocked segments from time to time. The
+ * array has the same owner as those of msg_request_report. */
+struct msg_crash_records {
+	const struct crash_record *items;
+	uint32_t count;
+};
+
 enum table_kind { TABLE_ROUTES, TABLE_POOLS, TABLE_KIND_COUNT };
 
 /** JSON text of one table. In an effect the text belongs to the caller of
@@ -309,6 +331,7 @@
 		struct msg_tables_versions versions;
 		struct msg_tables_data tables_data;
 		struct msg_load load;
+		struct msg_crash_records crash_records;
 	} u;
 };
 
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -294,6 +294,9 @@
 		if (effect.msg.type == MSG_LOAD)
 			dispatch_handle_load_report(cores[to].get(),
 			    &effect.msg, now_ms, reported);
+		else if (effect.msg.type == MSG_CRASH_RECORDS)
+			dispatch_handle_crash_records(cores[to].get(),
+			    &effect.msg, now_ms);
 	}
 
 	struct config_snapshot *configuration;
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -75,6 +75,28 @@
 	g_byte_array_free(bytes, TRUE);
 }
 
+TEST(Codec, CrashRecordsRoundTrip)
+{
+	GByteArray *bytes = g_byte_array_new();
+	crash_record records[] = { { UINT64_MAX, { 1, UINT64_MAX }, 2, 3, 4,
+				       UINT32_MAX, true },
+		{ 6, {}, 0, 0, 0, 0, false } };
+	msg message = {}, decoded;
+
+	message.type = MSG_CRASH_RECORDS;
+	message.u.crash_records = { records, 2 };
+	codec_encode(&message, bytes);
+	ASSERT_TRUE(codec_decode(bytes->data, bytes->len, &decoded));
+	ASSERT_EQ(decoded.u.crash_records.count, 2u);
+	EXPECT_EQ(memcmp(decoded.u.crash_records.items, records,
+		      sizeof(records)),
+	    0);
+	codec_release(&decoded);
+	for (guint length = 0; length < bytes->len; length++)
+		EXPECT_FALSE(codec_decode(bytes->data, length, &decoded));
+	g_byte_array_free(bytes, TRUE);
+}
+
 TEST(Codec, HeartbeatTextsRoundTrip)
 {
 	GByteArray *bytes = g_byte_array_new();
--- a/tests/unit/test_crash_suspects.cc
+++ b/tests/unit/test_crash_suspects.cc
@@ -1,5 +1,7 @@
 #include "crash_fleet.h"
 
+#include <algorithm>
+
 using namespace crash_tests;
 
 namespace
@@ -66,4 +68,223 @@
 	}
 }
 
+/** Lets a deadly segment be found, and waits until all daemons block it. */
+void
+find_deadly_segment(CrashFleet &fleet)
+{
+	fleet.run_for(500);
+	fleet.deadly_segments = { DEADLY_SEGMENT };
+	run_traffic(fleet, 10000, 11);
+}
+
+TEST(CrashSuspects, SoundRequestsWithTheOtherSegmentsAreServed)
+{
+	for (size_t daemons_count : { 1u, 7u, 76u }) {
+		CrashFleet fleet(daemons_count, 18);
+
+		find_deadly_segment(fleet);
+		traffic_counts counts = run_traffic(fleet, 10000, 11);
+		EXPECT_GE(counts.sound_started * 100, counts.sound_sent * 95)
+		    << daemons_count << " daemons";
+		EXPECT_GE(counts.subject_started * 100,
+		    counts.subject_sent * 95)
+		    << daemons_count << " daemons";
+	}
+}
+
+TEST(CrashSuspects, TwoDeadlySegmentsAreBothBlocked)
+{
+	constexpr uint64_t OTHER_SEGMENT = 667;
+	CrashFleet fleet(7, 18);
+
+	find_deadly_segment(fleet);
+	fleet.deadly_segments = { DEADLY_SEGMENT, OTHER_SEGMENT };
+	fleet.crashes_ms.clear();
+	fleet.deadly_sent_ms.clear();
+	for (int i = 0; i < 200; i++) {
+		fleet.send(i % 7, fleet.make_request(30, { OTHER_SEGMENT }));
+		run_traffic(fleet, 100, 11);
+	}
+	EXPECT_LE(fleet.deadly_sent_after_fifth_crash(STABLE_WINDOW_MS),
+	    SENT_LATER_MAX_COUNT);
+	EXPECT_LE(fleet.crashes_ms.size(), 8u);
+}
+
+TEST(CrashSuspects, ARestartedDaemonLearnsOfDeadlySegments)
+{
+	for (size_t daemons_count : { 7u, 76u }) {
+		CrashFleet fleet(daemons_count, 18);
+
+		find_deadly_segment(fleet);
+		for (size_t i : { size_t(0), daemons_count - 1 }) {
+			fleet.start_daemon(i);
+			fleet.run_for(STABLE_WINDOW_MS);
+			EXPECT_EQ(fleet
+				      .send(i,
+					  fleet.make_request(11,
+					      { DEADLY_SEGMENT }))
+				      .reason,
+			    REFUSE_CRASH_SUSPECT)
+			    << i << " of " << daemons_count;
+		}
+	}
+}
+
+TEST(CrashSuspects, ADaemonThatWasCutOffLearnsOfDeadlySegments)
+{
+	CrashFleet fleet(7, 18);
+
+	fleet.run_for(500);
+	fleet.cut_off[3] = true;
+	find_deadly_segment(fleet);
+	fleet.cut_off[3] = false;
+	fleet.run_for(STABLE_WINDOW_MS);
+	EXPECT_EQ(fleet.send(3, fleet.make_request(11, { DEADLY_SEGMENT }))
+		      .reason,
+	    REFUSE_CRASH_SUSPECT);
+}
+
+TEST(CrashSuspects, ACallerOfABlockedSegmentIsToldHowLong)
+{
+	CrashFleet fleet(7, 18);
+
+	find_deadly_segment(fleet);
+	dispatch_decision decision = fleet.send(0,
+	    fleet.make_request(11, { DEADLY_SEGMENT }));
+	EXPECT_EQ(decision.reason, REFUSE_CRASH_SUSPECT);
+	EXPECT_GE(decision.retry_after_ms, 40000u);
+	EXPECT_EQ(decision.rejection_hold_ms, 0u);
+}
+
+TEST(CrashSuspects, CrashesOfManyEnginesBlockNoSoundSegment)
+{
+	for (size_t daemons_count : { 1u, 7u, 76u }) {
+		CrashFleet fleet(daemons_count, 18);
+
+		fleet.run_for(500);
+		for (int round = 0; round < 3; round++) {
+			run_traffic(fleet, 1000, 0);
+			for (int i = 0; i < 6; i++)
+				fleet.crash("e" + std::to_string(i));
+			run_traffic(fleet, 3000, 0);
+		}
+		traffic_counts counts = run_traffic(fleet, 3000, 0);
+		EXPECT_GE(counts.sound_started * 100, counts.sound_sent * 98)
+		    << daemons_count << " daemons";
+	}
+}
+
+TEST(CrashSuspects, AnEngineThatResetsSomeRequestsHasNotCrashed)
+{
+	CrashFleet fleet(1, 3);
+	size_t lost_count = 0;
+
+	fleet.run_for(500);
+	for (int i = 0; i < 40; i++) {
+		for (uint64_t k = 0; k < 12; k++)
+			fleet.send(0, fleet.make_request(20 + k));
+		fleet.run_for(50);
+		for (const char *name : { "e0", "e1", "e2" }) {
+			bool lost = false, first = true;
+			fleet.lose_attempts(hash_name(name),
+			    [&](const attempt &item) {
+				    bool chosen = !first && !lost &&
+					!item.begun;
+				    first = false;
+				    lost |= chosen;
+				    return chosen;
+			    });
+			lost_count += lost;
+		}
+		fleet.run_for(600);
+	}
+	EXPECT_GT(lost_count, 100u);
+	EXPECT_EQ(g_hash_table_size(fleet.cores[0]->crash_suspects.suspects),
+	    0u);
+}
+
+TEST(CrashSuspects, AWrongSuspicionIsLiftedByFewTrials)
+{
+	constexpr uint64_t SUBJECT = 500;
+	CrashFleet fleet(7, 18);
+	size_t started = 0, sent = 0;
+
+	fleet.run_for(500);
+	for (const char *name : { "e0", "e1", "e2" }) {
+		/* the only requests with the subject are at engines that
+		 * crash */
+		fleet.send(0, fleet.make_request(SUBJECT));
+		fleet.crash(name);
+	}
+	for (engine &item : fleet.engines)
+		fleet.lose_attempts(hash_name(item.name.c_str()),
+		    [](const attempt &) { return true; });
+	fleet.run_for(400);
+	for (; started == 0 && sent < 100; sent++) {
+		started += fleet.send(sent % 7, fleet.make_request(SUBJECT))
+			       .start;
+		fleet.run_for(100);
+	}
+	EXPECT_LT(sent, 40u);
+	fleet.run_for(500);
+	for (size_t i = 0; i < 7; i++)
+		EXPECT_TRUE(fleet.send(i, fleet.make_request(SUBJECT)).start)
+		    << i;
+}
+
+TEST(CrashSuspects, ARetryDoesNotCarryABlockedSegmentOn)
+{
+	CrashFleet fleet(7, 18);
+
+	find_deadly_segment(fleet);
+	dispatch_request retry = fleet.make_request(11, { DEADLY_SEGMENT });
+	retry.tried_ids[retry.tried_count++] = hash_name("e0");
+	EXPECT_EQ(fleet.send(0, retry).reason, REFUSE_CRASH_SUSPECT);
+}
+
+TEST(CrashSuspects, MergedRecordsAgreeInAnyOrder)
+{
+	crash_record records[] = {
+		{ 5, { 1 }, 1, 0, 0, 100, false },
+		{ 5, { 2, 3 }, 2, 0, 0, 50, false },
+		{ 5, { 2 }, 1, 1, 0, 10, false },
+		{ 5, { 4 }, 1, 0, 1, 5, false },
+		{ 5, { 4, 6 }, 2, 2, 1, 5, false },
+	};
+	int order[] = { 0, 1, 2, 3, 4 };
+
+	do {
+		crash_suspects suspects;
+		uint64_t segment_id = 5;
+
+		crash_suspects_init(&suspects);
+		for (int i : order)
+			crash_suspects_merge(&suspects, &records[i], 100000);
+		auto *suspect = static_cast<struct suspect *>(
+		    g_hash_table_lookup(suspects.suspects, &segment_id));
+		ASSERT_NE(suspect, nullptr);
+		EXPECT_EQ(suspect->record.epoch, 1u);
+		EXPECT_EQ(suspect->record.crashes_count, 2u);
+		EXPECT_EQ(suspect->record.failed_trials_count, 2u);
+		crash_suspects_finish(&suspects);
+	} while (std::next_permutation(order, order + 5));
+}
+
+TEST(CrashSuspects, RecordsAreBoundedAndForgotten)
+{
+	crash_suspects suspects;
+	uint64_t now_ms = 100000;
+
+	crash_suspects_init(&suspects);
+	for (uint64_t id = 1; id <= 5000; id++)
+		crash_suspects_record_crash(&suspects, id, &id, 1, 0, now_ms);
+	EXPECT_LE(g_hash_table_size(suspects.suspects), 1024u);
+	GArray *records = g_array_new(FALSE, FALSE, sizeof(crash_record));
+	crash_suspects_collect(&suspects, now_ms + 3600000, records);
+	EXPECT_EQ(g_hash_table_size(suspects.suspects), 0u);
+	EXPECT_EQ(records->len, 0u);
+	g_array_free(records, TRUE);
+	crash_suspects_finish(&suspects);
+}
+
 } // namespace
