Let one request of as many as there are daemons be the first trial

A wrong suspicion of a segment in one request a second is still lifted within seconds in a fleet of 76 (SoundRequestsWithTheOtherSegmentsAreServed).

--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -16,7 +16,7 @@
 #define CONFIRMED_DOUBLINGS_MAX_COUNT 4u
 /* Of as many requests as there are daemons, this many are trials, doubled with
  * each further TRIAL_DELAY_MS. */
-#define TRIAL_LOTS_COUNT 3u
+#define TRIAL_LOTS_COUNT 1u
 #define TRIAL_DOUBLINGS_MAX_COUNT 10u
 #define CLEARED_KEEP_MS 10000u
 #define WATCHED_KEEP_MS 60000u
