Do not block segments whose crashes a deeper segment explains

Segments in the same crashes can't be told apart by their crashes, but the deepest of them is in the fewest requests, so it alone is blocked. If a shallower one is the cause, the next crash comes without the deeper one, and it is blocked then: one crash more.

ASegmentBeforeADeadlyOneIsNotBlocked fails without this; ADeadlySegmentBeforeManyOthers- IsBlocked holds the other direction.

--- a/common/codec_decode.c
+++ b/common/codec_decode.c
@@ -330,6 +330,7 @@
 	record->failed_trials_count = (uint32_t)read_uint(reader, UINT32_MAX);
 	record->epoch = (uint32_t)read_uint(reader, UINT32_MAX);
 	record->age_ms = (uint32_t)read_uint(reader, UINT32_MAX);
+	record->depth = (uint32_t)read_uint(reader, UINT32_MAX);
 	record->cleared = read_uint(reader, 1) != 0;
 }
 
--- a/common/codec_encode.c
+++ b/common/codec_encode.c
@@ -214,6 +214,7 @@
 	write_uint(out, record->failed_trials_count);
 	write_uint(out, record->epoch);
 	write_uint(out, record->age_ms);
+	write_uint(out, record->depth);
 	write_uint(out, record->cleared);
 }
 
--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -236,8 +236,8 @@
 }
 
 static void
-blame(struct crash_suspects *suspects, uint64_t segment_id, uint64_t crash_id,
-    uint64_t now_ms)
+blame(struct crash_suspects *suspects, uint64_t segment_id, uint32_t depth,
+    uint64_t crash_id, uint64_t now_ms)
 {
 	struct suspect *suspect;
 	struct crash_record *record;
@@ -254,6 +254,7 @@
 		record->failed_trials_count = 0;
 		record->epoch++;
 	}
+	record->depth = MAX(record->depth, depth);
 	if (add_crash(record, crash_id))
 		mark_changed(suspect, now_ms);
 }
@@ -284,7 +285,42 @@
 		explained |= is_blocked(suspects, segment_ids[i]);
 	for (uint32_t i = 0; i < count; i++)
 		if (!explained || is_blocked(suspects, segment_ids[i]))
-			blame(suspects, segment_ids[i], crash_id, now_ms);
+			blame(suspects, segment_ids[i], i, crash_id, now_ms);
+}
+
+/* @return whether all crashes of a record are among those of another */
+static bool
+has_crashes_of(const struct crash_record *record,
+    const struct crash_record *other)
+{
+	for (uint32_t i = 0; i < other->crashes_count; i++)
+		if (!has_crash(record, other->crash_ids[i]))
+			return false;
+	return true;
+}
+
+/* Segments that come before a deadly one in all lost requests were in the same
+ * crashes. As long as the deeper one explains them, requests with the others
+ * alone are sent. */
+static bool
+is_explained(const struct crash_suspects *suspects,
+    const struct suspect *suspect)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (suspect->record.failed_trials_count > 0)
+		return false;
+	g_hash_table_iter_init(&iter, suspects->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct crash_record *other =
+		    &((const struct suspect *)value)->record;
+		if (is_blocking(other) &&
+		    other->depth > suspect->record.depth &&
+		    has_crashes_of(other, &suspect->record))
+			return true;
+	}
+	return false;
 }
 
 /* Few requests are trials at first, so that daemons do not send several before
@@ -318,6 +354,8 @@
 
 		if (phase != SUSPECT_BLOCKED && phase != SUSPECT_ON_TRIAL)
 			continue;
+		if (is_explained(suspects, suspect))
+			continue;
 		if (phase == SUSPECT_BLOCKED)
 			left_ms = block_end_ms(suspect) - now_ms;
 		verdict->refuse |= !may_try(suspect, lot, now_ms);
@@ -352,6 +390,10 @@
 	}
 	for (uint32_t i = 0; i < other->crashes_count; i++)
 		changed |= add_crash(record, other->crash_ids[i]);
+	if (other->depth > record->depth) {
+		record->depth = other->depth;
+		changed = true;
+	}
 	if (other->failed_trials_count > record->failed_trials_count) {
 		record->failed_trials_count = other->failed_trials_count;
 		changed = true;
--- a/include/core/crash_suspects.h
+++ b/include/core/crash_suspects.h
@@ -5,8 +5,9 @@
  *
  * When an engine crashes, the shared segments of the requests without a first
  * token there are watched. A response that begins clears its segments. A segment
- * that was in the crashes of two engine processes is blocked. After some time
- * one request may try whether it still crashes engines; if so, the segment
+ * that was in the crashes of two engine processes is blocked, unless a deeper
+ * segment of the same prompts explains them. After some time one request may
+ * try whether it still crashes engines; if so, the segment
  * stays blocked for much longer.
  *
  * Daemons exchange their records. Merging two records of a segment gives the
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -292,6 +292,7 @@
 	/** Grows when the segment is suspected again after it was cleared. */
 	uint32_t epoch;
 	uint32_t age_ms; /**< of the latest evidence */
+	uint32_t depth; /**< last place in the prompts of lost requests */
 	bool cleared; /**< a response began since */
 };
 
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -79,8 +79,8 @@
 {
 	GByteArray *bytes = g_byte_array_new();
 	crash_record records[] = { { UINT64_MAX, { 1, UINT64_MAX }, 2, 3, 4,
-				       UINT32_MAX, true },
-		{ 6, {}, 0, 0, 0, 0, false } };
+				       UINT32_MAX, 5, true },
+		{ 6, {}, 0, 0, 0, 0, 0, false } };
 	msg message = {}, decoded;
 
 	message.type = MSG_CRASH_RECORDS;
--- a/tests/unit/test_crash_suspects.cc
+++ b/tests/unit/test_crash_suspects.cc
@@ -144,6 +144,42 @@
 	    REFUSE_CRASH_SUSPECT);
 }
 
+TEST(CrashSuspects, ASegmentBeforeADeadlyOneIsNotBlocked)
+{
+	CrashFleet fleet(7, 18);
+
+	fleet.run_for(500);
+	fleet.deadly_segments = { DEADLY_SEGMENT };
+	for (int i = 0; i < 100; i++) {
+		fleet.send(i % 7, fleet.make_request(11, { DEADLY_SEGMENT }));
+		fleet.run_for(100);
+		EXPECT_TRUE(fleet.send(i % 7, fleet.make_request(50)).start);
+		/* no response to the subject begins, so nothing clears it */
+		dispatch_request request = fleet.make_request(11);
+		suspect_verdict verdict;
+		dispatch_check_suspects(fleet.cores[i % 7].get(), &request,
+		    fleet.now_ms, &verdict);
+		EXPECT_FALSE(verdict.refuse) << i;
+	}
+	EXPECT_LE(fleet.deadly_sent_after_fifth_crash(STABLE_WINDOW_MS),
+	    SENT_LATER_MAX_COUNT);
+}
+
+TEST(CrashSuspects, ADeadlySegmentBeforeManyOthersIsBlocked)
+{
+	CrashFleet fleet(7, 18);
+
+	fleet.run_for(500);
+	fleet.deadly_segments = { DEADLY_SEGMENT };
+	for (uint64_t i = 0; i < 100; i++) {
+		fleet.send(i % 7,
+		    fleet.make_request(DEADLY_SEGMENT, { 1000 + i }));
+		fleet.run_for(100);
+	}
+	EXPECT_LE(fleet.deadly_sent_after_fifth_crash(STABLE_WINDOW_MS),
+	    SENT_LATER_MAX_COUNT);
+}
+
 TEST(CrashSuspects, ACallerOfABlockedSegmentIsToldHowLong)
 {
 	CrashFleet fleet(7, 18);
@@ -245,11 +281,11 @@
 TEST(CrashSuspects, MergedRecordsAgreeInAnyOrder)
 {
 	crash_record records[] = {
-		{ 5, { 1 }, 1, 0, 0, 100, false },
-		{ 5, { 2, 3 }, 2, 0, 0, 50, false },
-		{ 5, { 2 }, 1, 1, 0, 10, false },
-		{ 5, { 4 }, 1, 0, 1, 5, false },
-		{ 5, { 4, 6 }, 2, 2, 1, 5, false },
+		{ 5, { 1 }, 1, 0, 0, 100, 2, false },
+		{ 5, { 2, 3 }, 2, 0, 0, 50, 1, false },
+		{ 5, { 2 }, 1, 1, 0, 10, 0, false },
+		{ 5, { 4 }, 1, 0, 1, 5, 0, false },
+		{ 5, { 4, 6 }, 2, 2, 1, 5, 0, false },
 	};
 	int order[] = { 0, 1, 2, 3, 4 };
 
