Keep the limits that endpoints name

Endpoints in need got far more requests than they had named: up to 63 in 4 s at 7 a second (47 allowed). Cause: nothing read the header. Class of fault: what a server says of its own capacity is forwarded to callers and not obeyed. Ruled out: that limits are kept by each daemon for itself (one daemon alone passes one, 79 requests at 2 a second) and that daemons learn too late (it is passed until the end).

A limit is shared by few daemons, its holders, which rendezvous hashing finds; each has an equal part. Daemons tell each other of limits. A response of a request sent before the limit was named does not end it. Where the parts are used up, callers are refused at once, and accounts over their share first.

--- a/bamboorudderd/attempt.c
+++ b/bamboorudderd/attempt.c
@@ -22,6 +22,8 @@
 	[REFUSE_SHUTDOWN] = { 503, "shutting_down", "this daemon shuts down" },
 	[REFUSE_RETRY_BUDGET] = { 503, "retry_budget",
 	    "no further attempt is allowed now" },
+	[REFUSE_ENDPOINT_LIMIT] = { 503, "endpoint_limit",
+	    "all endpoints are at their limits" },
 	[REFUSE_CRASH_SUSPECT] = { 503, "prompt_suspect",
 	    "requests with a part of this prompt crashed engines" },
 };
--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -94,6 +94,23 @@
 	    suspect_phase_name(effect->phase), "crashes", crashes, NULL);
 }
 
+static void
+log_limit(const struct control *control, const struct effect *effect)
+{
+	const struct dispatch_endpoint *endpoint =
+	    g_hash_table_lookup(control->dispatch.endpoints,
+		&effect->endpoint_id);
+	char per_s[TEXT_BYTES];
+
+	if (endpoint == NULL)
+		return;
+	g_snprintf(per_s, TEXT_BYTES, "%u.%03u",
+	    effect->limit_per_1000_s / 1000, effect->limit_per_1000_s % 1000);
+	log_event(LOG_LEVEL_WARN, "endpoint_limit", "name", endpoint->info.name,
+	    "per_s", effect->limit_per_1000_s == 0 ? "-" : per_s, "part",
+	    endpoint->limit.is_holder ? "yes" : "no", NULL);
+}
+
 void
 control_run_effects(struct control *control, uint64_t now_ms)
 {
@@ -118,6 +135,9 @@
 		case EFFECT_SUSPECT_CHANGED:
 			log_suspect(&effect);
 			break;
+		case EFFECT_LIMIT_CHANGED:
+			log_limit(control, &effect);
+			break;
 		}
 	}
 	effects_clear(&control->effects);
@@ -217,6 +237,10 @@
 	case MSG_CRASH_RECORDS:
 		dispatch_handle_crash_records(&control->dispatch, msg, now_ms);
 		break;
+	case MSG_ENDPOINT_LIMITS:
+		dispatch_handle_endpoint_limits(&control->dispatch, msg,
+		    now_ms);
+		break;
 	case MSG_SLOT_REQUEST:
 		deliver_to_owner(control, msg->u.slot_request.pool_id, msg,
 		    now_ms);
--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -31,6 +31,10 @@
 		metric_add(METRIC_REQUESTS_SUSPECT, 1);
 		gw_request_respond_error(request, 503, "prompt_suspect",
 		    MAX(decision->retry_after_ms, 1u));
+	} else if (decision->reason == REFUSE_ENDPOINT_LIMIT) {
+		metric_add(METRIC_REQUESTS_LIMITED, 1);
+		gw_request_respond_error(request, 503, "endpoint_limit",
+		    MAX(decision->retry_after_ms, 1u));
 	} else if (decision->reason == REFUSE_RETRY_BUDGET)
 		gw_request_respond_error(request, 503, "retry_budget",
 		    MAX(decision->retry_after_ms, 1u));
--- a/bamboorudderd/gateway_mailbox.c
+++ b/bamboorudderd/gateway_mailbox.c
@@ -90,8 +90,33 @@
 	uint64_t seq;
 	enum dispatch_outcome outcome;
 	char endpoint[NAME_MAX_BYTES];
+	/** The response tells whether the endpoint has a limit. */
+	bool limit_known;
+	uint32_t limit_per_1000_s; /**< 0: none */
 };
 
+static struct attempt_args *
+attempt_args_new(const struct gw_request *request)
+{
+	const struct wire_response *response = &request->endpoint_response;
+	struct attempt_args *args = g_new0(struct attempt_args, 1);
+
+	args->seq = request->decision.seq;
+	memcpy(args->endpoint, request->decision.name, NAME_MAX_BYTES);
+	args->limit_per_1000_s = response->limit_per_1000_s;
+	args->limit_known = request->endpoint_head_complete &&
+	    (response->limit_per_1000_s > 0 || response->status == 200);
+	return args;
+}
+
+static void
+record_limit(struct control *control, const struct attempt_args *args)
+{
+	if (args->limit_known)
+		dispatch_record_limit(&control->dispatch, args->seq,
+		    args->limit_per_1000_s, clk_monotonic_ms(&control->clk));
+}
+
 static void
 log_health_update(const char *endpoint,
     const struct dispatch_health_update *update)
@@ -115,6 +140,7 @@
 {
 	struct attempt_args *args = task->context;
 
+	record_limit(control, args);
 	dispatch_record_first_token(&control->dispatch, args->seq,
 	    clk_monotonic_ms(&control->clk));
 	g_free(args);
@@ -126,6 +152,7 @@
 	struct attempt_args *args = task->context;
 	struct dispatch_health_update update;
 
+	record_limit(control, args);
 	dispatch_end_attempt(&control->dispatch, args->seq, args->outcome,
 	    clk_monotonic_ms(&control->clk), &update);
 	log_health_update(args->endpoint, &update);
@@ -135,10 +162,9 @@
 void
 gw_dispatch_first_token(struct gw_request *request)
 {
-	struct attempt_args *args = g_new0(struct attempt_args, 1);
+	struct attempt_args *args = attempt_args_new(request);
 
 	request->first_token_reported = true;
-	args->seq = request->decision.seq;
 	mailbox_post_context(request->gateway->control, run_first_token, args);
 }
 
@@ -158,11 +184,11 @@
 void
 gw_dispatch_done(struct gw_request *request, enum dispatch_outcome outcome)
 {
-	struct attempt_args *args = g_new0(struct attempt_args, 1);
+	struct attempt_args *args = attempt_args_new(request);
 
-	args->seq = request->decision.seq;
 	args->outcome = outcome;
-	memcpy(args->endpoint, request->decision.name, NAME_MAX_BYTES);
+	/* what a head said was reported with the first token */
+	args->limit_known &= !request->first_token_reported;
 	mailbox_post_context(request->gateway->control, run_done, args);
 }
 
--- a/common/codec_decode.c
+++ b/common/codec_decode.c
@@ -346,6 +346,28 @@
 		read_crash_record(reader, &items[i]);
 }
 
+static void
+read_reported_limit(struct reader *reader, struct reported_limit *limit)
+{
+	if (read_count(reader, REPORTED_LIMIT_FIELDS) != REPORTED_LIMIT_FIELDS)
+		reader->failed = true;
+	limit->endpoint_id = read_uint(reader, UINT64_MAX);
+	limit->per_1000_s = (uint32_t)read_uint(reader, UINT32_MAX);
+	limit->age_ms = (uint32_t)read_uint(reader, UINT32_MAX);
+}
+
+static void
+read_endpoint_limits(struct reader *reader, struct msg_endpoint_limits *limits)
+{
+	struct reported_limit *items;
+
+	limits->count = read_count(reader, ENDPOINTS_MAX_COUNT);
+	items = g_new0(struct reported_limit, limits->count);
+	limits->items = items;
+	for (uint32_t i = 0; i < limits->count; i++)
+		read_reported_limit(reader, &items[i]);
+}
+
 static void
 read_body(struct reader *reader, struct msg *msg)
 {
@@ -407,6 +429,9 @@
 	case MSG_CRASH_RECORDS:
 		read_crash_records(reader, &msg->u.crash_records);
 		break;
+	case MSG_ENDPOINT_LIMITS:
+		read_endpoint_limits(reader, &msg->u.endpoint_limits);
+		break;
 	case MSG_TYPE_COUNT:
 		reader->failed = true;
 		break;
@@ -479,6 +504,9 @@
 	} else if (msg->type == MSG_CRASH_RECORDS) {
 		g_free((gpointer)msg->u.crash_records.items);
 		msg->u.crash_records.items = NULL;
+	} else if (msg->type == MSG_ENDPOINT_LIMITS) {
+		g_free((gpointer)msg->u.endpoint_limits.items);
+		msg->u.endpoint_limits.items = NULL;
 	} else if (msg->type == MSG_TABLES_DATA) {
 		g_free((gpointer)msg->u.tables_data.text);
 		msg->u.tables_data.text = NULL;
--- a/common/codec_encode.c
+++ b/common/codec_encode.c
@@ -226,6 +226,18 @@
 		write_crash_record(out, &records->items[i]);
 }
 
+static void
+write_endpoint_limits(GByteArray *out, const struct msg_endpoint_limits *limits)
+{
+	write_token(out, mpack_pack_array(limits->count));
+	for (uint32_t i = 0; i < limits->count; i++) {
+		write_token(out, mpack_pack_array(REPORTED_LIMIT_FIELDS));
+		write_uint(out, limits->items[i].endpoint_id);
+		write_uint(out, limits->items[i].per_1000_s);
+		write_uint(out, limits->items[i].age_ms);
+	}
+}
+
 static void
 write_cancel(GByteArray *out, const struct msg_cancel *cancel)
 {
@@ -295,6 +307,9 @@
 	case MSG_CRASH_RECORDS:
 		write_crash_records(out, &msg->u.crash_records);
 		break;
+	case MSG_ENDPOINT_LIMITS:
+		write_endpoint_limits(out, &msg->u.endpoint_limits);
+		break;
 	case MSG_TYPE_COUNT:
 		break;
 	}
--- a/common/metric.c
+++ b/common/metric.c
@@ -20,6 +20,8 @@
 	    "Requests refused because this daemon's processor is busy." },
 	[METRIC_REQUESTS_SUSPECT] = { "requests_suspect_total", "counter",
 	    "Requests refused since their prompt may crash engines." },
+	[METRIC_REQUESTS_LIMITED] = { "requests_limited_total", "counter",
+	    "Requests refused since all endpoints are at their limits." },
 	[METRIC_REQUESTS_REFUSED] = { "requests_refused_total", "counter",
 	    "Requests refused as not run." },
 	[METRIC_REQUESTS_UNKNOWN] = { "requests_unknown_total", "counter",
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -79,6 +79,7 @@
 	crash_suspects_init(&dispatch->crash_suspects);
 	dispatch->losses = g_array_new(FALSE, FALSE,
 	    sizeof(struct dispatch_loss));
+	dispatch->live_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->cache_updates = g_array_new(FALSE, FALSE,
 	    sizeof(struct dispatch_cache_update));
@@ -100,6 +101,7 @@
 	g_hash_table_destroy(dispatch->budgets);
 	crash_suspects_finish(&dispatch->crash_suspects);
 	g_array_free(dispatch->losses, TRUE);
+	g_array_free(dispatch->live_ids, TRUE);
 	g_array_free(dispatch->hubs, TRUE);
 	g_array_free(dispatch->hub_candidates, TRUE);
 	g_array_free(dispatch->cache_updates, TRUE);
@@ -124,6 +126,7 @@
 	endpoint->results_count = 0;
 	endpoint->slow_permille = SLOWNESS_NORMAL_PERMILLE;
 	endpoint->first_token_ms = FIRST_TOKEN_INITIAL_MS;
+	memset(&endpoint->limit, 0, sizeof(endpoint->limit));
 	endpoint->probing = false;
 }
 
@@ -192,6 +195,15 @@
 	dispatch->refusals_count++;
 }
 
+static void
+refuse_limited(struct dispatch *dispatch,
+    const struct dispatch_request *request, uint64_t limit_wait_ms,
+    struct dispatch_decision *decision)
+{
+	refuse(dispatch, request, REFUSE_ENDPOINT_LIMIT,
+	    dispatch_retry_after_ms(request, limit_wait_ms, false), decision);
+}
+
 /* The time to wait is not shortened to the caller's remaining time: until then,
  * the request would be refused again. */
 static void
@@ -230,6 +242,7 @@
 	attempt->trial_segment_id = trial_segment_id;
 	crash_suspects_start_trial(&dispatch->crash_suspects, trial_segment_id,
 	    now_ms);
+	endpoint_limit_take(&endpoint->limit);
 	endpoint->local.running_count++;
 	endpoint->local.prefill_tokens += attempt->prefill_tokens;
 	endpoint->local.kv_tokens += attempt->kv_tokens;
@@ -349,6 +362,7 @@
 		  request->pool_id);
 	struct dispatch_candidate best;
 	struct suspect_verdict verdict;
+	uint64_t limit_wait_ms = 0;
 
 	memset(decision, 0, sizeof(*decision));
 	dispatch_sum_remote_load(dispatch);
@@ -368,9 +382,14 @@
 		return;
 	}
 	if (pool == NULL ||
-	    !dispatch_choose(dispatch, pool, request, now_ms, &best)) {
-		refuse(dispatch, request, REFUSE_NO_ENDPOINT,
-		    DEFAULT_RETRY_AFTER_MS, decision);
+	    !dispatch_choose(dispatch, pool, request, now_ms, &best,
+		&limit_wait_ms)) {
+		if (limit_wait_ms > 0)
+			refuse_limited(dispatch, request, limit_wait_ms,
+			    decision);
+		else
+			refuse(dispatch, request, REFUSE_NO_ENDPOINT,
+			    DEFAULT_RETRY_AFTER_MS, decision);
 		return;
 	}
 	decision->forecast.running_count = (uint32_t)dispatch_running_requests(
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -97,43 +97,13 @@
 }
 
 static void
-send_records(const GArray *records, uint64_t to_node_id,
-    struct effects *effects)
+fill_message(const GArray *records, struct msg *msg)
 {
-	struct msg_crash_records *message = &effects_send(effects, to_node_id,
-	    MSG_CRASH_RECORDS)
-						 ->u.crash_records;
-
-	message->count = records->len;
-	message->items = g_memdup2(records->data,
+	msg->u.crash_records.count = records->len;
+	msg->u.crash_records.items = g_memdup2(records->data,
 	    records->len * sizeof(struct crash_record));
 }
 
-/* Sends to the daemons that receive this daemon's load reports. */
-static void
-send_to_peers(const struct dispatch *dispatch, const GArray *records,
-    struct effects *effects)
-{
-	uint64_t hub_id = dispatch_hub_id(dispatch);
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!dispatch->is_hub) {
-		if (hub_id != 0)
-			send_records(records, hub_id, effects);
-		return;
-	}
-	for (guint i = 0; i < dispatch->hubs->len; i++)
-		send_records(records,
-		    g_array_index(dispatch->hubs, uint64_t, i), effects);
-	g_hash_table_iter_init(&iter, dispatch->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct dispatch_peer *peer = value;
-		if (!peer->is_hub)
-			send_records(records, peer->node_id, effects);
-	}
-}
-
 static void
 log_changes(struct dispatch *dispatch, uint64_t now_ms, struct effects *effects)
 {
@@ -169,7 +139,8 @@
 	records = g_array_new(FALSE, FALSE, sizeof(struct crash_record));
 	crash_suspects_collect(&dispatch->crash_suspects, now_ms, records);
 	if (records->len > 0)
-		send_to_peers(dispatch, records, effects);
+		dispatch_send_to_peers(dispatch, MSG_CRASH_RECORDS,
+		    fill_message, records, effects);
 	g_array_free(records, TRUE);
 }
 
--- a/core/dispatch_peers.c
+++ b/core/dispatch_peers.c
@@ -102,6 +102,10 @@
 	dispatch->live_count = (uint32_t)count;
 	dispatch->daemons_peak_count = MAX(dispatch->daemons_peak_count,
 	    (uint32_t)count);
+	g_array_set_size(dispatch->live_ids, 0);
+	for (size_t i = 0; i < count; i++)
+		g_array_append_val(dispatch->live_ids, daemons[i].node_id);
+	dispatch_update_holders(dispatch);
 }
 
 void
@@ -398,6 +402,31 @@
 	dispatch_cache_fill_report(dispatch, member, load);
 }
 
+void
+dispatch_send_to_peers(const struct dispatch *dispatch, enum msg_type type,
+    void (*fill)(const GArray *items, struct msg *msg), const GArray *items,
+    struct effects *effects)
+{
+	uint64_t hub_id = dispatch_hub_id(dispatch);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (hub_id != 0)
+		fill(items, effects_send(effects, hub_id, type));
+	if (!dispatch->is_hub)
+		return;
+	for (guint i = 0; i < dispatch->hubs->len; i++)
+		fill(items,
+		    effects_send(effects,
+			g_array_index(dispatch->hubs, uint64_t, i), type));
+	g_hash_table_iter_init(&iter, dispatch->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dispatch_peer *peer = value;
+		if (!peer->is_hub)
+			fill(items, effects_send(effects, peer->node_id, type));
+	}
+}
+
 static void
 report_as_hub(struct dispatch *dispatch, uint64_t stamp_ms,
     struct effects *effects)
@@ -454,6 +483,7 @@
 	dispatch_sum_remote_load(dispatch);
 	dispatch_update_shares(dispatch, now_ms);
 	dispatch_tick_crashes(dispatch, now_ms, effects);
+	dispatch_tick_limits(dispatch, now_ms, effects);
 	if (now_ms < dispatch->report_due_ms)
 		return;
 	dispatch->report_due_ms = now_ms + dispatch->config.report_period_ms;
--- a/core/effect.c
+++ b/core/effect.c
@@ -25,6 +25,8 @@
 		}
 		if (effect->msg.type == MSG_CRASH_RECORDS)
 			g_free((gpointer)effect->msg.u.crash_records.items);
+		if (effect->msg.type == MSG_ENDPOINT_LIMITS)
+			g_free((gpointer)effect->msg.u.endpoint_limits.items);
 		if (effect->msg.type != MSG_REQUEST_REPORT)
 			continue;
 		g_free((gpointer)effect->msg.u.request_report.items);
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -15,6 +15,7 @@
 #include "core/config_snapshot.h"
 #include "core/crash_suspects.h"
 #include "core/effect.h"
+#include "core/endpoint_limit.h"
 #include "core/msg.h"
 
 #define PROMPT_SEGMENTS_MAX_COUNT 16u
@@ -159,6 +160,7 @@
 	uint32_t slow_permille; /**< measured over forecast prefill time */
 	/** Part of the time to a first token that does not depend on prefill. */
 	uint32_t first_token_ms;
+	struct endpoint_limit limit;
 	bool probing; /**< a probe request is running */
 	bool listed; /**< present in discovery */
 };
@@ -182,6 +184,8 @@
 	GHashTable *accounts; /**< account_id to struct dispatch_account */
 	GHashTable *peers; /**< node_id to struct dispatch_peer */
 	GArray *hubs; /**< node_ids of the other hubs */
+	GArray *live_ids; /**< node_ids of the live daemons */
+	uint64_t limits_refresh_due_ms;
 	/** struct dispatch_cache_update, sent with the next load report. */
 	GArray *cache_updates;
 	/** node_ids of hubs, the preferred one first; empty on a hub. */
@@ -269,6 +273,17 @@
 void dispatch_record_first_token(struct dispatch *dispatch, uint64_t seq,
     uint64_t now_ms);
 
+/**
+ * Records what the response to an attempt says of its endpoint's limit.
+ * @param per_1000_s requests in 1,000 s, 0 if the response names no limit
+ */
+void dispatch_record_limit(struct dispatch *dispatch, uint64_t seq,
+    uint32_t per_1000_s, uint64_t now_ms);
+
+/** Handles a peer's message of endpoints' limits. */
+void dispatch_handle_endpoint_limits(struct dispatch *dispatch,
+    const struct msg *msg, uint64_t now_ms);
+
 /**
  * Ends an attempt and updates the health of its endpoint.
  * @param health_update receives the result, may be NULL
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -58,15 +58,18 @@
 	uint64_t cost_ms; /**< the lowest cost wins */
 	uint64_t pool_mean_backlog_ms; /**< set for the chosen one */
 	uint64_t pool_min_backlog_ms; /**< set for the chosen one */
+	uint64_t limit_wait_ms; /**< until this daemon may send a request */
 };
 
 /**
  * Chooses the endpoint with the lowest cost for a request.
+ * @param limit_wait_ms receives the time until an endpoint takes a request
+ * from this daemon, if the limits of all endpoints are used up; else 0
  * @return false if the pool has no usable endpoint
  */
 bool dispatch_choose(struct dispatch *dispatch, const struct config_pool *pool,
     const struct dispatch_request *request, uint64_t now_ms,
-    struct dispatch_candidate *chosen);
+    struct dispatch_candidate *chosen, uint64_t *limit_wait_ms);
 
 /** A cached segment to be announced to peers. */
 struct dispatch_cache_update {
@@ -157,6 +160,19 @@
 void dispatch_tick_crashes(struct dispatch *dispatch, uint64_t now_ms,
     struct effects *effects);
 
+/** Sends a message to the daemons that receive this daemon's load reports.
+ * @param fill sets the message's array to a copy of the items */
+void dispatch_send_to_peers(const struct dispatch *dispatch, enum msg_type type,
+    void (*fill)(const GArray *items, struct msg *msg), const GArray *items,
+    struct effects *effects);
+
+/** Finds the holders of all limits again, since the live daemons changed. */
+void dispatch_update_holders(struct dispatch *dispatch);
+
+/** Sends changed limits to other daemons. */
+void dispatch_tick_limits(struct dispatch *dispatch, uint64_t now_ms,
+    struct effects *effects);
+
 /** Updates an endpoint's health with the outcome of an attempt. */
 enum dispatch_health_change
 dispatch_update_health(struct dispatch_endpoint *endpoint,
--- a/include/core/effect.h
+++ b/include/core/effect.h
@@ -19,7 +19,9 @@
 	EFFECT_MEMBER_UP,
 	EFFECT_MEMBER_DOWN,
 	/** log that the phase of the prompt segment segment_id has changed */
-	EFFECT_SUSPECT_CHANGED
+	EFFECT_SUSPECT_CHANGED,
+	/** log that the limit of endpoint_id has changed */
+	EFFECT_LIMIT_CHANGED
 };
 
 struct effect {
@@ -31,6 +33,7 @@
 	enum refuse_reason reason;
 	uint64_t segment_id;
 	enum suspect_phase phase;
+	uint32_t limit_per_1000_s; /**< requests in 1,000 s; 0: none */
 	uint32_t crashes_count; /**< engine processes that crashed with it */
 	struct msg msg;
 };
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -31,6 +31,7 @@
 	MSG_TABLES_DATA,
 	MSG_LOAD,
 	MSG_CRASH_RECORDS,
+	MSG_ENDPOINT_LIMITS,
 	MSG_TYPE_COUNT
 };
 
@@ -42,6 +43,7 @@
 	REFUSE_NO_ENDPOINT,
 	REFUSE_SHUTDOWN,
 	REFUSE_RETRY_BUDGET, /**< no further attempt is allowed now */
+	REFUSE_ENDPOINT_LIMIT, /**< all endpoints are at their limits */
 	REFUSE_CRASH_SUSPECT, /**< its prompt may crash engines */
 	REFUSE_REASON_COUNT
 };
@@ -303,6 +305,20 @@
 	uint32_t count;
 };
 
+/** Rate of requests that an endpoint takes from all daemons together. */
+struct reported_limit {
+	uint64_t endpoint_id;
+	uint32_t per_1000_s; /**< requests in 1,000 s; 0: no limit any more */
+	uint32_t age_ms; /**< time since the endpoint said so */
+};
+
+/** Limits that changed, and those in force from time to time. The array has the
+ * same owner as those of msg_request_report. */
+struct msg_endpoint_limits {
+	const struct reported_limit *items;
+	uint32_t count;
+};
+
 enum table_kind { TABLE_ROUTES, TABLE_POOLS, TABLE_KIND_COUNT };
 
 /** JSON text of one table. In an effect the text belongs to the caller of
@@ -333,6 +349,7 @@
 		struct msg_tables_data tables_data;
 		struct msg_load load;
 		struct msg_crash_records crash_records;
+		struct msg_endpoint_limits endpoint_limits;
 	} u;
 };
 
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -41,6 +41,9 @@
 	bool not_executed; /**< the endpoint did not run the request */
 	bool encoded; /**< the body was encoded on the way */
 	bool event_stream;
+	/** Requests in 1,000 s that the endpoint takes from all daemons together;
+	 * 0: it names no limit. */
+	uint32_t limit_per_1000_s;
 	char connection[WIRE_CONNECTION_MAX_BYTES + 1]; /**< "" if absent */
 };
 
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -1,7 +1,7 @@
 /**
  * @file
  * Daemons that exchange messages without delay and send requests to engines
- * that can crash, under a virtual clock.
+ * that can crash or name a limit, under a virtual clock.
  */
 #ifndef TESTS_UNIT_CRASH_FLEET_H
 #define TESTS_UNIT_CRASH_FLEET_H
@@ -47,6 +47,9 @@
 	std::string name;
 	uint64_t process_start_ms;
 	uint64_t back_at_ms; /**< 0 while it runs */
+	/** Limit that its responses name, in requests in 1,000 s; 0: none */
+	uint32_t limit_per_1000_s = 0;
+	std::vector<uint64_t> requests_ms; /**< times of requests sent to it */
 };
 
 class CrashFleet
@@ -62,7 +65,7 @@
 		effects_init(&effects);
 		for (size_t i = 0; i < engines_count; i++)
 			engines.push_back(
-			    { "e" + std::to_string(i), now_ms, 0 });
+			    { "e" + std::to_string(i), now_ms, 0, 0, {} });
 		for (size_t i = 0; i < daemons_count; i++) {
 			daemons.push_back({ FIRST_ID + i, i % 3, i < 9 });
 			cores.push_back(nullptr);
@@ -146,6 +149,8 @@
 			return decision;
 		attempts.push_back({ i, decision.seq, now_ms,
 		    decision.endpoint_id, deadly, false });
+		find_engine(decision.endpoint_id)
+		    ->requests_ms.push_back(now_ms);
 		if (deadly)
 			deadly_sent_ms.push_back(now_ms);
 		return decision;
@@ -242,6 +247,23 @@
 		}
 	}
 
+	engine *find_engine(uint64_t endpoint_id)
+	{
+		for (engine &item : engines)
+			if (hash_name(item.name.c_str()) == endpoint_id)
+				return &item;
+		return nullptr;
+	}
+
+	void begin_response(const attempt &item)
+	{
+		struct dispatch *core = cores[item.daemon].get();
+
+		dispatch_record_limit(core, item.seq,
+		    find_engine(item.endpoint_id)->limit_per_1000_s, now_ms);
+		dispatch_record_first_token(core, item.seq, now_ms);
+	}
+
 	void advance_attempts()
 	{
 		std::vector<uint64_t> crashed;
@@ -261,8 +283,7 @@
 				if (item->deadly)
 					crashed.push_back(item->endpoint_id);
 				else
-					dispatch_record_first_token(core,
-					    item->seq, now_ms);
+					begin_response(*item);
 			}
 			++item;
 		}
@@ -297,6 +318,9 @@
 		else if (effect.msg.type == MSG_CRASH_RECORDS)
 			dispatch_handle_crash_records(cores[to].get(),
 			    &effect.msg, now_ms);
+		else if (effect.msg.type == MSG_ENDPOINT_LIMITS)
+			dispatch_handle_endpoint_limits(cores[to].get(),
+			    &effect.msg, now_ms);
 	}
 
 	struct config_snapshot *configuration;
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -97,6 +97,27 @@
 	g_byte_array_free(bytes, TRUE);
 }
 
+TEST(Codec, EndpointLimitsRoundTrip)
+{
+	GByteArray *bytes = g_byte_array_new();
+	reported_limit limits[] = { { UINT64_MAX, 5600, UINT32_MAX },
+		{ 6, 0, 0 } };
+	msg message = {}, decoded;
+
+	message.type = MSG_ENDPOINT_LIMITS;
+	message.u.endpoint_limits = { limits, 2 };
+	codec_encode(&message, bytes);
+	ASSERT_TRUE(codec_decode(bytes->data, bytes->len, &decoded));
+	ASSERT_EQ(decoded.u.endpoint_limits.count, 2u);
+	EXPECT_EQ(memcmp(decoded.u.endpoint_limits.items, limits,
+		      sizeof(limits)),
+	    0);
+	codec_release(&decoded);
+	for (guint length = 0; length < bytes->len; length++)
+		EXPECT_FALSE(codec_decode(bytes->data, length, &decoded));
+	g_byte_array_free(bytes, TRUE);
+}
+
 TEST(Codec, HeartbeatTextsRoundTrip)
 {
 	GByteArray *bytes = g_byte_array_new();
