Take no endpoint with port 0 or with text after its port

A report of other operators: one entry with a port out of range. 65536 was refused already, but port 0 was taken, and so was text after the digits. Such an endpoint fails each request that is sent there.

--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -148,7 +148,11 @@
 		 R"("address": "host:5", "batch_slots": 1, )",
 		 R"("address": "1.2.3.4:5", "batch_slots": "1", )",
 		 R"("address": "1.2.3.4:5", "batch_slots": -1, )",
-		 R"("address": 5, "batch_slots": 1, )" })
+		 R"("address": 5, "batch_slots": 1, )",
+		 R"("address": "1.2.3.4:0", "batch_slots": 1, )",
+		 R"("address": "1.2.3.4:65536", "batch_slots": 1, )",
+		 R"("address": "1.2.3.4:5x", "batch_slots": 1, )",
+		 R"("address": "1.2.3.4:5/a", "batch_slots": 1, )" })
 		EXPECT_FALSE(decode_endpoint_json(head + middle + tail, &info))
 		    << middle;
 	EXPECT_FALSE(decode_endpoint_json(head +
