Follow lists of the store past entries that can't be parsed

A report of other operators: one odd entry of another writer among those of the replicas. Here it made the library refuse the whole page: an integer beyond 64 bits, 1e999, a null or lone surrogate in a text, bytes that are no UTF-8, or nesting of 3,000. The daemon took that for a failure of the store, and followed neither the list nor the watch while the entry stood.

page_parse() parses the items of such a page one by one, and of an unreadable item the members that can be read, so that its name is known: the item names no endpoint, the others stand.

--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -222,4 +222,80 @@
 	    calls_before + 24);
 }
 
+/** Entries of another writer that strict parsers of JSON reject. */
+std::vector<std::string>
+unreadable_specs()
+{
+	return {
+		"{\"n\":123456789012345678901234567890}",
+		"{\"n\":1e999}",
+		"{\"t\":\"\\u0000\"}",
+		"{\"t\":\"\\ud800\"}",
+		"{\"t\":\"\xff\xfe\"}",
+		"{\"a\":" + std::string(3000, '[') + std::string(3000, ']') +
+		    "}",
+	};
+}
+
+class FeedWithOddEntries : public Feed
+{
+      protected:
+	/** A feed that lists the store now, beside the one of the fixture. */
+	void expect_listed(const std::string &name)
+	{
+		RecordingSink other_sink;
+		struct feed other;
+		feed_config config = {};
+
+		config.url = url.c_str();
+		config.timings[RESOURCE_CONFIGURATION] = { 300, 2000 };
+		config.timings[RESOURCE_ENDPOINTS] = { 300, 1500 };
+		config.timeout_ms = 1000;
+		feed_init(&other, &config, &ops, &other_sink);
+		EXPECT_TRUE(eventually([&] {
+			std::lock_guard<std::mutex> lock(other_sink.mutex);
+			return other_sink.synced &&
+			    other_sink.endpoints.count(name) > 0;
+		}));
+		feed_finish(&other);
+	}
+};
+
+TEST_F(FeedWithOddEntries, WatchGoesOnPastAnUnreadableEntry)
+{
+	int number = 0;
+
+	feed_set_watching(&feed, true, 3);
+	for (const std::string &spec : unreadable_specs()) {
+		std::string name = "good" + std::to_string(++number);
+
+		store.put("servers", "odd", spec);
+		store.put("servers", name,
+		    endpoint_entry_json("app", "127.0.0.1:1"));
+		EXPECT_TRUE(eventually([&] { return has_endpoint(name); }))
+		    << number;
+	}
+	EXPECT_FALSE(has_endpoint("odd"));
+}
+
+TEST_F(FeedWithOddEntries, ListGoesOnPastAnUnreadableEntry)
+{
+	for (size_t page_size : { 500u, 1u })
+		for (const std::string &spec : unreadable_specs()) {
+			store.page_size = page_size;
+			store.put("servers", "odd", spec);
+			store.put("servers", "z",
+			    endpoint_entry_json("app", "127.0.0.1:1"));
+			expect_listed("z");
+		}
+}
+
+TEST_F(FeedWithOddEntries, AnEntryThatBecomesUnreadableNamesNoEndpoint)
+{
+	feed_set_watching(&feed, true, 3);
+	ASSERT_TRUE(has_endpoint("e1"));
+	store.put("servers", "e1", unreadable_specs()[0]);
+	EXPECT_TRUE(eventually([&] { return !has_endpoint("e1"); }));
+}
+
 } // namespace
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -5,6 +5,7 @@
 
 #include "fuzz.h"
 #include "platform/decode.h"
+#include "platform/page.h"
 #include "platform/wire.h"
 
 static void
@@ -30,6 +31,17 @@
 	json_decref(spec);
 }
 
+/* An unreadable page terminates, and gives an object if anything. */
+static void
+check_page(const char *bytes, size_t length_bytes)
+{
+	json_t *page = page_parse(bytes, length_bytes, "entries");
+
+	if (page != NULL)
+		FUZZ_CHECK(json_is_object(page));
+	json_decref(page);
+}
+
 /* The input is a list of lines NAME: VALUE. */
 static void
 check_headers(const char *bytes, size_t length_bytes)
@@ -61,6 +73,7 @@
 LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t length_bytes)
 {
 	check_objects((const char *)bytes, length_bytes);
+	check_page((const char *)bytes, length_bytes);
 	check_headers((const char *)bytes, length_bytes);
 	return 0;
 }
