--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -298,4 +298,12 @@
 	EXPECT_TRUE(eventually([&] { return !has_endpoint("e1"); }));
 }
 
+TEST_F(FeedWithOddEntries, ListGoesOnPastAnEntryWithAnOddName)
+{
+	store.page_size = 1;
+	store.put("servers", "odd name&after=zz#?%", "{}");
+	store.put("servers", "z", endpoint_entry_json("app", "127.0.0.1:1"));
+	expect_listed("z");
+}
+
 } // namespace
