Use a connection of its own for each request to an endpoint

A report of other operators: a faulty replica writes an earlier response once more on a kept connection. On the users' platform each request has its own connection, so that this is ruled out there; likewise for requests of the other front end that may not run twice. Its idempotent ones shared connections: the caller of /plain/b got the response to /plain/a (Responses.AnEarlierResponseWrittenAgainReachesNoOtherRequest failed before). A refusal written again led to a retry there, and after three of them to a false 'not run'. libcurl only notices such bytes if they come before the next request is sent.

The other front end opens a connection for each request now, too.

--- a/bamboorudderd/attempt.c
+++ b/bamboorudderd/attempt.c
@@ -41,7 +41,6 @@
 		.request_id = exchange->request_id,
 		.body = exchange->body,
 		.body_bytes = exchange->body_bytes,
-		.idempotent = exchange->idempotent,
 		.is_model = exchange->pool->kind == POOL_MODEL,
 		.can_resume = exchange->pool->resume,
 		.tokens = &ticket->tokens,
--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -67,11 +67,6 @@
 		curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
 		    (curl_off_t)relay->body_bytes);
 	}
-	if (!relay->idempotent) {
-		/* libcurl resends a request if a reused connection died. */
-		curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
-		curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
-	}
 }
 
 static void
@@ -82,6 +77,11 @@
 	curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(handle, CURLOPT_HTTP09_ALLOWED, 0L);
 	curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+	/* a late second response on a reused connection would be taken for the
+	 * response to the next request, and libcurl resends a request if a reused
+	 * connection died */
+	curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
 	curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
 	    (long)config->connect_timeout_ms);
 	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
--- a/include/bamboorudderd/relay.h
+++ b/include/bamboorudderd/relay.h
@@ -38,7 +38,6 @@
 	const char *request_id;
 	const char *body;
 	size_t body_bytes;
-	bool idempotent; /**< may be sent again if a reused connection died */
 	bool is_model; /**< a complete stream ends with a [DONE] event */
 	bool can_resume; /**< the engine can resume an interrupted stream */
 	_Atomic uint64_t *tokens; /**< updated while the response streams */
--- a/tests/e2e/test_responses.cc
+++ b/tests/e2e/test_responses.cc
@@ -162,6 +162,38 @@
 	EXPECT_LE(scripted.requests().size(), 4u);
 }
 
+TEST_F(Responses, AnEarlierResponseWrittenAgainReachesNoOtherRequest)
+{
+	scripted.set_script(
+	    [=](Connection &connection, const std::string &request) {
+		    size_t start = request.find("/plain");
+		    std::string target = request.substr(start,
+			request.find(" HTTP") - start);
+		    std::string response = response_head("Content-Length: " +
+					       std::to_string(target.size()) +
+					       "\r\n") +
+			target;
+		    connection.send_text(response);
+		    if (!connection.read_request().empty())
+			    connection.send_text(response);
+	    });
+	/* one worker of the daemon serves a connection */
+	RawCaller caller(fleet.daemons[0]);
+	for (const char *target : { "/plain/a", "/plain/b", "/plain/c" }) {
+		std::string text;
+
+		caller.send_text(std::string("GET ") + target +
+		    " HTTP/1.1\r\nHost: a\r\n" + AUTHORIZATION[0] + "\r\n\r\n");
+		while (text.find("\r\n\r\n/plain/") == std::string::npos &&
+		    caller.read_some(&text))
+			continue;
+		EXPECT_NE(text.find(std::string("\r\n\r\n") + target),
+		    std::string::npos)
+		    << target << "\n"
+		    << text;
+	}
+}
+
 TEST_F(Responses, ResumesStreamOfEngineThatFailsOnce)
 {
 	send_request("POST",
