Do not end a resumed stream with an error that has no body

A report of other operators: a stream broke off, and the next replica answered with an error. On the other front end, an error with a body was dropped, but one without (500 or even 200 with a length of 0) ended the stream as if it were complete, since only a response's first attempt was checked for its end. Responses.AnErrorWithoutBodyDoesNotEndAResumedStreamAsComplete failed before.

--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -145,6 +145,9 @@
 {
 	if (code != CURLE_OK || !transfer->headers_complete)
 		return false;
+	/* no other response can end a stream that has begun */
+	if (transfer->resume_count > 0)
+		return transfer->is_stream && transfer->sse.done;
 	return !transfer->relay->is_model || !transfer->is_stream ||
 	    transfer->status != 200 || transfer->sse.done;
 }
--- a/tests/e2e/test_responses.cc
+++ b/tests/e2e/test_responses.cc
@@ -162,6 +162,25 @@
 	EXPECT_LE(scripted.requests().size(), 4u);
 }
 
+TEST_F(Responses, AnErrorWithoutBodyDoesNotEndAResumedStreamAsComplete)
+{
+	for (const char *status : { "500 Failed", "200 OK" }) {
+		std::string error = response_head("Content-Length: 0\r\n",
+		    status);
+		scripted.set_script(
+		    [=](Connection &connection, const std::string &request) {
+			    bool resumed = request.find("Last-Event-ID") !=
+				std::string::npos;
+			    connection.send_text(resumed
+				    ? error
+				    : STREAM_HEAD + http_chunk(sse_event(0)));
+		    });
+		Response response = post_completion("/resumed");
+		EXPECT_FALSE(response.complete) << status;
+		EXPECT_EQ(response.body, sse_event(0)) << status;
+	}
+}
+
 TEST_F(Responses, AnEarlierResponseWrittenAgainReachesNoOtherRequest)
 {
 	scripted.set_script(
