Believe a refusal only for the request that it names

A report of other operators: callers were told 'not run' for requests that a replica had run, after an earlier refusal came once more. Each request here has its own connection, but a refusal or a 421 that named another request's id was believed all the same: the caller of an at-most-once request got 503 (Gateway.ARefusalOfAnotherRequestIsNotBelieved failed before). Now it counts as an invalid response: the request may have run.

--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -270,10 +270,11 @@
 	if (!sent)
 		return ATTEMPT_UNREACHED;
 	if (code == CURLE_OK &&
-	    wire_response_not_executed(&request->endpoint_response))
+	    wire_response_not_executed(&request->endpoint_response,
+		&request->head))
 		return ATTEMPT_REFUSED;
 	if (code == CURLE_OK &&
-	    wire_response_moved(&request->endpoint_response))
+	    wire_response_moved(&request->endpoint_response, &request->head))
 		return ATTEMPT_MOVED;
 	if (code == CURLE_OK && request->endpoint_head_complete &&
 	    wire_response_matches(&request->endpoint_response, &request->head))
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -85,9 +85,11 @@
     const struct wire_request *request);
 
 /** @return whether the endpoint refused the request without running it */
-bool wire_response_not_executed(const struct wire_response *response);
+bool wire_response_not_executed(const struct wire_response *response,
+    const struct wire_request *request);
 
 /** @return whether another endpoint has the address now */
-bool wire_response_moved(const struct wire_response *response);
+bool wire_response_moved(const struct wire_response *response,
+    const struct wire_request *request);
 
 #endif
