Let nothing but events follow in a stream that has begun

A report of other operators: a stream broke off, and the next replica answered with an error; callers found its text in the middle of their stream. Responses with a status other than 200 were dropped here, but a 200 that was no event stream, such as an error as JSON or an empty body, was added to the stream, which then ended as complete (Gateway.AnErrorAfterABrokenStreamDoesNotReachItsCaller failed before for these two of seven cases). Such a response is now invalid: the stream is resumed elsewhere, or aborted.

--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -209,10 +209,6 @@
 {
 	bool failed = request->endpoint_response.status >= 500;
 
-	if (request->streaming && request->endpoint_response.status != 200) {
-		on_invalid_response(request);
-		return;
-	}
 	if (request->streaming) {
 		on_stream_end(request);
 		return;
@@ -264,6 +260,23 @@
 	[ATTEMPT_INVALID_RESPONSE] = { "no_answer", on_invalid_response },
 };
 
+static bool
+is_event_stream(const struct gw_request *request)
+{
+	return request->endpoint_response.status == 200 &&
+	    request->endpoint_response.event_stream;
+}
+
+/* Judges a response that has arrived whole and belongs to the request. */
+static enum attempt_result
+classify_whole_response(const struct gw_request *request)
+{
+	/* nothing but further events can follow the first ones */
+	if (request->streaming && !is_event_stream(request))
+		return ATTEMPT_INVALID_RESPONSE;
+	return ATTEMPT_COMPLETE;
+}
+
 static enum attempt_result
 classify_attempt(const struct gw_request *request, bool sent, CURLcode code)
 {
@@ -278,7 +291,7 @@
 		return ATTEMPT_MOVED;
 	if (code == CURLE_OK && request->endpoint_head_complete &&
 	    wire_response_matches(&request->endpoint_response, &request->head))
-		return ATTEMPT_COMPLETE;
+		return classify_whole_response(request);
 	/* the callbacks end responses that are too large or malformed */
 	return code == CURLE_OK || code == CURLE_WRITE_ERROR
 	    ? ATTEMPT_INVALID_RESPONSE
--- a/tests/e2e/test_gateway_streams.cc
+++ b/tests/e2e/test_gateway_streams.cc
@@ -5,6 +5,8 @@
 namespace
 {
 
+const char FIRST_EVENT[] = "id: 1\ndata: a\n\n";
+
 ScriptedEndpoint::Script
 send(std::function<std::string(const std::string &request)> response)
 {
@@ -13,6 +15,54 @@
 	};
 }
 
+TEST_F(Gateway, AnErrorAfterABrokenStreamDoesNotReachItsCaller)
+{
+	const std::function<std::string(const std::string &)> errors[] = {
+		[](const std::string &request) {
+			return response_text(request, "failed", "500 Failed");
+		},
+		[](const std::string &request) {
+			return response_text(request, "", "500 Failed");
+		},
+		[](const std::string &request) {
+			return response_text(request, "{\"error\":1}");
+		},
+		[](const std::string &request) {
+			return response_text(request, "");
+		},
+		[](const std::string &) {
+			return std::string("HTTP/1.1 503 Full\r\n"
+					   "X-Bamboorudder-Not-Executed: 1\r\n"
+					   "Content-Length: 4\r\n\r\nfull");
+		},
+		[](const std::string &request) {
+			return response_text(request, "moved", "421 Moved");
+		},
+		[](const std::string &) { return std::string("garbage\r\n"); },
+	};
+
+	start();
+	harness.add_endpoint("e2", second_endpoint);
+	ASSERT_TRUE(eventually([&] { return harness.discovered("e2"); }));
+	for (const auto &error : errors) {
+		auto script = [error](Connection &connection,
+				  const std::string &request) {
+			bool resumed = request.find("Last-Event-Id: ") !=
+			    std::string::npos;
+			connection.send_text(resumed
+				? error(request)
+				: event_stream_head(request) +
+				    http_chunk(FIRST_EVENT));
+		};
+		first_endpoint.set_script(script);
+		second_endpoint.set_script(script);
+		Response response = harness.send("POST", "/again/", {}, "b");
+		EXPECT_EQ(response.status, 200) << error("");
+		EXPECT_FALSE(response.complete) << error("");
+		EXPECT_EQ(response.body, FIRST_EVENT) << error("");
+	}
+}
+
 TEST_F(Gateway, ARefusalOfAnotherRequestIsNotBelieved)
 {
 	start();
