Take a stream that ends inside an event as broken off

Here the connection's end was taken for the end of the response: the rest of a cut event was passed on, and the caller's stream ended as complete. One that ended before its first event was a success without a body. Gateway.AStreamThatEndsInsideAnEventIsBroken and AStreamThatEndsBeforeIts- FirstEventIsNoResponse failed before; AStreamMayEndWithItsConnection holds what is allowed.

Such an end counts as a lost response, so that a crash shows in it, too: the stream is resumed where its route allows that, or aborted.

--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -267,6 +267,21 @@
 	    request->endpoint_response.event_stream;
 }
 
+/* Tells whether a stream has ended inside an event, or before its first one
+ * without saying that it has none. All complete events were passed on already,
+ * and blank lines may follow the last one. */
+static bool
+stream_is_broken(const struct gw_request *request)
+{
+	const GByteArray *rest = request->endpoint_body;
+
+	for (guint i = 0; i < rest->len; i++)
+		if (rest->data[i] != '\r' && rest->data[i] != '\n')
+			return true;
+	return !request->endpoint_response.framed &&
+	    !request->first_token_reported;
+}
+
 /* Judges a response that has arrived whole and belongs to the request. */
 static enum attempt_result
 classify_whole_response(const struct gw_request *request)
@@ -274,6 +289,9 @@
 	/* nothing but further events can follow the first ones */
 	if (request->streaming && !is_event_stream(request))
 		return ATTEMPT_INVALID_RESPONSE;
+	if (request->route->request_kind == REQUEST_STREAM &&
+	    is_event_stream(request) && stream_is_broken(request))
+		return ATTEMPT_NO_RESPONSE;
 	return ATTEMPT_COMPLETE;
 }
 
--- a/tests/e2e/test_gateway_streams.cc
+++ b/tests/e2e/test_gateway_streams.cc
@@ -7,6 +7,15 @@
 
 const char FIRST_EVENT[] = "id: 1\ndata: a\n\n";
 
+/** Head of a stream that ends with its connection. */
+std::string
+unframed_head(const std::string &request)
+{
+	std::string head = event_stream_head(request);
+
+	return head.substr(0, head.find("Transfer-Encoding")) + "\r\n";
+}
+
 ScriptedEndpoint::Script
 send(std::function<std::string(const std::string &request)> response)
 {
@@ -63,6 +72,48 @@
 	}
 }
 
+TEST_F(Gateway, AStreamThatEndsInsideAnEventIsBroken)
+{
+	start();
+	first_endpoint.set_script(send([](const std::string &request) {
+		return unframed_head(request) + FIRST_EVENT + "id: 2\ndata: b";
+	}));
+	Response response = harness.send("POST", "/flow/", {}, "b");
+	EXPECT_FALSE(response.complete);
+	EXPECT_EQ(response.body, FIRST_EVENT);
+	first_endpoint.set_script(send([](const std::string &request) {
+		return event_stream_head(request) + http_chunk(FIRST_EVENT) +
+		    http_chunk("id: 2\ndata: b") + "0\r\n\r\n";
+	}));
+	response = harness.send("POST", "/flow/", {}, "b");
+	EXPECT_FALSE(response.complete);
+	EXPECT_EQ(response.body, FIRST_EVENT);
+}
+
+TEST_F(Gateway, AStreamThatEndsBeforeItsFirstEventIsNoResponse)
+{
+	start();
+	for (const char *text : { "", "id: 1\ndata: a" }) {
+		first_endpoint.set_script(
+		    send([text](const std::string &request) {
+			    return unframed_head(request) + text;
+		    }));
+		EXPECT_EQ(harness.send("POST", "/flow/", {}, "b").status, 502)
+		    << text;
+	}
+}
+
+TEST_F(Gateway, AStreamMayEndWithItsConnection)
+{
+	start();
+	first_endpoint.set_script(send([](const std::string &request) {
+		return unframed_head(request) + FIRST_EVENT;
+	}));
+	Response response = harness.send("POST", "/flow/", {}, "b");
+	EXPECT_TRUE(response.complete);
+	EXPECT_EQ(response.body, FIRST_EVENT);
+}
+
 TEST_F(Gateway, ARefusalOfAnotherRequestIsNotBelieved)
 {
 	start();
