Tell refusals for an account's share from those of a full fleet

The trace shows who was refused: nearly all sound requests of the route that did not begin were of the account that sends half of the traffic, four times its share; 7 of 10 were refused for that (account_over_share), and its part fell to its share as engines were lost and refused callers came back. No sound segment was blocked.

Such refusals were 503 like those of a full fleet, so that neither callers nor the users could tell them apart. They are 429 now, where the whole admission limit would have let the request in. ARefusalTellsAnAccountsShareFromAFullFleet fails without this.

--- a/bamboorudderd/attempt.c
+++ b/bamboorudderd/attempt.c
@@ -15,6 +15,8 @@
 	[REFUSE_NONE] = { 503, "no_endpoint", "the pool has no endpoint" },
 	[REFUSE_QUEUE_FULL] = { 429, "queue_full",
 	    "the client account has too many waiting requests" },
+	[REFUSE_ACCOUNT_SHARE] = { 429, "account_over_share",
+	    "the client account is over its share" },
 	[REFUSE_DEADLINE] = { 503, "queue_timeout",
 	    "no slot became free in time" },
 	[REFUSE_NO_ENDPOINT] = { 503, "no_endpoint",
--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -27,6 +27,10 @@
 		gw_request_hold_account(request);
 		gw_request_respond_error(request, 503, "overloaded",
 		    MAX(decision->retry_after_ms, 1u));
+	} else if (decision->reason == REFUSE_ACCOUNT_SHARE) {
+		gw_request_hold_account(request);
+		gw_request_respond_error(request, 429, "account_over_share",
+		    MAX(decision->retry_after_ms, 1u));
 	} else if (decision->reason == REFUSE_CRASH_SUSPECT) {
 		metric_add(METRIC_REQUESTS_SUSPECT, 1);
 		gw_request_respond_error(request, 503, "prompt_suspect",
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -333,6 +333,7 @@
 		.until_ms = gw_now_ms(gateway) + decision->rejection_hold_ms,
 		.latency_target_ms = request->dispatch.latency_target_ms,
 		.far_over_share = decision->forecast.admission_limit_ms == 0,
+		.over_share = decision->reason == REFUSE_ACCOUNT_SHARE,
 	};
 
 	if (decision->rejection_hold_ms == 0)
@@ -370,8 +371,8 @@
 	    hold->until_ms - request->arrived_ms, hold->far_over_share);
 
 	request->gateway->load_counts.held_count++;
-	gw_request_respond_error(request, 503,
-	    hold->far_over_share ? "account_over_share" : "account_held",
+	gw_request_respond_error(request, hold->over_share ? 429 : 503,
+	    hold->over_share ? "account_over_share" : "account_held",
 	    MAX(retry_after_ms, 1u));
 }
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -318,9 +318,10 @@
 	struct dispatch_account *account = dispatch_get_account(dispatch,
 	    request->account_id);
 	uint64_t share_permille;
-	uint64_t admission_limit_ms = ADMISSION_LIMIT_BASE_MS +
+	uint64_t whole_limit_ms = ADMISSION_LIMIT_BASE_MS +
 	    (uint64_t)request->latency_target_ms *
 		ADMISSION_LIMIT_TARGET_PERCENT / 100;
+	uint64_t admission_limit_ms;
 
 	account->asked_tokens += tokens_to_charge(request);
 	share_permille = dispatch_share_permille(dispatch, account);
@@ -329,13 +330,15 @@
 	    MIN(best->pool_mean_backlog_ms, SHARES_FULL_EFFECT_BACKLOG_MS) /
 	    SHARES_FULL_EFFECT_BACKLOG_MS;
 	forecast->over_share = share_permille > SHARE_FAIR_PERMILLE;
-	admission_limit_ms = admission_limit_ms *
+	admission_limit_ms = whole_limit_ms *
 	    admission_limit_percent(share_permille) / 100;
 	forecast->backlog_ms = (uint32_t)best->backlog_ms;
 	forecast->prefill_ms = (uint32_t)best->prefill_ms;
 	forecast->admission_limit_ms = (uint32_t)admission_limit_ms;
 	if (exceeds_limit(best, admission_limit_ms)) {
-		refuse(dispatch, request, REFUSE_QUEUE_FULL,
+		refuse(dispatch, request,
+		    exceeds_limit(best, whole_limit_ms) ? REFUSE_QUEUE_FULL
+							: REFUSE_ACCOUNT_SHARE,
 		    dispatch_retry_after_ms(request,
 			best->backlog_ms -
 			    MIN(best->backlog_ms, admission_limit_ms),
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -134,6 +134,8 @@
 	/** Requests with a longer target are dispatched as usual. */
 	uint32_t latency_target_ms;
 	bool far_over_share; /**< account far above its fair share */
+	/** The account would not be refused if it had less than its share. */
+	bool over_share;
 };
 
 /** Window over which the idle time of the event loop is measured. */
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -42,6 +42,7 @@
 	REFUSE_DEADLINE,
 	REFUSE_NO_ENDPOINT,
 	REFUSE_SHUTDOWN,
+	REFUSE_ACCOUNT_SHARE, /**< the account is over its fair share */
 	REFUSE_RETRY_BUDGET, /**< no further attempt is allowed now */
 	REFUSE_ENDPOINT_LIMIT, /**< all endpoints are at their limits */
 	REFUSE_CRASH_SUSPECT, /**< its prompt may crash engines */
