--- a/common/codec_decode.c
+++ b/common/codec_decode.c
@@ -1,104 +1,8 @@
-#include <mpack.h>
 #include <string.h>
 
 #include "common/codec.h"
 #include "common/codec_format.h"
-
-struct reader {
-	mpack_tokbuf_t tokbuf;
-	const char *bytes;
-	size_t remaining_bytes;
-	bool failed;
-};
-
-static mpack_token_t
-read_token(struct reader *reader)
-{
-	mpack_token_t token = { 0 };
-
-	if (!reader->failed &&
-	    (reader->remaining_bytes == 0 ||
-		mpack_read(&reader->tokbuf, &reader->bytes,
-		    &reader->remaining_bytes, &token) != MPACK_OK))
-		reader->failed = true;
-	return token;
-}
-
-static uint64_t
-read_uint(struct reader *reader, uint64_t max)
-{
-	mpack_token_t token = read_token(reader);
-	uint64_t value;
-
-	if (reader->failed || token.type != MPACK_TOKEN_UINT) {
-		reader->failed = true;
-		return 0;
-	}
-	value = mpack_unpack_uint(token);
-	if (value > max)
-		reader->failed = true;
-	return reader->failed ? 0 : value;
-}
-
-static int64_t
-read_int(struct reader *reader)
-{
-	mpack_token_t token = read_token(reader);
-
-	if (!reader->failed && token.type == MPACK_TOKEN_SINT)
-		return mpack_unpack_sint(token);
-	if (!reader->failed && token.type == MPACK_TOKEN_UINT &&
-	    mpack_unpack_uint(token) <= INT64_MAX)
-		return (int64_t)mpack_unpack_uint(token);
-	reader->failed = true;
-	return 0;
-}
-
-static uint32_t
-read_count(struct reader *reader, uint32_t max_count)
-{
-	mpack_token_t token = read_token(reader);
-
-	if (!reader->failed && token.type == MPACK_TOKEN_ARRAY &&
-	    token.length <= max_count)
-		return token.length;
-	reader->failed = true;
-	return 0;
-}
-
-/* Returns the length of a text and points text to its bytes in the input. */
-static size_t
-read_bytes(struct reader *reader, size_t max_bytes, const char **text)
-{
-	mpack_token_t token = read_token(reader);
-	size_t length_bytes = token.length;
-
-	if (reader->failed || token.type != MPACK_TOKEN_STR ||
-	    length_bytes > max_bytes ||
-	    length_bytes > reader->remaining_bytes) {
-		reader->failed = true;
-		return 0;
-	}
-	*text = reader->bytes;
-	reader->bytes += length_bytes;
-	reader->remaining_bytes -= length_bytes;
-	/* mpack expects the body of the string to be read with mpack_read,
-	 * but it was consumed directly */
-	reader->tokbuf.passthrough = 0;
-	return length_bytes;
-}
-
-static void
-read_text(struct reader *reader, char *out, size_t size_bytes)
-{
-	const char *text = "";
-	size_t length_bytes = read_bytes(reader, size_bytes - 1, &text);
-
-	if (memchr(text, '\0', length_bytes) != NULL)
-		reader->failed = true;
-	memcpy(out, text, length_bytes);
-	out[length_bytes] = '\0';
-}
+#include "common/codec_reader.h"
 
 static void
 read_report_item(struct reader *reader, const struct msg_request_report *report,
@@ -107,17 +11,17 @@
 	uint32_t field_count = report->full ? REPORT_ITEM_FIELDS
 					    : REPORT_BRIEF_ITEM_FIELDS;
 
-	if (read_count(reader, field_count) != field_count)
+	if (reader_count(reader, field_count) != field_count)
 		reader->failed = true;
-	item->seq = report->seq_max - read_uint(reader, UINT64_MAX);
-	item->tokens = read_uint(reader, UINT32_MAX);
-	item->state = (uint8_t)read_uint(reader, REPORT_RUNNING);
+	item->seq = report->seq_max - reader_uint(reader, UINT64_MAX);
+	item->tokens = reader_uint(reader, UINT32_MAX);
+	item->state = (uint8_t)reader_uint(reader, REPORT_RUNNING);
 	if (!report->full)
 		return;
-	item->account_id = read_uint(reader, UINT64_MAX);
-	item->endpoint_id = read_uint(reader, UINT64_MAX);
-	item->prefix_hash = read_uint(reader, UINT64_MAX);
-	item->estimate_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
+	item->account_id = reader_uint(reader, UINT64_MAX);
+	item->endpoint_id = reader_uint(reader, UINT64_MAX);
+	item->prefix_hash = reader_uint(reader, UINT64_MAX);
+	item->estimate_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
 }
 
 static void
@@ -126,64 +30,66 @@
 	struct report_vtime *vtimes;
 	struct report_item *items;
 
-	report->pool_id = read_uint(reader, UINT64_MAX);
-	report->epoch_seen = read_uint(reader, UINT64_MAX);
-	report->owner_seen = read_uint(reader, UINT64_MAX);
-	report->send_seq = read_uint(reader, UINT64_MAX);
-	report->seq_max = read_uint(reader, UINT64_MAX);
-	report->full = (uint8_t)read_uint(reader, 1);
-	report->wants_ack = (uint8_t)read_uint(reader, 1);
-	report->item_count = read_count(reader, REPORT_ITEMS_MAX_COUNT);
+	report->pool_id = reader_uint(reader, UINT64_MAX);
+	report->epoch_seen = reader_uint(reader, UINT64_MAX);
+	report->owner_seen = reader_uint(reader, UINT64_MAX);
+	report->send_seq = reader_uint(reader, UINT64_MAX);
+	report->seq_max = reader_uint(reader, UINT64_MAX);
+	report->full = (uint8_t)reader_uint(reader, 1);
+	report->wants_ack = (uint8_t)reader_uint(reader, 1);
+	report->item_count = reader_count(reader, REPORT_ITEMS_MAX_COUNT);
 	items = g_new0(struct report_item, report->item_count);
 	report->items = items;
 	for (uint32_t i = 0; i < report->item_count && !reader->failed; i++)
 		read_report_item(reader, report, &items[i]);
-	report->vtime_count = read_count(reader, REPORT_ITEMS_MAX_COUNT);
+	report->vtime_count = reader_count(reader, REPORT_ITEMS_MAX_COUNT);
 	vtimes = g_new0(struct report_vtime, report->vtime_count);
 	report->vtimes = vtimes;
 	for (uint32_t i = 0; i < report->vtime_count && !reader->failed; i++) {
-		if (read_count(reader, REPORT_VTIME_FIELDS) !=
+		if (reader_count(reader, REPORT_VTIME_FIELDS) !=
 		    REPORT_VTIME_FIELDS)
 			reader->failed = true;
-		vtimes[i].account_id = read_uint(reader, UINT64_MAX);
-		vtimes[i].vtime = read_int(reader);
+		vtimes[i].account_id = reader_uint(reader, UINT64_MAX);
+		vtimes[i].vtime = reader_int(reader);
 	}
 }
 
 static void
 read_member_update(struct reader *reader, struct member_update *update)
 {
-	update->node_id = read_uint(reader, UINT64_MAX);
-	read_text(reader, update->address, sizeof(update->address));
-	read_text(reader, update->domain, sizeof(update->domain));
-	update->incarnation = read_uint(reader, UINT64_MAX);
-	update->revision = (uint32_t)read_uint(reader, UINT32_MAX);
-	update->state = (uint8_t)read_uint(reader, MEMBER_DOWN);
-	update->flags = (uint8_t)read_uint(reader, MEMBER_FLAGS_MAX);
+	update->node_id = reader_uint(reader, UINT64_MAX);
+	reader_text(reader, update->address, sizeof(update->address));
+	reader_text(reader, update->domain, sizeof(update->domain));
+	update->incarnation = reader_uint(reader, UINT64_MAX);
+	update->revision = (uint32_t)reader_uint(reader, UINT32_MAX);
+	update->state = (uint8_t)reader_uint(reader, MEMBER_DOWN);
+	update->flags = (uint8_t)reader_uint(reader, MEMBER_FLAGS_MAX);
 }
 
 static void
 read_heartbeat(struct reader *reader, struct msg_heartbeat *heartbeat)
 {
-	heartbeat->probe_seq = read_uint(reader, UINT64_MAX);
-	heartbeat->target_node_id = read_uint(reader, UINT64_MAX);
+	heartbeat->probe_seq = reader_uint(reader, UINT64_MAX);
+	heartbeat->target_node_id = reader_uint(reader, UINT64_MAX);
 	read_member_update(reader, &heartbeat->self);
-	heartbeat->routes_version = read_uint(reader, UINT64_MAX);
-	heartbeat->pools_version = read_uint(reader, UINT64_MAX);
-	heartbeat->updates_count = read_count(reader, GOSSIP_UPDATES_MAX_COUNT);
+	heartbeat->routes_version = reader_uint(reader, UINT64_MAX);
+	heartbeat->pools_version = reader_uint(reader, UINT64_MAX);
+	heartbeat->updates_count = reader_count(reader,
+	    GOSSIP_UPDATES_MAX_COUNT);
 	for (uint32_t i = 0; i < heartbeat->updates_count; i++)
 		read_member_update(reader, &heartbeat->updates[i]);
-	heartbeat->versions_count = read_count(reader,
+	heartbeat->versions_count = reader_count(reader,
 	    GOSSIP_VERSIONS_MAX_COUNT);
 	for (uint32_t i = 0; i < heartbeat->versions_count; i++) {
 		struct member_versions *versions = &heartbeat->versions[i];
-		versions->node_id_low = (uint32_t)read_uint(reader, UINT32_MAX);
-		versions->incarnation_low = (uint32_t)read_uint(reader,
+		versions->node_id_low = (uint32_t)reader_uint(reader,
+		    UINT32_MAX);
+		versions->incarnation_low = (uint32_t)reader_uint(reader,
 		    UINT32_MAX);
 		versions->routes_version = heartbeat->routes_version +
-		    (uint64_t)read_int(reader);
+		    (uint64_t)reader_int(reader);
 		versions->pools_version = heartbeat->pools_version +
-		    (uint64_t)read_int(reader);
+		    (uint64_t)reader_int(reader);
 	}
 }
 
@@ -192,7 +98,7 @@
 {
 	struct member_update *items;
 
-	list->item_count = read_count(reader, MEMBERS_MAX_COUNT);
+	list->item_count = reader_count(reader, MEMBERS_MAX_COUNT);
 	items = g_new0(struct member_update, list->item_count);
 	list->items = items;
 	for (uint32_t i = 0; i < list->item_count && !reader->failed; i++)
@@ -202,33 +108,33 @@
 static void
 read_slot_request(struct reader *reader, struct msg_slot_request *request)
 {
-	request->pool_id = read_uint(reader, UINT64_MAX);
-	request->account_id = read_uint(reader, UINT64_MAX);
-	request->seq = read_uint(reader, UINT64_MAX);
-	request->prefix_hash = read_uint(reader, UINT64_MAX);
-	request->avoid_endpoint_id = read_uint(reader, UINT64_MAX);
-	request->estimate_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
+	request->pool_id = reader_uint(reader, UINT64_MAX);
+	request->account_id = reader_uint(reader, UINT64_MAX);
+	request->seq = reader_uint(reader, UINT64_MAX);
+	request->prefix_hash = reader_uint(reader, UINT64_MAX);
+	request->avoid_endpoint_id = reader_uint(reader, UINT64_MAX);
+	request->estimate_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
 }
 
 static void
 read_grant(struct reader *reader, struct msg_grant *grant)
 {
-	grant->pool_id = read_uint(reader, UINT64_MAX);
-	grant->epoch = read_uint(reader, UINT64_MAX);
-	grant->seq = read_uint(reader, UINT64_MAX);
-	grant->endpoint_id = read_uint(reader, UINT64_MAX);
-	grant->account_vtime = read_int(reader);
-	grant->grant_seq = read_uint(reader, UINT64_MAX);
+	grant->pool_id = reader_uint(reader, UINT64_MAX);
+	grant->epoch = reader_uint(reader, UINT64_MAX);
+	grant->seq = reader_uint(reader, UINT64_MAX);
+	grant->endpoint_id = reader_uint(reader, UINT64_MAX);
+	grant->account_vtime = reader_int(reader);
+	grant->grant_seq = reader_uint(reader, UINT64_MAX);
 }
 
 static void
 read_refusal(struct reader *reader, struct msg_refuse *refuse)
 {
-	refuse->pool_id = read_uint(reader, UINT64_MAX);
-	refuse->epoch = read_uint(reader, UINT64_MAX);
-	refuse->seq = read_uint(reader, UINT64_MAX);
-	refuse->retry_after_ms = (uint32_t)read_uint(reader, UINT32_MAX);
-	refuse->reason = (uint8_t)read_uint(reader, REFUSE_REASON_COUNT - 1);
+	refuse->pool_id = reader_uint(reader, UINT64_MAX);
+	refuse->epoch = reader_uint(reader, UINT64_MAX);
+	refuse->seq = reader_uint(reader, UINT64_MAX);
+	refuse->retry_after_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	refuse->reason = (uint8_t)reader_uint(reader, REFUSE_REASON_COUNT - 1);
 }
 
 static void
@@ -236,53 +142,53 @@
 {
 	const char *text = "";
 
-	data->kind = (uint8_t)read_uint(reader, TABLE_KIND_COUNT - 1);
-	data->version = read_uint(reader, UINT64_MAX);
-	data->text_bytes = (uint32_t)read_bytes(reader, CODEC_MESSAGE_MAX_BYTES,
-	    &text);
+	data->kind = (uint8_t)reader_uint(reader, TABLE_KIND_COUNT - 1);
+	data->version = reader_uint(reader, UINT64_MAX);
+	data->text_bytes = (uint32_t)reader_bytes(reader,
+	    CODEC_MESSAGE_MAX_BYTES, &text);
 	data->text = g_strndup(text, data->text_bytes);
 }
 
 static void
 read_cancel(struct reader *reader, struct msg_cancel *cancel)
 {
-	cancel->pool_id = read_uint(reader, UINT64_MAX);
-	cancel->seq = read_uint(reader, UINT64_MAX);
-	cancel->send_seq = read_uint(reader, UINT64_MAX);
-	cancel->endpoint_id = read_uint(reader, UINT64_MAX);
-	cancel->grant_seq = read_uint(reader, UINT64_MAX);
+	cancel->pool_id = reader_uint(reader, UINT64_MAX);
+	cancel->seq = reader_uint(reader, UINT64_MAX);
+	cancel->send_seq = reader_uint(reader, UINT64_MAX);
+	cancel->endpoint_id = reader_uint(reader, UINT64_MAX);
+	cancel->grant_seq = reader_uint(reader, UINT64_MAX);
 }
 
 static void
 read_load_endpoint(struct reader *reader, struct load_endpoint *endpoint)
 {
-	if (read_count(reader, LOAD_ENDPOINT_FIELDS) != LOAD_ENDPOINT_FIELDS)
+	if (reader_count(reader, LOAD_ENDPOINT_FIELDS) != LOAD_ENDPOINT_FIELDS)
 		reader->failed = true;
-	endpoint->endpoint_id = read_uint(reader, UINT64_MAX);
-	endpoint->running_count = (uint32_t)read_uint(reader, UINT32_MAX);
-	endpoint->prefill_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
-	endpoint->kv_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
+	endpoint->endpoint_id = reader_uint(reader, UINT64_MAX);
+	endpoint->running_count = (uint32_t)reader_uint(reader, UINT32_MAX);
+	endpoint->prefill_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
+	endpoint->kv_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
 }
 
 static void
 read_load_account(struct reader *reader, struct load_account *account)
 {
-	if (read_count(reader, LOAD_ACCOUNT_FIELDS) != LOAD_ACCOUNT_FIELDS)
+	if (reader_count(reader, LOAD_ACCOUNT_FIELDS) != LOAD_ACCOUNT_FIELDS)
 		reader->failed = true;
-	account->account_id = read_uint(reader, UINT64_MAX);
-	account->asked_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
-	account->served_tokens = (uint32_t)read_uint(reader, UINT32_MAX);
+	account->account_id = reader_uint(reader, UINT64_MAX);
+	account->asked_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
+	account->served_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
 }
 
 static void
 read_load_cached_segment(struct reader *reader,
     struct load_cached_segment *segment)
 {
-	if (read_count(reader, LOAD_CACHED_SEGMENT_FIELDS) !=
+	if (reader_count(reader, LOAD_CACHED_SEGMENT_FIELDS) !=
 	    LOAD_CACHED_SEGMENT_FIELDS)
 		reader->failed = true;
-	segment->endpoint_id = read_uint(reader, UINT64_MAX);
-	segment->segment_id = read_uint(reader, UINT64_MAX);
+	segment->endpoint_id = reader_uint(reader, UINT64_MAX);
+	segment->segment_id = reader_uint(reader, UINT64_MAX);
 }
 
 static void
@@ -292,24 +198,24 @@
 	struct load_account *accounts;
 	struct load_cached_segment *cached_segments;
 
-	load->stamp_ms = read_uint(reader, UINT64_MAX);
-	load->echo_ms = read_uint(reader, UINT64_MAX);
+	load->stamp_ms = reader_uint(reader, UINT64_MAX);
+	load->echo_ms = reader_uint(reader, UINT64_MAX);
 	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++) {
-		load->freshness[kind].version = read_uint(reader, UINT64_MAX);
-		load->freshness[kind].age_ms = (uint32_t)read_uint(reader,
+		load->freshness[kind].version = reader_uint(reader, UINT64_MAX);
+		load->freshness[kind].age_ms = (uint32_t)reader_uint(reader,
 		    UINT32_MAX);
 	}
-	load->endpoints_count = read_count(reader, ENDPOINTS_MAX_COUNT);
+	load->endpoints_count = reader_count(reader, ENDPOINTS_MAX_COUNT);
 	endpoints = g_new0(struct load_endpoint, load->endpoints_count);
 	load->endpoints = endpoints;
 	for (uint32_t i = 0; i < load->endpoints_count; i++)
 		read_load_endpoint(reader, &endpoints[i]);
-	load->accounts_count = read_count(reader, LOAD_ACCOUNTS_MAX_COUNT);
+	load->accounts_count = reader_count(reader, LOAD_ACCOUNTS_MAX_COUNT);
 	accounts = g_new0(struct load_account, load->accounts_count);
 	load->accounts = accounts;
 	for (uint32_t i = 0; i < load->accounts_count; i++)
 		read_load_account(reader, &accounts[i]);
-	load->cached_segments_count = read_count(reader,
+	load->cached_segments_count = reader_count(reader,
 	    LOAD_CACHED_SEGMENTS_MAX_COUNT);
 	cached_segments = g_new0(struct load_cached_segment,
 	    load->cached_segments_count);
@@ -321,17 +227,17 @@
 static void
 read_crash_record(struct reader *reader, struct crash_record *record)
 {
-	if (read_count(reader, CRASH_RECORD_FIELDS) != CRASH_RECORD_FIELDS)
+	if (reader_count(reader, CRASH_RECORD_FIELDS) != CRASH_RECORD_FIELDS)
 		reader->failed = true;
-	record->segment_id = read_uint(reader, UINT64_MAX);
-	record->crashes_count = read_count(reader, CRASH_RECORD_IDS_COUNT);
+	record->segment_id = reader_uint(reader, UINT64_MAX);
+	record->crashes_count = reader_count(reader, CRASH_RECORD_IDS_COUNT);
 	for (uint32_t i = 0; i < record->crashes_count; i++)
-		record->crash_ids[i] = read_uint(reader, UINT64_MAX);
-	record->failed_trials_count = (uint32_t)read_uint(reader, UINT32_MAX);
-	record->epoch = (uint32_t)read_uint(reader, UINT32_MAX);
-	record->age_ms = (uint32_t)read_uint(reader, UINT32_MAX);
-	record->depth = (uint32_t)read_uint(reader, UINT32_MAX);
-	record->cleared = read_uint(reader, 1) != 0;
+		record->crash_ids[i] = reader_uint(reader, UINT64_MAX);
+	record->failed_trials_count = (uint32_t)reader_uint(reader, UINT32_MAX);
+	record->epoch = (uint32_t)reader_uint(reader, UINT32_MAX);
+	record->age_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	record->depth = (uint32_t)reader_uint(reader, UINT32_MAX);
+	record->cleared = reader_uint(reader, 1) != 0;
 }
 
 static void
@@ -339,7 +245,7 @@
 {
 	struct crash_record *items;
 
-	records->count = read_count(reader, CRASH_RECORDS_MAX_COUNT);
+	records->count = reader_count(reader, CRASH_RECORDS_MAX_COUNT);
 	items = g_new0(struct crash_record, records->count);
 	records->items = items;
 	for (uint32_t i = 0; i < records->count; i++)
@@ -349,11 +255,12 @@
 static void
 read_reported_limit(struct reader *reader, struct reported_limit *limit)
 {
-	if (read_count(reader, REPORTED_LIMIT_FIELDS) != REPORTED_LIMIT_FIELDS)
+	if (reader_count(reader, REPORTED_LIMIT_FIELDS) !=
+	    REPORTED_LIMIT_FIELDS)
 		reader->failed = true;
-	limit->endpoint_id = read_uint(reader, UINT64_MAX);
-	limit->per_1000_s = (uint32_t)read_uint(reader, UINT32_MAX);
-	limit->age_ms = (uint32_t)read_uint(reader, UINT32_MAX);
+	limit->endpoint_id = reader_uint(reader, UINT64_MAX);
+	limit->per_1000_s = (uint32_t)reader_uint(reader, UINT32_MAX);
+	limit->age_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
 }
 
 static void
@@ -361,13 +268,31 @@
 {
 	struct reported_limit *items;
 
-	limits->count = read_count(reader, ENDPOINTS_MAX_COUNT);
+	limits->count = reader_count(reader, ENDPOINTS_MAX_COUNT);
 	items = g_new0(struct reported_limit, limits->count);
 	limits->items = items;
 	for (uint32_t i = 0; i < limits->count; i++)
 		read_reported_limit(reader, &items[i]);
 }
 
+static void
+read_done(struct reader *reader, struct msg_done *done)
+{
+	done->pool_id = reader_uint(reader, UINT64_MAX);
+	done->seq = reader_uint(reader, UINT64_MAX);
+	done->tokens = reader_uint(reader, UINT32_MAX);
+	done->send_seq = reader_uint(reader, UINT64_MAX);
+	done->outcome = (uint8_t)reader_uint(reader, DONE_OUTCOME_COUNT - 1);
+}
+
+static void
+read_sync(struct reader *reader, struct msg_sync *sync)
+{
+	sync->pool_id = reader_uint(reader, UINT64_MAX);
+	sync->epoch = reader_uint(reader, UINT64_MAX);
+	sync->wants_report = (uint8_t)reader_uint(reader, 1);
+}
+
 static void
 read_body(struct reader *reader, struct msg *msg)
 {
@@ -389,20 +314,13 @@
 		read_cancel(reader, &msg->u.cancel);
 		break;
 	case MSG_DONE:
-		msg->u.done.pool_id = read_uint(reader, UINT64_MAX);
-		msg->u.done.seq = read_uint(reader, UINT64_MAX);
-		msg->u.done.tokens = read_uint(reader, UINT32_MAX);
-		msg->u.done.send_seq = read_uint(reader, UINT64_MAX);
-		msg->u.done.outcome = (uint8_t)read_uint(reader,
-		    DONE_OUTCOME_COUNT - 1);
+		read_done(reader, &msg->u.done);
 		break;
 	case MSG_REQUEST_REPORT:
 		read_request_report(reader, &msg->u.request_report);
 		break;
 	case MSG_SYNC:
-		msg->u.sync.pool_id = read_uint(reader, UINT64_MAX);
-		msg->u.sync.epoch = read_uint(reader, UINT64_MAX);
-		msg->u.sync.wants_report = (uint8_t)read_uint(reader, 1);
+		read_sync(reader, &msg->u.sync);
 		break;
 	case MSG_GRANT:
 		read_grant(reader, &msg->u.grant);
@@ -411,14 +329,15 @@
 		read_refusal(reader, &msg->u.refuse);
 		break;
 	case MSG_STALE_OWNER:
-		msg->u.stale_owner.pool_id = read_uint(reader, UINT64_MAX);
-		msg->u.stale_owner.epoch_seen = read_uint(reader, UINT64_MAX);
-		msg->u.stale_owner.owner_seen = read_uint(reader, UINT64_MAX);
+		msg->u.stale_owner.pool_id = reader_uint(reader, UINT64_MAX);
+		msg->u.stale_owner.epoch_seen = reader_uint(reader, UINT64_MAX);
+		msg->u.stale_owner.owner_seen = reader_uint(reader, UINT64_MAX);
 		break;
 	case MSG_TABLES_ANNOUNCE:
 	case MSG_TABLES_PULL:
-		msg->u.versions.routes_version = read_uint(reader, UINT64_MAX);
-		msg->u.versions.pools_version = read_uint(reader, UINT64_MAX);
+		msg->u.versions.routes_version = reader_uint(reader,
+		    UINT64_MAX);
+		msg->u.versions.pools_version = reader_uint(reader, UINT64_MAX);
 		break;
 	case MSG_TABLES_DATA:
 		read_tables_data(reader, &msg->u.tables_data);
@@ -448,11 +367,11 @@
 	reader->remaining_bytes = length_bytes;
 	mpack_tokbuf_init(&reader->tokbuf);
 	if (length_bytes > CODEC_MESSAGE_MAX_BYTES ||
-	    read_uint(reader, UINT32_MAX) != CODEC_VERSION)
+	    reader_uint(reader, UINT32_MAX) != CODEC_VERSION)
 		return false;
-	msg->type = (enum msg_type)read_uint(reader, MSG_TYPE_COUNT - 1);
-	msg->from_node_id = read_uint(reader, UINT64_MAX);
-	msg->from_incarnation = read_uint(reader, UINT64_MAX);
+	msg->type = (enum msg_type)reader_uint(reader, MSG_TYPE_COUNT - 1);
+	msg->from_node_id = reader_uint(reader, UINT64_MAX);
+	msg->from_incarnation = reader_uint(reader, UINT64_MAX);
 	return !reader->failed;
 }
 
--- a/common/codec_encode.c
+++ b/common/codec_encode.c
@@ -248,6 +248,22 @@
 	write_uint(out, cancel->grant_seq);
 }
 
+static void
+write_sync(GByteArray *out, const struct msg_sync *sync)
+{
+	write_uint(out, sync->pool_id);
+	write_uint(out, sync->epoch);
+	write_uint(out, sync->wants_report);
+}
+
+static void
+write_stale_owner(GByteArray *out, const struct msg_stale_owner *stale)
+{
+	write_uint(out, stale->pool_id);
+	write_uint(out, stale->epoch_seen);
+	write_uint(out, stale->owner_seen);
+}
+
 static void
 write_body(GByteArray *out, const struct msg *msg)
 {
@@ -275,9 +291,7 @@
 		write_request_report(out, &msg->u.request_report);
 		break;
 	case MSG_SYNC:
-		write_uint(out, msg->u.sync.pool_id);
-		write_uint(out, msg->u.sync.epoch);
-		write_uint(out, msg->u.sync.wants_report);
+		write_sync(out, &msg->u.sync);
 		break;
 	case MSG_GRANT:
 		write_grant(out, &msg->u.grant);
@@ -286,9 +300,7 @@
 		write_refusal(out, &msg->u.refuse);
 		break;
 	case MSG_STALE_OWNER:
-		write_uint(out, msg->u.stale_owner.pool_id);
-		write_uint(out, msg->u.stale_owner.epoch_seen);
-		write_uint(out, msg->u.stale_owner.owner_seen);
+		write_stale_owner(out, &msg->u.stale_owner);
 		break;
 	case MSG_TABLES_ANNOUNCE:
 	case MSG_TABLES_PULL:
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -71,6 +71,15 @@
     const struct dispatch_request *request, uint64_t now_ms,
     struct dispatch_candidate *chosen, uint64_t *limit_wait_ms);
 
+/** Starts an attempt at the chosen endpoint.
+ * @param engine the endpoint is a model engine
+ * @param trial_segment_id the suspect that the request is a trial of, or 0 */
+void dispatch_start_attempt(struct dispatch *dispatch,
+    const struct dispatch_request *request,
+    const struct dispatch_candidate *candidate, bool engine,
+    uint64_t trial_segment_id, uint64_t now_ms,
+    struct dispatch_decision *decision);
+
 /** A cached segment to be announced to peers. */
 struct dispatch_cache_update {
 	struct load_cached_segment item;
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -41,7 +41,8 @@
 	bool not_executed; /**< the endpoint did not run the request */
 	bool encoded; /**< the body was encoded on the way */
 	bool event_stream;
-	bool framed; /**< has a length or chunks; else ends with its connection */
+	bool
+	    framed; /**< has a length or chunks; else ends with its connection */
 	/** Requests in 1,000 s that the endpoint takes from all daemons together;
 	 * 0: it names no limit. */
 	uint32_t limit_per_1000_s;
