--- a/tests/unit/dispatch_fixture.h
+++ b/tests/unit/dispatch_fixture.h
@@ -189,6 +189,21 @@
 		deliver(node_id, &msg);
 	}
 
+	/** Adds a busy and an idle engine, and two accounts that ask for the
+	 * same, of which the second got twice what the first did. */
+	void serve_two_accounts_unequally()
+	{
+		add_endpoint("e1");
+		add_endpoint("e2");
+		report_load(50, "e1", 1, 10000);
+		tick_for(50);
+		for (uint64_t account_id : { 1, 2 })
+			account_of(account_id)->remote_asked_tokens = 100000;
+		account_of(1)->remote_served_tokens = 15000;
+		account_of(2)->remote_served_tokens = 30000;
+		tick_for(50);
+	}
+
 	/** A peer reports that an endpoint has a segment cached. */
 	void report_cached_segment(uint64_t node_id, const char *endpoint,
 	    uint64_t segment_id)
--- a/tests/unit/test_admission.cc
+++ b/tests/unit/test_admission.cc
@@ -158,15 +158,7 @@
 
 TEST_F(Admission, AnAccountFarOverItsShareGetsNoIdleEngineWhileOthersWait)
 {
-	add_endpoint("e1");
-	add_endpoint("e2");
-	report_load(50, "e1", 1, 10000);
-	tick_for(50);
-	for (uint64_t account_id : { 1, 2 })
-		account_of(account_id)->remote_asked_tokens = 100000;
-	account_of(1)->remote_served_tokens = 15000;
-	account_of(2)->remote_served_tokens = 30000;
-	tick_for(50);
+	serve_two_accounts_unequally();
 	EXPECT_FALSE(decide(make_request(1000, 2)).start);
 	dispatch_decision decision = decide(make_request(1000, 1));
 	EXPECT_TRUE(decision.start);
@@ -175,15 +167,7 @@
 
 TEST_F(Admission, ARefusalTellsAnAccountsShareFromAFullFleet)
 {
-	add_endpoint("e1");
-	add_endpoint("e2");
-	report_load(50, "e1", 1, 10000);
-	tick_for(50);
-	for (uint64_t account_id : { 1, 2 })
-		account_of(account_id)->remote_asked_tokens = 100000;
-	account_of(1)->remote_served_tokens = 15000;
-	account_of(2)->remote_served_tokens = 30000;
-	tick_for(50);
+	serve_two_accounts_unequally();
 	EXPECT_EQ(decide(make_request(1000, 2)).reason, REFUSE_ACCOUNT_SHARE);
 	report_load(50, "e1", 1, 100000);
 	report_load(51, "e2", 1, 100000);
