Refuse by a table of reasons; log only blocked segments as warnings

Each crash of an engine has segments that are watched and then cleared; as warnings they could displace others, of which 60 a second are written.

--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -90,7 +90,10 @@
 	g_snprintf(segment, TEXT_BYTES, "%" G_GINT64_MODIFIER "x",
 	    effect->segment_id);
 	g_snprintf(crashes, TEXT_BYTES, "%u", effect->crashes_count);
-	log_event(LOG_LEVEL_WARN, "prompt_segment", "segment", segment, "state",
+	/* each crash of an engine has segments that are watched and cleared */
+	log_event(effect->phase == SUSPECT_BLOCKED ? LOG_LEVEL_WARN
+						   : LOG_LEVEL_INFO,
+	    "prompt_segment", "segment", segment, "state",
 	    suspect_phase_name(effect->phase), "crashes", crashes, NULL);
 }
 
--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -15,36 +15,45 @@
 		request->route->resumable);
 }
 
+/* How a caller is told that its request was refused. */
+static const struct {
+	uint32_t status;
+	const char *outcome;
+	bool
+	    holds_account; /**< further requests are refused without a decision */
+	enum metric_id metric; /**< METRIC_COUNT: none of its own */
+} refusals[REFUSE_REASON_COUNT] = {
+	[REFUSE_NONE] = { 503, "no_endpoint", false, METRIC_COUNT },
+	[REFUSE_QUEUE_FULL] = { 503, "overloaded", true, METRIC_COUNT },
+	[REFUSE_DEADLINE] = { 503, "no_endpoint", false, METRIC_COUNT },
+	[REFUSE_NO_ENDPOINT] = { 503, "no_endpoint", false, METRIC_COUNT },
+	[REFUSE_SHUTDOWN] = { 503, "no_endpoint", false, METRIC_COUNT },
+	[REFUSE_ACCOUNT_SHARE] = { 429, "account_over_share", true,
+	    METRIC_COUNT },
+	[REFUSE_RETRY_BUDGET] = { 503, "retry_budget", false, METRIC_COUNT },
+	[REFUSE_ENDPOINT_LIMIT] = { 503, "endpoint_limit", false,
+	    METRIC_REQUESTS_LIMITED },
+	[REFUSE_CRASH_SUSPECT] = { 503, "prompt_suspect", false,
+	    METRIC_REQUESTS_SUSPECT },
+};
+
 static void
 refuse_by_decision(struct gw_request *request)
 {
-	const struct dispatch_decision *decision = &request->decision;
+	enum refuse_reason reason = request->decision.reason;
 
 	request->gateway->load_counts.refused_count++;
-	if (request->may_have_run)
+	if (request->may_have_run) {
 		gw_request_respond_error(request, 502, "no_answer", 0);
-	else if (decision->reason == REFUSE_QUEUE_FULL) {
-		gw_request_hold_account(request);
-		gw_request_respond_error(request, 503, "overloaded",
-		    MAX(decision->retry_after_ms, 1u));
-	} else if (decision->reason == REFUSE_ACCOUNT_SHARE) {
+		return;
+	}
+	if (refusals[reason].holds_account)
 		gw_request_hold_account(request);
-		gw_request_respond_error(request, 429, "account_over_share",
-		    MAX(decision->retry_after_ms, 1u));
-	} else if (decision->reason == REFUSE_CRASH_SUSPECT) {
-		metric_add(METRIC_REQUESTS_SUSPECT, 1);
-		gw_request_respond_error(request, 503, "prompt_suspect",
-		    MAX(decision->retry_after_ms, 1u));
-	} else if (decision->reason == REFUSE_ENDPOINT_LIMIT) {
-		metric_add(METRIC_REQUESTS_LIMITED, 1);
-		gw_request_respond_error(request, 503, "endpoint_limit",
-		    MAX(decision->retry_after_ms, 1u));
-	} else if (decision->reason == REFUSE_RETRY_BUDGET)
-		gw_request_respond_error(request, 503, "retry_budget",
-		    MAX(decision->retry_after_ms, 1u));
-	else
-		gw_request_respond_error(request, 503, "no_endpoint",
-		    MAX(decision->retry_after_ms, 1u));
+	if (refusals[reason].metric != METRIC_COUNT)
+		metric_add(refusals[reason].metric, 1);
+	gw_request_respond_error(request, refusals[reason].status,
+	    refusals[reason].outcome,
+	    MAX(request->decision.retry_after_ms, 1u));
 }
 
 void
