--- a/tests/e2e/gateway_harness.h
+++ b/tests/e2e/gateway_harness.h
@@ -11,6 +11,7 @@
 #include <jansson.h>
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <filesystem>
@@ -143,7 +144,7 @@
 	}
 
 	/** Maximum number of objects in a page of a list. */
-	size_t page_size = 500;
+	std::atomic<size_t> page_size{ 500 };
 
       private:
 	struct Event {
