--- a/core/dispatch_limit.c
+++ b/core/dispatch_limit.c
@@ -45,8 +45,10 @@
 set_limit(const struct dispatch *dispatch, struct dispatch_endpoint *endpoint,
     uint32_t per_1000_s, uint64_t evidence_ms, uint64_t now_ms)
 {
+	uint32_t known_per_1000_s = endpoint->limit.per_1000_s;
+
 	endpoint_limit_set(&endpoint->limit, per_1000_s, evidence_ms, now_ms);
-	if (endpoint->limit.per_1000_s > 0)
+	if (endpoint->limit.per_1000_s != known_per_1000_s)
 		update_holders(dispatch, endpoint);
 }
 
--- a/core/endpoint_limit.c
+++ b/core/endpoint_limit.c
@@ -3,9 +3,9 @@
 #include <glib.h>
 
 #define UREQ_PER_REQUEST 1000000u
-/* A holder may save up what it gets in this time, and one request. With one
- * holder more than two for each request a second, all holders together send at
- * most 5.5 times the limit and 3 requests in 4 s. */
+/* A holder may save up what it gets in this time, and one request. With a limit
+ * of L requests a second and L + 3 holders, all of them together send at most
+ * 5.5 L + 3 requests in 4 s. */
 #define SAVED_MS 500u
 #define HOLDERS_EXTRA_COUNT 3u
 /* An endpoint that was not heard of for this long, or for the time of some
