Take fractions, absent values and extremes in all settings that the platform gives

The retry budget is computed in thousandths now, so that a small part of a slack isn't rounded away before it is divided.

Test: unit-deploy_template renders deploy/daemon.toml; before, 2 of its 3 tests failed ("listen.stream_delay_ms must be a whole number", ...).

--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -178,8 +178,8 @@
 	struct dispatch_config dispatch_config = {
 		.domain_id = hash_name(settings->failure_domain),
 		.report_period_ms = settings->load_period_ms,
-		.retry_percent = settings->retry_ratio_milli / 10,
-		.retry_slack_count = settings->retry_slack_count,
+		.retry_permille = settings->retry_ratio_milli,
+		.retry_slack_milli = settings->retry_slack_milli,
 		.retry_window_ms = settings->retry_window_ms,
 	};
 
--- a/bamboorudderd/settings.c
+++ b/bamboorudderd/settings.c
@@ -34,6 +34,11 @@
 		name, SETTINGS_UINT32, OFFSET_OF(member), unit, min, max,      \
 		    default_value, "", NULL, NULL, NULL, false, false          \
 	}
+#define ROUNDED(name, member, unit, min, max, default_value)                   \
+	{                                                                      \
+		name, SETTINGS_ROUNDED, OFFSET_OF(member), unit, min, max,     \
+		    default_value, "", NULL, NULL, NULL, false, false          \
+	}
 #define DECIMAL(name, member, unit, min, max, default_value)                   \
 	{                                                                      \
 		name, SETTINGS_DECIMAL, OFFSET_OF(member), unit, min, max,     \
@@ -60,7 +65,8 @@
 	    validate_optional_address),
 	INTEGER("listen.connections_max", connections_max_count, "connections",
 	    16, 65536, 1000),
-	INTEGER("listen.stream_delay_ms", stream_delay_ms, "ms", 4, 4000, 120),
+	ROUNDED("listen.stream_delay_ms", stream_delay_ms, "ms", 1, 600000,
+	    120),
 	STRING("admin.address", admin_address, NULL, validate_address),
 	LIST("admin.tokens", operator_tokens, validate_operator, true, true),
 	STRING("peer.address", peer_address, NULL, validate_address),
@@ -76,13 +82,13 @@
 	INTEGER("peer.down_after_ms", down_after_ms, "ms", 200, 120000, 2000),
 	CHOICE("platform.form", platform_form, "tables", "tables,objects",
 	    false),
-	INTEGER("platform.revoke_ms", revoke_ms, "ms", 0, 600000, 0),
+	ROUNDED("platform.revoke_ms", revoke_ms, "ms", 0, 3600000, 0),
 	STRING("platform.url", platform_url, NULL, validate_url),
 	INTEGER("platform.timeout_ms", platform_timeout_ms, "ms", 50, 60000,
 	    1000),
 	INTEGER("platform.watch_wait_ms", watch_wait_ms, "ms", 100, 60000,
 	    10000),
-	INTEGER("platform.endpoints_age_ms", endpoints_age_ms, "ms", 200, 30000,
+	ROUNDED("platform.endpoints_age_ms", endpoints_age_ms, "ms", 1, 600000,
 	    2000),
 	CHOICE("share.policy", share_policy, "fleet", "fleet,naive", false),
 	CHOICE("share.order", share_order, "vtc", "vtc,fifo", false),
@@ -93,10 +99,12 @@
 	INTEGER("share.sync_timeout_ms", sync_timeout_ms, "ms", 50, 10000, 800),
 	INTEGER("share.grant_settle_ms", grant_settle_ms, "ms", 10, 10000, 400),
 	INTEGER("share.load_period_ms", load_period_ms, "ms", 20, 10000, 100),
-	DECIMAL("retry.ratio", retry_ratio_milli, "thousandths", 0, 10000, 200),
-	DECIMAL("retry.window_s", retry_window_ms, "thousandths", 100, 3600000,
+	DECIMAL("retry.ratio", retry_ratio_milli, "thousandths", 0, 100000,
+	    200),
+	DECIMAL("retry.window_s", retry_window_ms, "thousandths", 1, 3600000,
 	    10000),
-	INTEGER("retry.slack", retry_slack_count, "requests", 0, 1000000, 0),
+	DECIMAL("retry.slack", retry_slack_milli, "thousandths", 0, 100000000,
+	    0),
 	INTEGER("request.queue_timeout_ms", queue_timeout_ms, "ms", 100, 600000,
 	    60000),
 	INTEGER("request.connect_timeout_ms", connect_timeout_ms, "ms", 50,
@@ -107,7 +115,7 @@
 	    600000),
 	INTEGER("shutdown.drain_timeout_ms", drain_timeout_ms, "ms", 0, 3600000,
 	    60000),
-	DECIMAL("shutdown.grace_s", shutdown_grace_ms, "thousandths", 500,
+	DECIMAL("shutdown.grace_s", shutdown_grace_ms, "thousandths", 1,
 	    3600000, 8000),
 	INTEGER("claims.keep_ms", claim_keep_ms, "ms", 1000, 604800000,
 	    86400000),
@@ -140,10 +148,17 @@
 	return (char *)settings + key->offset;
 }
 
+static bool
+is_number(const struct settings_key *key)
+{
+	return key->type == SETTINGS_UINT32 || key->type == SETTINGS_ROUNDED ||
+	    key->type == SETTINGS_DECIMAL;
+}
+
 static void
 set_default(struct settings *settings, const struct settings_key *key)
 {
-	if (key->type == SETTINGS_UINT32 || key->type == SETTINGS_DECIMAL)
+	if (is_number(key))
 		*(uint32_t *)value_address(settings, key) = key->default_number;
 	else if (key->type == SETTINGS_STRING && key->default_string != NULL)
 		g_strlcpy(value_address(settings, key), key->default_string,
@@ -237,6 +252,23 @@
 	}
 }
 
+/* Stores a fraction without its decimal places. */
+static void
+read_rounded(struct read_context *context, const struct settings_key *key,
+    const struct toml_value *value, uint32_t *out)
+{
+	if ((value->type != TOML_INTEGER && value->type != TOML_FLOAT) ||
+	    value->in_array)
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s must be a number", key->name);
+	else if (!(value->floating >= key->min && value->floating <= key->max))
+		findings_add_line(context->findings, context->path, value->line,
+		    value->column, "%s is %g, allowed is %u to %u %s",
+		    key->name, value->floating, key->min, key->max, key->unit);
+	else
+		*out = (uint32_t)value->floating;
+}
+
 static void
 read_integer(struct read_context *context, const struct settings_key *key,
     const struct toml_value *value, uint32_t *out)
@@ -319,6 +351,8 @@
 			read_string(context, &keys[i], value, target);
 		else if (keys[i].type == SETTINGS_UINT32)
 			read_integer(context, &keys[i], value, target);
+		else if (keys[i].type == SETTINGS_ROUNDED)
+			read_rounded(context, &keys[i], value, target);
 		else if (keys[i].type == SETTINGS_DECIMAL)
 			read_decimal(context, &keys[i], value, target);
 		else if (keys[i].type == SETTINGS_BOOL)
@@ -429,7 +463,8 @@
 		const void *target = (const char *)settings + key->offset;
 
 		g_string_append_printf(out, "%s = ", key->name);
-		if (key->type == SETTINGS_UINT32)
+		if (key->type == SETTINGS_UINT32 ||
+		    key->type == SETTINGS_ROUNDED)
 			g_string_append_printf(out, "%u",
 			    *(const uint32_t *)target);
 		else if (key->type == SETTINGS_DECIMAL)
@@ -450,7 +485,7 @@
 static size_t
 key_size_bytes(const struct settings_key *key)
 {
-	if (key->type == SETTINGS_UINT32 || key->type == SETTINGS_DECIMAL)
+	if (is_number(key))
 		return sizeof(uint32_t);
 	if (key->type == SETTINGS_BOOL)
 		return sizeof(bool);
--- a/core/dispatch_retry_budget.c
+++ b/core/dispatch_retry_budget.c
@@ -1,5 +1,7 @@
 #include "core/dispatch_private.h"
 
+#define MILLI_PER_RETRY 1000u
+
 static struct dispatch_retry_budget *
 budget_of(struct dispatch *dispatch, uint64_t pool_id)
 {
@@ -53,18 +55,20 @@
 {
 	const struct dispatch_config *config = &dispatch->config;
 	struct dispatch_retry_budget *budget = budget_of(dispatch, pool_id);
-	uint64_t both_windows, larger_window, allowed;
+	uint64_t both_windows, larger_window, allowed_milli;
 
 	advance_window(budget, config->retry_window_ms, now_ms);
 	both_windows = (uint64_t)budget->requests_count[0] +
 	    budget->requests_count[1];
 	larger_window = MAX(budget->requests_count[0],
 	    budget->requests_count[1]);
-	allowed = MIN(both_windows / 2, larger_window) * config->retry_percent /
-		100 +
-	    config->retry_slack_count / dispatch->daemons_peak_count / 2;
-	if ((uint64_t)budget->retries_count[0] + budget->retries_count[1] >=
-	    allowed)
+	allowed_milli = MIN(both_windows / 2, larger_window) *
+		config->retry_permille +
+	    config->retry_slack_milli / dispatch->daemons_peak_count / 2;
+	if (((uint64_t)budget->retries_count[0] + budget->retries_count[1] +
+		1) *
+		MILLI_PER_RETRY >
+	    allowed_milli)
 		return false;
 	budget->retries_count[0]++;
 	return true;
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -37,7 +37,7 @@
 	uint32_t load_period_ms;
 	uint32_t retry_ratio_milli; /**< retries per request in thousandths */
 	uint32_t retry_window_ms; /**< retry.window_s */
-	uint32_t retry_slack_count;
+	uint32_t retry_slack_milli; /**< retries in thousandths */
 	char platform_url[SETTINGS_STRING_MAX_BYTES];
 	uint32_t platform_timeout_ms;
 	uint32_t watch_wait_ms;
@@ -74,6 +74,7 @@
 enum settings_type {
 	SETTINGS_STRING,
 	SETTINGS_UINT32,
+	SETTINGS_ROUNDED, /**< a number, stored without its decimal places */
 	SETTINGS_DECIMAL, /**< a decimal number, stored in thousandths */
 	SETTINGS_BOOL,
 	SETTINGS_LIST
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -130,8 +130,9 @@
 	uint64_t node_id;
 	uint64_t domain_id;
 	uint32_t report_period_ms;
-	uint32_t retry_percent; /**< retries allowed for each 100 requests */
-	uint32_t retry_slack_count; /**< retries allowed on top of these */
+	uint32_t retry_permille; /**< retries allowed for each 1,000 requests */
+	/** Retries allowed on top of these, in thousandths. */
+	uint32_t retry_slack_milli;
 	uint32_t retry_window_ms;
 };
 
