Obey endpoints that say they leave or ask for a pause

Cause: nothing read Server-Leaving or the Retry-After of an endpoint's 503, so an endpoint that leaves got requests until the store's list said so, and one that asked for a pause got them at once again.

core/endpoint_notice keeps what a process of an endpoint said, apart from the list of endpoints, so that an entry which lapses and comes back does not undo it. platform/wire decodes it, only from responses to the request that was sent. A caller that no endpoint can take is told when one will, not sooner.

Tests: e2e-gateway_notices, 4 of 5 failed before (the fifth guards against keeping a notice for the next process); unit-endpoint_notice.

--- a/bamboorudderd/dump_dispatch.c
+++ b/bamboorudderd/dump_dispatch.c
@@ -1,10 +1,12 @@
 #include "bamboorudderd/dump.h"
+#include "core/dispatch_private.h"
 
 #define SEGMENT_TEXT_BYTES 24
 
 /* Dumps the known load of an endpoint and whether it takes requests. */
 static json_t *
-dump_endpoint(const struct dispatch_endpoint *endpoint, uint64_t now_ms)
+dump_endpoint(const struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint, uint64_t now_ms)
 {
 	const struct dispatch_endpoint_info *info = &endpoint->info;
 	uint64_t prefill_tokens = endpoint->local.prefill_tokens +
@@ -15,8 +17,11 @@
 
 	if (!endpoint->listed)
 		state = "gone";
-	else if (info->leaving)
+	else if (info->leaving || dispatch_said_leaving(dispatch, endpoint))
 		state = "leaving";
+	else if (endpoint_notices_wait_ms(&dispatch->notices,
+		     endpoint->endpoint_id, info->process_start_ms, now_ms) > 0)
+		state = "paused";
 	else if (now_ms < endpoint->ejected_until_ms)
 		state = "ejected";
 	else if (endpoint->probing)
@@ -85,7 +90,8 @@
 
 	g_hash_table_iter_init(&iter, dispatch->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		json_array_append_new(endpoints, dump_endpoint(value, now_ms));
+		json_array_append_new(endpoints,
+		    dump_endpoint(dispatch, value, now_ms));
 	g_hash_table_iter_init(&iter, dispatch->accounts);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		json_array_append_new(accounts, dump_account(dispatch, value));
--- a/bamboorudderd/gateway_mailbox.c
+++ b/bamboorudderd/gateway_mailbox.c
@@ -1,8 +1,10 @@
+#include <string.h>
 #include <unistd.h>
 
 #include "bamboorudderd/control_private.h"
 #include "bamboorudderd/gateway_private.h"
 #include "common/log.h"
+#include "common/metric.h"
 
 #define TEXT_BYTES 24
 
@@ -168,6 +170,48 @@
 	mailbox_post_context(request->gateway->control, run_first_token, args);
 }
 
+struct statement_args {
+	uint64_t seq;
+	char endpoint[NAME_MAX_BYTES];
+	struct endpoint_statement statement;
+};
+
+static void
+run_statement(struct control *control, struct control_task *task)
+{
+	struct statement_args *args = task->context;
+	char pause_ms[TEXT_BYTES];
+
+	if (dispatch_record_statement(&control->dispatch, args->seq,
+		&args->statement, clk_monotonic_ms(&control->clk))) {
+		metric_add(METRIC_ENDPOINT_NOTICES, 1);
+		g_snprintf(pause_ms, TEXT_BYTES, "%u",
+		    args->statement.pause_ms);
+		log_event(LOG_LEVEL_WARN, "endpoint_notice", "name",
+		    args->endpoint, "leaving",
+		    args->statement.leaving ? "yes" : "no", "pause_ms",
+		    pause_ms, NULL);
+	}
+	g_free(args);
+}
+
+void
+gw_dispatch_statement(struct gw_request *request)
+{
+	struct statement_args *args;
+	struct endpoint_statement statement;
+
+	wire_response_statement(&request->endpoint_response, &request->head,
+	    &statement);
+	if (!statement.leaving && statement.pause_ms == 0)
+		return;
+	args = g_new0(struct statement_args, 1);
+	args->seq = request->decision.seq;
+	memcpy(args->endpoint, request->decision.name, NAME_MAX_BYTES);
+	args->statement = statement;
+	mailbox_post_context(request->gateway->control, run_statement, args);
+}
+
 static void
 run_busy(struct control *control, struct control_task *task)
 {
--- a/bamboorudderd/gateway_transfer.c
+++ b/bamboorudderd/gateway_transfer.c
@@ -209,6 +209,8 @@
 		    &status);
 		request->endpoint_response.status = (uint32_t)status;
 		request->endpoint_head_complete = status >= 200;
+		if (request->endpoint_head_complete)
+			gw_dispatch_statement(request);
 		gw_headers_filter_response(request);
 	} else
 		add_endpoint_header(request, line);
--- a/common/metric.c
+++ b/common/metric.c
@@ -22,6 +22,8 @@
 	    "Requests refused since their prompt may crash engines." },
 	[METRIC_REQUESTS_LIMITED] = { "requests_limited_total", "counter",
 	    "Requests refused since all endpoints are at their limits." },
+	[METRIC_ENDPOINT_NOTICES] = { "endpoint_notices_total", "counter",
+	    "Times that an endpoint began to leave or to pause." },
 	[METRIC_REQUESTS_REFUSED] = { "requests_refused_total", "counter",
 	    "Requests refused as not run." },
 	[METRIC_REQUESTS_UNKNOWN] = { "requests_unknown_total", "counter",
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -67,6 +67,7 @@
 	dispatch->budgets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, g_free);
 	crash_suspects_init(&dispatch->crash_suspects);
+	endpoint_notices_init(&dispatch->notices);
 	dispatch->losses = g_array_new(FALSE, FALSE,
 	    sizeof(struct dispatch_loss));
 	dispatch->live_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -90,6 +91,7 @@
 	g_hash_table_destroy(dispatch->peers);
 	g_hash_table_destroy(dispatch->budgets);
 	crash_suspects_finish(&dispatch->crash_suspects);
+	endpoint_notices_finish(&dispatch->notices);
 	g_array_free(dispatch->losses, TRUE);
 	g_array_free(dispatch->live_ids, TRUE);
 	g_array_free(dispatch->hubs, TRUE);
@@ -158,6 +160,13 @@
 		endpoint->listed = false;
 }
 
+/* Spread, so that callers do not come back in the same moment. */
+static uint64_t
+retry_soon_ms(const struct dispatch_request *request)
+{
+	return RETRY_SOON_MS + request->request_hash % RETRY_SOON_SPREAD_MS;
+}
+
 uint32_t
 dispatch_retry_after_ms(const struct dispatch_request *request,
     uint64_t over_ms, bool far_over_share)
@@ -166,9 +175,7 @@
 	    request->request_hash % RETRY_AFTER_SPREAD_MS;
 
 	if (!far_over_share)
-		wait_ms = MIN(wait_ms,
-		    over_ms + RETRY_SOON_MS +
-			request->request_hash % RETRY_SOON_SPREAD_MS);
+		wait_ms = MIN(wait_ms, over_ms + retry_soon_ms(request));
 	return (uint32_t)MIN(wait_ms,
 	    request->remaining_ms / RETRY_AFTER_REMAINING_DIVISOR);
 }
@@ -185,24 +192,15 @@
 	dispatch->refusals_count++;
 }
 
-static void
-refuse_limited(struct dispatch *dispatch,
-    const struct dispatch_request *request, uint64_t limit_wait_ms,
-    struct dispatch_decision *decision)
-{
-	refuse(dispatch, request, REFUSE_ENDPOINT_LIMIT,
-	    dispatch_retry_after_ms(request, limit_wait_ms, false), decision);
-}
-
 /* The time to wait is not shortened to the caller's remaining time: until then,
  * the request would be refused again. */
 static void
-refuse_suspect(struct dispatch *dispatch, uint32_t retry_after_ms,
-    struct dispatch_decision *decision)
+refuse_until(struct dispatch *dispatch, enum refuse_reason reason,
+    uint64_t retry_after_ms, struct dispatch_decision *decision)
 {
 	decision->start = false;
-	decision->reason = REFUSE_CRASH_SUSPECT;
-	decision->retry_after_ms = retry_after_ms;
+	decision->reason = reason;
+	decision->retry_after_ms = (uint32_t)MIN(retry_after_ms, UINT32_MAX);
 	dispatch->refusals_count++;
 }
 
@@ -315,7 +313,7 @@
 		  request->pool_id);
 	struct dispatch_candidate best;
 	struct suspect_verdict verdict;
-	uint64_t limit_wait_ms = 0;
+	uint64_t closed_ms = 0;
 
 	memset(decision, 0, sizeof(*decision));
 	dispatch_sum_remote_load(dispatch);
@@ -323,7 +321,8 @@
 	    now_ms);
 	dispatch_check_suspects(dispatch, request, now_ms, &verdict);
 	if (verdict.refuse) {
-		refuse_suspect(dispatch, verdict.retry_after_ms, decision);
+		refuse_until(dispatch, REFUSE_CRASH_SUSPECT,
+		    verdict.retry_after_ms, decision);
 		return;
 	}
 	if (request->tried_count == 0)
@@ -336,10 +335,10 @@
 	}
 	if (pool == NULL ||
 	    !dispatch_choose(dispatch, pool, request, now_ms, &best,
-		&limit_wait_ms)) {
-		if (limit_wait_ms > 0)
-			refuse_limited(dispatch, request, limit_wait_ms,
-			    decision);
+		&closed_ms)) {
+		if (closed_ms > 0)
+			refuse_until(dispatch, REFUSE_ENDPOINT_LIMIT,
+			    closed_ms + retry_soon_ms(request), decision);
 		else
 			refuse(dispatch, request, REFUSE_NO_ENDPOINT,
 			    DEFAULT_RETRY_AFTER_MS, decision);
--- a/core/dispatch_attempt.c
+++ b/core/dispatch_attempt.c
@@ -23,6 +23,7 @@
 
 	attempt->seq = dispatch->seq_next++;
 	attempt->endpoint_id = endpoint->endpoint_id;
+	attempt->process_start_ms = endpoint->info.process_start_ms;
 	attempt->started_ms = now_ms;
 	attempt->engine = engine;
 	if (engine) {
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -17,9 +17,9 @@
 /* Extra cost of an endpoint that refused a request lately, so that others are
  * preferred. */
 #define FULL_COST_MS 100u
-/* A limit that is used up counts at most this much in the pool's mean backlog,
- * as another daemon may have a part left. */
-#define COUNTED_LIMIT_WAIT_MAX_MS 200u
+/* An endpoint that takes no request now counts at most this much in the pool's
+ * mean backlog, as it may take one from another daemon. */
+#define COUNTED_CLOSED_MAX_MS 200u
 
 static bool
 was_tried(const struct dispatch_request *request, uint64_t endpoint_id)
@@ -154,13 +154,14 @@
 
 		if (endpoint->info.pool_id != request->pool_id ||
 		    !endpoint->listed || endpoint->info.leaving ||
+		    dispatch_said_leaving(dispatch, endpoint) ||
 		    was_tried(request, endpoint->endpoint_id) ||
 		    (!include_ejected && !dispatch_is_usable(endpoint, now_ms)))
 			continue;
 		candidate.rendezvous_score = rendezvous_score(endpoint,
 		    affinity_key(request));
-		candidate.limit_wait_ms =
-		    endpoint_limit_wait_ms(&endpoint->limit, now_ms);
+		candidate.closed_ms = dispatch_closed_ms(dispatch, endpoint,
+		    now_ms);
 		g_array_append_val(candidates, candidate);
 	}
 }
@@ -208,10 +209,10 @@
 		else
 			evaluate_service(dispatch, candidate);
 		total_backlog_ms += candidate->backlog_ms +
-		    MIN(candidate->limit_wait_ms, COUNTED_LIMIT_WAIT_MAX_MS);
+		    MIN(candidate->closed_ms, COUNTED_CLOSED_MAX_MS);
 		pool_min_backlog_ms = MIN(pool_min_backlog_ms,
 		    candidate->backlog_ms);
-		if (candidate->limit_wait_ms > 0)
+		if (candidate->closed_ms > 0)
 			continue;
 		if (endpoint->info.domain_id != dispatch->config.domain_id)
 			candidate->cost_ms += OTHER_DOMAIN_COST_MS;
@@ -229,23 +230,23 @@
 	return best;
 }
 
-/* @return the shortest wait for a limit, 0 if there are no candidates */
+/* @return time until the first candidate takes a request, 0 if there are none */
 static uint64_t
-min_limit_wait_ms(const GArray *candidates)
+min_closed_ms(const GArray *candidates)
 {
 	uint64_t min_ms = UINT64_MAX;
 
 	for (guint i = 0; i < candidates->len; i++)
 		min_ms = MIN(min_ms,
 		    g_array_index(candidates, struct dispatch_candidate, i)
-			.limit_wait_ms);
+			.closed_ms);
 	return min_ms == UINT64_MAX ? 0 : min_ms;
 }
 
 bool
 dispatch_choose(struct dispatch *dispatch, const struct config_pool *pool,
     const struct dispatch_request *request, uint64_t now_ms,
-    struct dispatch_candidate *chosen, uint64_t *limit_wait_ms)
+    struct dispatch_candidate *chosen, uint64_t *closed_ms)
 {
 	GArray *candidates = g_array_new(FALSE, FALSE,
 	    sizeof(struct dispatch_candidate));
@@ -257,7 +258,7 @@
 	best = choose_cheapest(dispatch, pool, request, now_ms, candidates);
 	if (best != NULL)
 		*chosen = *best;
-	*limit_wait_ms = best == NULL ? min_limit_wait_ms(candidates) : 0;
+	*closed_ms = best == NULL ? min_closed_ms(candidates) : 0;
 	g_array_free(candidates, TRUE);
 	return best != NULL;
 }
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -36,7 +36,7 @@
     const struct dispatch_attempt *attempt, uint64_t now_ms)
 {
 	uint64_t process[] = { endpoint->endpoint_id,
-		endpoint->info.process_start_ms };
+		attempt->process_start_ms };
 	struct dispatch_loss loss = {
 		.attempt = *attempt,
 		.crash_id = hash_bytes(process, sizeof(process)),
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -39,6 +39,8 @@
 void gw_dispatch_decide(struct gw_request *request);
 /** Reports the first token of an attempt to the control thread. */
 void gw_dispatch_first_token(struct gw_request *request);
+/** Reports what the head of a response says of its endpoint, if anything. */
+void gw_dispatch_statement(struct gw_request *request);
 /** Tells the control thread whether this daemon's processor is busy. */
 void gw_dispatch_busy(struct gateway *gateway, bool busy);
 /** Reports the end of an attempt to the control thread. */
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -16,6 +16,7 @@
 #include "core/crash_suspects.h"
 #include "core/effect.h"
 #include "core/endpoint_limit.h"
+#include "core/endpoint_notice.h"
 #include "core/msg.h"
 
 #define PROMPT_SEGMENTS_MAX_COUNT 16u
@@ -208,6 +209,7 @@
 	uint64_t fair_share_tokens;
 	uint64_t mean_duration_ms; /**< moving average of complete responses */
 	struct crash_suspects crash_suspects;
+	struct endpoint_notices notices;
 	GArray *losses; /**< struct dispatch_loss */
 	GHashTable *budgets; /**< pool_id to struct dispatch_retry_budget */
 	uint64_t refusals_count;
@@ -281,6 +283,13 @@
 void dispatch_record_limit(struct dispatch *dispatch, uint64_t seq,
     uint32_t per_1000_s, uint64_t now_ms);
 
+/**
+ * Records what the response to an attempt says of its endpoint.
+ * @return whether it is news
+ */
+bool dispatch_record_statement(struct dispatch *dispatch, uint64_t seq,
+    const struct endpoint_statement *statement, uint64_t now_ms);
+
 /** Handles a peer's message of endpoints' limits. */
 void dispatch_handle_endpoint_limits(struct dispatch *dispatch,
     const struct msg *msg, uint64_t now_ms);
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -11,6 +11,7 @@
 struct dispatch_attempt {
 	uint64_t seq;
 	uint64_t endpoint_id;
+	uint64_t process_start_ms; /**< of the endpoint's process */
 	uint64_t started_ms;
 	uint64_t prefill_tokens;
 	uint64_t kv_tokens;
@@ -58,18 +59,19 @@
 	uint64_t cost_ms; /**< the lowest cost wins */
 	uint64_t pool_mean_backlog_ms; /**< set for the chosen one */
 	uint64_t pool_min_backlog_ms; /**< set for the chosen one */
-	uint64_t limit_wait_ms; /**< until this daemon may send a request */
+	/** Until the endpoint takes a request from this daemon. */
+	uint64_t closed_ms;
 };
 
 /**
  * Chooses the endpoint with the lowest cost for a request.
- * @param limit_wait_ms receives the time until an endpoint takes a request
- * from this daemon, if the limits of all endpoints are used up; else 0
+ * @param closed_ms receives the time until an endpoint takes a request from
+ * this daemon, if none does now; else 0
  * @return false if the pool has no usable endpoint
  */
 bool dispatch_choose(struct dispatch *dispatch, const struct config_pool *pool,
     const struct dispatch_request *request, uint64_t now_ms,
-    struct dispatch_candidate *chosen, uint64_t *limit_wait_ms);
+    struct dispatch_candidate *chosen, uint64_t *closed_ms);
 
 /** Starts an attempt at the chosen endpoint.
  * @param engine the endpoint is a model engine
@@ -182,6 +184,15 @@
 void dispatch_tick_limits(struct dispatch *dispatch, uint64_t now_ms,
     struct effects *effects);
 
+/** @return whether an endpoint has told this daemon that it leaves */
+bool dispatch_said_leaving(const struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint);
+
+/** @return time until an endpoint takes a request from this daemon, by its limit
+ * and the pause that it asked for; 0: now */
+uint64_t dispatch_closed_ms(const struct dispatch *dispatch,
+    struct dispatch_endpoint *endpoint, uint64_t now_ms);
+
 /** Updates an endpoint's health with the outcome of an attempt. */
 enum dispatch_health_change
 dispatch_update_health(struct dispatch_endpoint *endpoint,
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -46,6 +46,8 @@
 	/** Requests in 1,000 s that the endpoint takes from all daemons together;
 	 * 0: it names no limit. */
 	uint32_t limit_per_1000_s;
+	bool leaving; /**< the endpoint takes no new requests */
+	uint32_t retry_after_ms; /**< 0 if absent */
 	char connection[WIRE_CONNECTION_MAX_BYTES + 1]; /**< "" if absent */
 };
 
@@ -90,6 +92,11 @@
 bool wire_response_not_executed(const struct wire_response *response,
     const struct wire_request *request);
 
+/** Reads what a response says of its endpoint; nothing if it belongs to another
+ * request. */
+void wire_response_statement(const struct wire_response *response,
+    const struct wire_request *request, struct endpoint_statement *statement);
+
 /** @return whether another endpoint has the address now */
 bool wire_response_moved(const struct wire_response *response,
     const struct wire_request *request);
