--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -100,6 +100,7 @@
 	entry_tick(&control->entry, now_ms, &control->effects);
 	dispatch_tick(&control->dispatch, now_ms, feed_clock_ms(),
 	    &control->effects);
+	delegation_tick(&control->delegation, now_ms, &control->effects);
 	log_hub(control);
 	g_hash_table_iter_init(&iter, control->owners);
 	while (g_hash_table_iter_next(&iter, NULL, &owner))
@@ -197,6 +198,10 @@
 	entry_init(&control->entry, &entry_config);
 	dispatch_config.node_id = entry_config.node_id;
 	dispatch_init(&control->dispatch, &dispatch_config);
+	delegation_init(&control->delegation, &control->dispatch,
+	    control->incarnation);
+	control->undecided = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    NULL, g_free);
 }
 
 gboolean
@@ -260,6 +265,8 @@
 	g_hash_table_destroy(control->owners);
 	g_hash_table_destroy(control->tickets);
 	entry_finish(&control->entry);
+	delegation_finish(&control->delegation);
+	g_hash_table_destroy(control->undecided);
 	dispatch_finish(&control->dispatch);
 	config_snapshot_unref(control->configuration);
 	members_finish(&control->members);
--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -97,6 +97,40 @@
 	    suspect_phase_name(effect->phase), "crashes", crashes, NULL);
 }
 
+static const char *
+endpoint_name(const struct control *control, uint64_t endpoint_id)
+{
+	const struct dispatch_endpoint *endpoint =
+	    g_hash_table_lookup(control->dispatch.endpoints, &endpoint_id);
+
+	return endpoint == NULL ? "-" : endpoint->info.name;
+}
+
+static void
+log_health(const struct control *control, const struct effect *effect)
+{
+	char failing_permille[TEXT_BYTES], eject_ms[TEXT_BYTES];
+
+	g_snprintf(failing_permille, TEXT_BYTES, "%u",
+	    effect->failing_permille);
+	g_snprintf(eject_ms, TEXT_BYTES, "%u", effect->eject_ms);
+	log_event(LOG_LEVEL_WARN,
+	    effect->ejected ? "endpoint_ejected" : "endpoint_back", "name",
+	    endpoint_name(control, effect->endpoint_id), "failing_permille",
+	    failing_permille, "for_ms", eject_ms, NULL);
+}
+
+static void
+log_statement(const struct control *control, const struct effect *effect)
+{
+	char pause_ms[TEXT_BYTES];
+
+	g_snprintf(pause_ms, TEXT_BYTES, "%u", effect->pause_ms);
+	log_event(LOG_LEVEL_WARN, "endpoint_notice", "name",
+	    endpoint_name(control, effect->endpoint_id), "leaving",
+	    effect->leaving ? "yes" : "no", "pause_ms", pause_ms, NULL);
+}
+
 static void
 log_limit(const struct control *control, const struct effect *effect)
 {
@@ -110,8 +144,9 @@
 	g_snprintf(per_s, TEXT_BYTES, "%u.%03u",
 	    effect->limit_per_1000_s / 1000, effect->limit_per_1000_s % 1000);
 	log_event(LOG_LEVEL_WARN, "endpoint_limit", "name", endpoint->info.name,
-	    "per_s", effect->limit_per_1000_s == 0 ? "-" : per_s, "part",
-	    endpoint->limit.is_holder ? "yes" : "no", NULL);
+	    "per_s", effect->limit_per_1000_s == 0 ? "-" : per_s, "kept_here",
+	    endpoint->hub_id == control->dispatch.config.node_id ? "yes" : "no",
+	    NULL);
 }
 
 void
@@ -141,6 +176,15 @@
 		case EFFECT_LIMIT_CHANGED:
 			log_limit(control, &effect);
 			break;
+		case EFFECT_HEALTH_CHANGED:
+			log_health(control, &effect);
+			break;
+		case EFFECT_STATEMENT:
+			log_statement(control, &effect);
+			break;
+		case EFFECT_DECIDED:
+			gw_dispatch_on_decided(control, effect.seq);
+			break;
 		}
 	}
 	effects_clear(&control->effects);
@@ -192,14 +236,14 @@
 		    data->version, data->text);
 }
 
-/* A load report may confirm that the local copy of a resource is the newest, or
- * name a newer version. */
+/* A report may confirm that the local copy of a resource is the newest, or name a
+ * newer version. */
 static void
-handle_load(struct control *control, const struct msg *msg, uint64_t now_ms)
+handle_report(struct control *control, const struct msg *msg, uint64_t now_ms)
 {
 	struct dispatch_freshness freshness[RESOURCE_KIND_COUNT];
 
-	dispatch_handle_load_report(&control->dispatch, msg, now_ms, freshness);
+	dispatch_handle_report(&control->dispatch, msg, now_ms, freshness);
 	for (int kind = 0;
 	     control->gateway != NULL && kind < RESOURCE_KIND_COUNT; kind++)
 		if (freshness[kind].version > 0)
@@ -234,8 +278,24 @@
 	case MSG_TABLES_DATA:
 		handle_tables(control, msg, now_ms);
 		break;
-	case MSG_LOAD:
-		handle_load(control, msg, now_ms);
+	case MSG_REPORT:
+		handle_report(control, msg, now_ms);
+		break;
+	case MSG_PLACE_REQUEST:
+		dispatch_handle_place_request(&control->dispatch, msg, now_ms,
+		    &control->effects);
+		break;
+	case MSG_PLACEMENT:
+		delegation_handle_placement(&control->delegation, msg, now_ms,
+		    &control->effects);
+		break;
+	case MSG_ATTEMPT_EVENTS:
+		dispatch_handle_attempt_events(&control->dispatch, msg, now_ms,
+		    &control->effects);
+		break;
+	case MSG_RUNNING_ATTEMPTS:
+		dispatch_handle_running_attempts(&control->dispatch, msg,
+		    now_ms);
 		break;
 	case MSG_CRASH_RECORDS:
 		dispatch_handle_crash_records(&control->dispatch, msg, now_ms);
--- a/bamboorudderd/dump_dispatch.c
+++ b/bamboorudderd/dump_dispatch.c
@@ -9,10 +9,6 @@
     const struct dispatch_endpoint *endpoint, uint64_t now_ms)
 {
 	const struct dispatch_endpoint_info *info = &endpoint->info;
-	uint64_t prefill_tokens = endpoint->local.prefill_tokens +
-	    endpoint->remote.prefill_tokens;
-	uint64_t kv_tokens = endpoint->local.kv_tokens +
-	    endpoint->remote.kv_tokens;
 	const char *state = "ready";
 
 	if (!endpoint->listed)
@@ -26,13 +22,15 @@
 		state = "ejected";
 	else if (endpoint->probing)
 		state = "tried";
-	return json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:I, s:I, s:i, s:i}",
+	/* the load is that of the whole fleet at the endpoint's hub only */
+	return json_pack("{s:s, s:s, s:s, s:b, s:i, s:i, s:I, s:I, s:i, s:i}",
 	    "name", info->name, "address", info->address, "state", state,
-	    "slots", (int)info->slots, "running_here",
-	    (int)endpoint->local.running_count, "running_elsewhere",
-	    (int)endpoint->remote.running_count, "reading_tokens",
-	    (json_int_t)prefill_tokens, "memory_tokens", (json_int_t)kv_tokens,
-	    "slow_permille", (int)endpoint->slow_permille, "failing_permille",
+	    "decided_here", endpoint->hub_id == dispatch->config.node_id,
+	    "slots", (int)info->slots, "running",
+	    (int)endpoint->load.running_count, "reading_tokens",
+	    (json_int_t)endpoint->load.prefill_tokens, "memory_tokens",
+	    (json_int_t)endpoint->load.kv_tokens, "slow_permille",
+	    (int)endpoint->slow_permille, "failing_permille",
 	    (int)endpoint->failing_permille);
 }
 
--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -251,6 +251,21 @@
 	gateway->stopping = true;
 }
 
+/* Frees the requests whose decisions will not come any more. */
+static void
+release_undecided(struct gateway *gateway)
+{
+	struct gw_request *request, *next;
+
+	for (request = LIST_FIRST(&gateway->requests); request != NULL;
+	     request = next) {
+		next = LIST_NEXT(request, entries);
+		request->decision_pending = false;
+		request->server_done = true;
+		gw_request_release(request);
+	}
+}
+
 void
 gateway_finish(struct gateway *gateway)
 {
@@ -259,6 +274,7 @@
 	pthread_join(gateway->thread, NULL);
 	gw_server_finish(gateway);
 	gw_mailbox_run(gateway);
+	release_undecided(gateway);
 	gw_transfers_finish(gateway);
 	config_snapshot_unref(gateway->configuration);
 	g_hash_table_destroy(gateway->rejection_holds);
--- a/bamboorudderd/gateway_mailbox.c
+++ b/bamboorudderd/gateway_mailbox.c
@@ -50,6 +50,7 @@
 
 /* Passed to the control thread and back with the decision. */
 struct decision_args {
+	uint64_t attempt_id;
 	struct gw_request *request;
 	struct dispatch_request dispatch;
 	struct dispatch_decision decision;
@@ -66,14 +67,31 @@
 	g_free(args);
 }
 
+void
+gw_dispatch_on_decided(struct control *control, uint64_t attempt_id)
+{
+	struct decision_args *args = g_hash_table_lookup(control->undecided,
+	    &attempt_id);
+
+	if (args == NULL ||
+	    !delegation_take(&control->delegation, attempt_id, &args->decision))
+		return;
+	g_hash_table_steal(control->undecided, &attempt_id);
+	if (control->gateway != NULL)
+		gw_mailbox_post(control->gateway, apply_decision, args);
+	else
+		g_free(args);
+}
+
 static void
 run_decide(struct control *control, struct control_task *task)
 {
 	struct decision_args *args = task->context;
 
-	dispatch_decide(&control->dispatch, &args->dispatch,
-	    clk_monotonic_ms(&control->clk), &args->decision);
-	gw_mailbox_post(args->request->gateway, apply_decision, args);
+	args->attempt_id = delegation_submit(&control->delegation,
+	    &args->dispatch, clk_monotonic_ms(&control->clk),
+	    &control->effects);
+	g_hash_table_insert(control->undecided, &args->attempt_id, args);
 }
 
 void
@@ -91,7 +109,6 @@
 struct attempt_args {
 	uint64_t seq;
 	enum dispatch_outcome outcome;
-	char endpoint[NAME_MAX_BYTES];
 	/** The response tells whether the endpoint has a limit. */
 	bool limit_known;
 	uint32_t limit_per_1000_s; /**< 0: none */
@@ -104,7 +121,6 @@
 	struct attempt_args *args = g_new0(struct attempt_args, 1);
 
 	args->seq = request->decision.seq;
-	memcpy(args->endpoint, request->decision.name, NAME_MAX_BYTES);
 	args->limit_per_1000_s = response->limit_per_1000_s;
 	args->limit_known = request->endpoint_head_complete &&
 	    (response->limit_per_1000_s > 0 || response->status == 200);
@@ -112,39 +128,23 @@
 }
 
 static void
-record_limit(struct control *control, const struct attempt_args *args)
+record_limit(struct control *control, const struct attempt_args *args,
+    uint64_t now_ms)
 {
 	if (args->limit_known)
-		dispatch_record_limit(&control->dispatch, args->seq,
-		    args->limit_per_1000_s, clk_monotonic_ms(&control->clk));
-}
-
-static void
-log_health_update(const char *endpoint,
-    const struct dispatch_health_update *update)
-{
-	char failing_permille[TEXT_BYTES], eject_ms[TEXT_BYTES];
-
-	if (update->change == HEALTH_UNCHANGED)
-		return;
-	g_snprintf(failing_permille, TEXT_BYTES, "%u",
-	    update->failing_permille);
-	g_snprintf(eject_ms, TEXT_BYTES, "%u", update->eject_ms);
-	log_event(LOG_LEVEL_WARN,
-	    update->change == HEALTH_EJECTED ? "endpoint_ejected"
-					     : "endpoint_back",
-	    "name", endpoint, "failing_permille", failing_permille, "for_ms",
-	    eject_ms, NULL);
+		delegation_record_limit(&control->delegation, args->seq,
+		    args->limit_per_1000_s, now_ms, &control->effects);
 }
 
 static void
 run_first_token(struct control *control, struct control_task *task)
 {
 	struct attempt_args *args = task->context;
+	uint64_t now_ms = clk_monotonic_ms(&control->clk);
 
-	record_limit(control, args);
-	dispatch_record_first_token(&control->dispatch, args->seq,
-	    clk_monotonic_ms(&control->clk));
+	record_limit(control, args, now_ms);
+	delegation_record_first_token(&control->delegation, args->seq, now_ms,
+	    &control->effects);
 	g_free(args);
 }
 
@@ -152,12 +152,11 @@
 run_done(struct control *control, struct control_task *task)
 {
 	struct attempt_args *args = task->context;
-	struct dispatch_health_update update;
+	uint64_t now_ms = clk_monotonic_ms(&control->clk);
 
-	record_limit(control, args);
-	dispatch_end_attempt(&control->dispatch, args->seq, args->outcome,
-	    clk_monotonic_ms(&control->clk), &update);
-	log_health_update(args->endpoint, &update);
+	record_limit(control, args, now_ms);
+	delegation_end_attempt(&control->delegation, args->seq, args->outcome,
+	    now_ms, &control->effects);
 	g_free(args);
 }
 
@@ -182,8 +181,9 @@
 	struct statement_args *args = task->context;
 	char pause_ms[TEXT_BYTES];
 
-	if (dispatch_record_statement(&control->dispatch, args->seq,
-		&args->statement, clk_monotonic_ms(&control->clk))) {
+	if (delegation_record_statement(&control->delegation, args->seq,
+		&args->statement, clk_monotonic_ms(&control->clk),
+		&control->effects)) {
 		metric_add(METRIC_ENDPOINT_NOTICES, 1);
 		g_snprintf(pause_ms, TEXT_BYTES, "%u",
 		    args->statement.pause_ms);
--- a/common/codec_decode.c
+++ b/common/codec_decode.c
@@ -159,17 +159,6 @@
 	cancel->grant_seq = reader_uint(reader, UINT64_MAX);
 }
 
-static void
-read_load_endpoint(struct reader *reader, struct load_endpoint *endpoint)
-{
-	if (reader_count(reader, LOAD_ENDPOINT_FIELDS) != LOAD_ENDPOINT_FIELDS)
-		reader->failed = true;
-	endpoint->endpoint_id = reader_uint(reader, UINT64_MAX);
-	endpoint->running_count = (uint32_t)reader_uint(reader, UINT32_MAX);
-	endpoint->prefill_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
-	endpoint->kv_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
-}
-
 static void
 read_load_account(struct reader *reader, struct load_account *account)
 {
@@ -181,47 +170,127 @@
 }
 
 static void
-read_load_cached_segment(struct reader *reader,
-    struct load_cached_segment *segment)
+read_report(struct reader *reader, struct msg_report *report)
+{
+	struct load_account *accounts;
+
+	report->stamp_ms = reader_uint(reader, UINT64_MAX);
+	report->echo_ms = reader_uint(reader, UINT64_MAX);
+	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++) {
+		report->freshness[kind].version = reader_uint(reader,
+		    UINT64_MAX);
+		report->freshness[kind].age_ms = (uint32_t)reader_uint(reader,
+		    UINT32_MAX);
+	}
+	report->has_accounts = (uint8_t)reader_uint(reader, 1);
+	report->accounts_count = reader_count(reader, LOAD_ACCOUNTS_MAX_COUNT);
+	accounts = g_new0(struct load_account, report->accounts_count);
+	report->accounts = accounts;
+	for (uint32_t i = 0; i < report->accounts_count; i++)
+		read_load_account(reader, &accounts[i]);
+}
+
+static void
+read_prompt_segment(struct reader *reader, struct prompt_segment *segment)
 {
-	if (reader_count(reader, LOAD_CACHED_SEGMENT_FIELDS) !=
-	    LOAD_CACHED_SEGMENT_FIELDS)
+	if (reader_count(reader, PROMPT_SEGMENT_FIELDS) !=
+	    PROMPT_SEGMENT_FIELDS)
 		reader->failed = true;
-	segment->endpoint_id = reader_uint(reader, UINT64_MAX);
 	segment->segment_id = reader_uint(reader, UINT64_MAX);
+	segment->tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
 }
 
 static void
-read_load(struct reader *reader, struct msg_load *load)
+read_place_request(struct reader *reader, struct msg_place_request *request)
 {
-	struct load_endpoint *endpoints;
-	struct load_account *accounts;
-	struct load_cached_segment *cached_segments;
+	request->attempt_id = reader_uint(reader, UINT64_MAX);
+	request->pool_id = reader_uint(reader, UINT64_MAX);
+	request->account_id = reader_uint(reader, UINT64_MAX);
+	request->request_hash = reader_uint(reader, UINT64_MAX);
+	request->segments_count = reader_count(reader,
+	    PROMPT_SEGMENTS_MAX_COUNT);
+	for (uint32_t i = 0; i < request->segments_count; i++)
+		read_prompt_segment(reader, &request->segments[i]);
+	request->tried_count = reader_count(reader, TRIED_MAX_COUNT);
+	for (uint32_t i = 0; i < request->tried_count; i++)
+		request->tried_ids[i] = reader_uint(reader, UINT64_MAX);
+	request->prompt_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
+	request->response_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
+	request->latency_target_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	request->remaining_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	request->asked_before = (uint8_t)reader_uint(reader, 1);
+}
 
-	load->stamp_ms = reader_uint(reader, UINT64_MAX);
-	load->echo_ms = reader_uint(reader, UINT64_MAX);
-	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++) {
-		load->freshness[kind].version = reader_uint(reader, UINT64_MAX);
-		load->freshness[kind].age_ms = (uint32_t)reader_uint(reader,
+static void
+read_placement(struct reader *reader, struct msg_placement *placement)
+{
+	placement->attempt_id = reader_uint(reader, UINT64_MAX);
+	placement->endpoint_id = reader_uint(reader, UINT64_MAX);
+	placement->prefill_tokens = reader_uint(reader, UINT32_MAX);
+	placement->kv_tokens = reader_uint(reader, UINT32_MAX);
+	placement->retry_after_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	placement->rejection_hold_ms = (uint32_t)reader_uint(reader,
+	    UINT32_MAX);
+	placement->backlog_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	placement->prefill_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	placement->first_token_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	placement->admission_limit_ms = (uint32_t)reader_uint(reader,
+	    UINT32_MAX);
+	placement->running_count = (uint32_t)reader_uint(reader, UINT32_MAX);
+	placement->share_permille = (uint32_t)reader_uint(reader, UINT32_MAX);
+	placement->limit_per_1000_s = (uint32_t)reader_uint(reader, UINT32_MAX);
+	placement->start = (uint8_t)reader_uint(reader, 1);
+	placement->reason = (uint8_t)reader_uint(reader,
+	    REFUSE_REASON_COUNT - 1);
+	placement->over_share = (uint8_t)reader_uint(reader, 1);
+}
+
+static void
+read_attempt_event(struct reader *reader, struct attempt_event *event)
+{
+	if (reader_count(reader, ATTEMPT_EVENT_FIELDS) != ATTEMPT_EVENT_FIELDS)
+		reader->failed = true;
+	event->attempt_id = reader_uint(reader, UINT64_MAX);
+	event->kind = (uint8_t)reader_uint(reader,
+	    ATTEMPT_EVENT_KIND_COUNT - 1);
+	event->outcome = (uint8_t)reader_uint(reader, UINT8_MAX);
+	event->taken_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	event->limit_per_1000_s = (uint32_t)reader_uint(reader, UINT32_MAX);
+	event->pause_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	event->leaving = (uint8_t)reader_uint(reader, 1);
+}
+
+static void
+read_attempt_events(struct reader *reader, struct msg_attempt_events *events)
+{
+	struct attempt_event *items;
+
+	events->count = reader_count(reader, ATTEMPTS_MAX_COUNT);
+	items = g_new0(struct attempt_event, events->count);
+	events->items = items;
+	for (uint32_t i = 0; i < events->count && !reader->failed; i++)
+		read_attempt_event(reader, &items[i]);
+}
+
+static void
+read_running_attempts(struct reader *reader,
+    struct msg_running_attempts *attempts)
+{
+	struct running_attempt *items;
+
+	attempts->count = reader_count(reader, ATTEMPTS_MAX_COUNT);
+	items = g_new0(struct running_attempt, attempts->count);
+	attempts->items = items;
+	for (uint32_t i = 0; i < attempts->count && !reader->failed; i++) {
+		if (reader_count(reader, RUNNING_ATTEMPT_FIELDS) !=
+		    RUNNING_ATTEMPT_FIELDS)
+			reader->failed = true;
+		items[i].attempt_id = reader_uint(reader, UINT64_MAX);
+		items[i].endpoint_id = reader_uint(reader, UINT64_MAX);
+		items[i].prefill_tokens = (uint32_t)reader_uint(reader,
 		    UINT32_MAX);
+		items[i].kv_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
 	}
-	load->endpoints_count = reader_count(reader, ENDPOINTS_MAX_COUNT);
-	endpoints = g_new0(struct load_endpoint, load->endpoints_count);
-	load->endpoints = endpoints;
-	for (uint32_t i = 0; i < load->endpoints_count; i++)
-		read_load_endpoint(reader, &endpoints[i]);
-	load->accounts_count = reader_count(reader, LOAD_ACCOUNTS_MAX_COUNT);
-	accounts = g_new0(struct load_account, load->accounts_count);
-	load->accounts = accounts;
-	for (uint32_t i = 0; i < load->accounts_count; i++)
-		read_load_account(reader, &accounts[i]);
-	load->cached_segments_count = reader_count(reader,
-	    LOAD_CACHED_SEGMENTS_MAX_COUNT);
-	cached_segments = g_new0(struct load_cached_segment,
-	    load->cached_segments_count);
-	load->cached_segments = cached_segments;
-	for (uint32_t i = 0; i < load->cached_segments_count; i++)
-		read_load_cached_segment(reader, &cached_segments[i]);
 }
 
 static void
@@ -342,8 +411,8 @@
 	case MSG_TABLES_DATA:
 		read_tables_data(reader, &msg->u.tables_data);
 		break;
-	case MSG_LOAD:
-		read_load(reader, &msg->u.load);
+	case MSG_REPORT:
+		read_report(reader, &msg->u.report);
 		break;
 	case MSG_CRASH_RECORDS:
 		read_crash_records(reader, &msg->u.crash_records);
@@ -351,6 +420,18 @@
 	case MSG_ENDPOINT_LIMITS:
 		read_endpoint_limits(reader, &msg->u.endpoint_limits);
 		break;
+	case MSG_PLACE_REQUEST:
+		read_place_request(reader, &msg->u.place_request);
+		break;
+	case MSG_PLACEMENT:
+		read_placement(reader, &msg->u.placement);
+		break;
+	case MSG_ATTEMPT_EVENTS:
+		read_attempt_events(reader, &msg->u.attempt_events);
+		break;
+	case MSG_RUNNING_ATTEMPTS:
+		read_running_attempts(reader, &msg->u.running_attempts);
+		break;
 	case MSG_TYPE_COUNT:
 		reader->failed = true;
 		break;
@@ -413,13 +494,15 @@
 	} else if (msg->type == MSG_MEMBER_LIST) {
 		g_free((gpointer)msg->u.member_list.items);
 		msg->u.member_list.items = NULL;
-	} else if (msg->type == MSG_LOAD) {
-		g_free((gpointer)msg->u.load.endpoints);
-		g_free((gpointer)msg->u.load.accounts);
-		g_free((gpointer)msg->u.load.cached_segments);
-		msg->u.load.endpoints = NULL;
-		msg->u.load.accounts = NULL;
-		msg->u.load.cached_segments = NULL;
+	} else if (msg->type == MSG_REPORT) {
+		g_free((gpointer)msg->u.report.accounts);
+		msg->u.report.accounts = NULL;
+	} else if (msg->type == MSG_ATTEMPT_EVENTS) {
+		g_free((gpointer)msg->u.attempt_events.items);
+		msg->u.attempt_events.items = NULL;
+	} else if (msg->type == MSG_RUNNING_ATTEMPTS) {
+		g_free((gpointer)msg->u.running_attempts.items);
+		msg->u.running_attempts.items = NULL;
 	} else if (msg->type == MSG_CRASH_RECORDS) {
 		g_free((gpointer)msg->u.crash_records.items);
 		msg->u.crash_records.items = NULL;
--- a/common/codec_encode.c
+++ b/common/codec_encode.c
@@ -172,34 +172,97 @@
 }
 
 static void
-write_load(GByteArray *out, const struct msg_load *load)
+write_report(GByteArray *out, const struct msg_report *report)
 {
-	write_uint(out, load->stamp_ms);
-	write_uint(out, load->echo_ms);
+	write_uint(out, report->stamp_ms);
+	write_uint(out, report->echo_ms);
 	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++) {
-		write_uint(out, load->freshness[kind].version);
-		write_uint(out, load->freshness[kind].age_ms);
+		write_uint(out, report->freshness[kind].version);
+		write_uint(out, report->freshness[kind].age_ms);
 	}
-	write_token(out, mpack_pack_array(load->endpoints_count));
-	for (uint32_t i = 0; i < load->endpoints_count; i++) {
-		write_token(out, mpack_pack_array(LOAD_ENDPOINT_FIELDS));
-		write_uint(out, load->endpoints[i].endpoint_id);
-		write_uint(out, load->endpoints[i].running_count);
-		write_uint(out, load->endpoints[i].prefill_tokens);
-		write_uint(out, load->endpoints[i].kv_tokens);
-	}
-	write_token(out, mpack_pack_array(load->accounts_count));
-	for (uint32_t i = 0; i < load->accounts_count; i++) {
+	write_uint(out, report->has_accounts);
+	write_token(out, mpack_pack_array(report->accounts_count));
+	for (uint32_t i = 0; i < report->accounts_count; i++) {
 		write_token(out, mpack_pack_array(LOAD_ACCOUNT_FIELDS));
-		write_uint(out, load->accounts[i].account_id);
-		write_uint(out, load->accounts[i].asked_tokens);
-		write_uint(out, load->accounts[i].served_tokens);
+		write_uint(out, report->accounts[i].account_id);
+		write_uint(out, report->accounts[i].asked_tokens);
+		write_uint(out, report->accounts[i].served_tokens);
+	}
+}
+
+static void
+write_place_request(GByteArray *out, const struct msg_place_request *request)
+{
+	write_uint(out, request->attempt_id);
+	write_uint(out, request->pool_id);
+	write_uint(out, request->account_id);
+	write_uint(out, request->request_hash);
+	write_token(out, mpack_pack_array(request->segments_count));
+	for (uint32_t i = 0; i < request->segments_count; i++) {
+		write_token(out, mpack_pack_array(PROMPT_SEGMENT_FIELDS));
+		write_uint(out, request->segments[i].segment_id);
+		write_uint(out, request->segments[i].tokens);
+	}
+	write_token(out, mpack_pack_array(request->tried_count));
+	for (uint32_t i = 0; i < request->tried_count; i++)
+		write_uint(out, request->tried_ids[i]);
+	write_uint(out, request->prompt_tokens);
+	write_uint(out, request->response_tokens);
+	write_uint(out, request->latency_target_ms);
+	write_uint(out, request->remaining_ms);
+	write_uint(out, request->asked_before);
+}
+
+static void
+write_placement(GByteArray *out, const struct msg_placement *placement)
+{
+	write_uint(out, placement->attempt_id);
+	write_uint(out, placement->endpoint_id);
+	write_uint(out, placement->prefill_tokens);
+	write_uint(out, placement->kv_tokens);
+	write_uint(out, placement->retry_after_ms);
+	write_uint(out, placement->rejection_hold_ms);
+	write_uint(out, placement->backlog_ms);
+	write_uint(out, placement->prefill_ms);
+	write_uint(out, placement->first_token_ms);
+	write_uint(out, placement->admission_limit_ms);
+	write_uint(out, placement->running_count);
+	write_uint(out, placement->share_permille);
+	write_uint(out, placement->limit_per_1000_s);
+	write_uint(out, placement->start);
+	write_uint(out, placement->reason);
+	write_uint(out, placement->over_share);
+}
+
+static void
+write_attempt_events(GByteArray *out, const struct msg_attempt_events *events)
+{
+	write_token(out, mpack_pack_array(events->count));
+	for (uint32_t i = 0; i < events->count; i++) {
+		const struct attempt_event *event = &events->items[i];
+
+		write_token(out, mpack_pack_array(ATTEMPT_EVENT_FIELDS));
+		write_uint(out, event->attempt_id);
+		write_uint(out, event->kind);
+		write_uint(out, event->outcome);
+		write_uint(out, event->taken_ms);
+		write_uint(out, event->limit_per_1000_s);
+		write_uint(out, event->pause_ms);
+		write_uint(out, event->leaving);
 	}
-	write_token(out, mpack_pack_array(load->cached_segments_count));
-	for (uint32_t i = 0; i < load->cached_segments_count; i++) {
-		write_token(out, mpack_pack_array(LOAD_CACHED_SEGMENT_FIELDS));
-		write_uint(out, load->cached_segments[i].endpoint_id);
-		write_uint(out, load->cached_segments[i].segment_id);
+}
+
+static void
+write_running_attempts(GByteArray *out,
+    const struct msg_running_attempts *attempts)
+{
+	write_token(out, mpack_pack_array(attempts->count));
+	for (uint32_t i = 0; i < attempts->count; i++) {
+		write_token(out, mpack_pack_array(RUNNING_ATTEMPT_FIELDS));
+		write_uint(out, attempts->items[i].attempt_id);
+		write_uint(out, attempts->items[i].endpoint_id);
+		write_uint(out, attempts->items[i].prefill_tokens);
+		write_uint(out, attempts->items[i].kv_tokens);
 	}
 }
 
@@ -313,8 +376,8 @@
 		write_text(out, msg->u.tables_data.text,
 		    msg->u.tables_data.text_bytes);
 		break;
-	case MSG_LOAD:
-		write_load(out, &msg->u.load);
+	case MSG_REPORT:
+		write_report(out, &msg->u.report);
 		break;
 	case MSG_CRASH_RECORDS:
 		write_crash_records(out, &msg->u.crash_records);
@@ -322,6 +385,18 @@
 	case MSG_ENDPOINT_LIMITS:
 		write_endpoint_limits(out, &msg->u.endpoint_limits);
 		break;
+	case MSG_PLACE_REQUEST:
+		write_place_request(out, &msg->u.place_request);
+		break;
+	case MSG_PLACEMENT:
+		write_placement(out, &msg->u.placement);
+		break;
+	case MSG_ATTEMPT_EVENTS:
+		write_attempt_events(out, &msg->u.attempt_events);
+		break;
+	case MSG_RUNNING_ATTEMPTS:
+		write_running_attempts(out, &msg->u.running_attempts);
+		break;
 	case MSG_TYPE_COUNT:
 		break;
 	}
--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -358,6 +358,7 @@
 			continue;
 		if (phase == SUSPECT_BLOCKED)
 			left_ms = block_end_ms(suspect) - now_ms;
+		verdict->blocked |= phase == SUSPECT_BLOCKED;
 		verdict->refuse |= !may_try(suspect, lot, now_ms);
 		verdict->retry_after_ms = MAX(verdict->retry_after_ms,
 		    (uint32_t)left_ms);
--- /dev/null
+++ b/core/delegation.c
@@ -0,0 +1,714 @@
+#include "core/delegation.h"
+
+#include <string.h>
+
+#include "core/dispatch_private.h"
+#include "core/hash.h"
+
+/* A hub that takes longer to answer is given up. */
+#define ANSWER_TIMEOUT_MS 120u
+/* A hub that gave no answer is not asked for this long, doubled with each
+ * further time. */
+#define SILENT_MIN_MS 500u
+#define SILENT_MAX_MS 4000u
+#define RUNNING_PERIOD_MS 1000u
+#define EVENTS_MAX_COUNT (ATTEMPTS_MAX_COUNT / 2)
+#define RETRY_AFTER_MS 500u
+
+static void
+hub_free(gpointer pointer)
+{
+	struct delegation_hub *hub = pointer;
+
+	g_array_free(hub->events, TRUE);
+	g_free(hub);
+}
+
+void
+delegation_init(struct delegation *delegation, struct dispatch *dispatch,
+    uint64_t process_id)
+{
+	uint64_t words[] = { dispatch->config.node_id, process_id };
+
+	memset(delegation, 0, sizeof(*delegation));
+	delegation->dispatch = dispatch;
+	delegation->next_attempt_id = hash_bytes(words, sizeof(words));
+	delegation->questions = g_hash_table_new_full(g_int64_hash,
+	    g_int64_equal, NULL, g_free);
+	delegation->attempts = g_hash_table_new_full(g_int64_hash,
+	    g_int64_equal, NULL, g_free);
+	delegation->hubs = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    NULL, hub_free);
+}
+
+void
+delegation_finish(struct delegation *delegation)
+{
+	g_hash_table_destroy(delegation->questions);
+	g_hash_table_destroy(delegation->attempts);
+	g_hash_table_destroy(delegation->hubs);
+}
+
+static uint64_t
+own_id(const struct delegation *delegation)
+{
+	return delegation->dispatch->config.node_id;
+}
+
+static struct delegation_hub *
+get_hub(struct delegation *delegation, uint64_t node_id)
+{
+	struct delegation_hub *hub = g_hash_table_lookup(delegation->hubs,
+	    &node_id);
+
+	if (hub != NULL)
+		return hub;
+	hub = g_new0(struct delegation_hub, 1);
+	hub->node_id = node_id;
+	hub->events = g_array_new(FALSE, FALSE, sizeof(struct attempt_event));
+	g_hash_table_insert(delegation->hubs, &hub->node_id, hub);
+	return hub;
+}
+
+static bool
+is_silent(const struct delegation *delegation, uint64_t node_id,
+    uint64_t now_ms)
+{
+	const struct delegation_hub *hub = g_hash_table_lookup(delegation->hubs,
+	    &node_id);
+
+	return hub != NULL && now_ms < hub->silent_until_ms;
+}
+
+static bool
+was_asked(const struct delegation_question *question, uint64_t hub_id)
+{
+	for (uint32_t i = 0; i < question->hubs_count; i++)
+		if (question->hub_ids[i] == hub_id)
+			return true;
+	return false;
+}
+
+/* Later hubs for the same attempt are drawn for the request, so that the rest of
+ * what one hub can't place is spread over all others. */
+static uint64_t
+key_for(const struct delegation_question *question)
+{
+	return question->hubs_count == 0
+	    ? dispatch_affinity_key(&question->request)
+	    : question->request.request_hash;
+}
+
+/* @return the hub of the endpoint that comes first for a request by rendezvous
+ * hashing, among those that it may be sent to; 0 if there is none to be asked */
+static uint64_t
+choose_hub(const struct delegation *delegation,
+    const struct delegation_question *question, uint64_t now_ms)
+{
+	struct dispatch *dispatch = delegation->dispatch;
+	uint64_t key = key_for(question), best_id = 0, best_score = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	dispatch_assign_endpoints(dispatch);
+	g_hash_table_iter_init(&iter, dispatch->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dispatch_endpoint *endpoint = value;
+		uint64_t score;
+
+		if (endpoint->info.pool_id != question->request.pool_id ||
+		    !dispatch_may_send_to(dispatch, endpoint, now_ms) ||
+		    dispatch_was_tried(&question->request,
+			endpoint->endpoint_id) ||
+		    was_asked(question, endpoint->hub_id) ||
+		    is_silent(delegation, endpoint->hub_id, now_ms))
+			continue;
+		score = dispatch_rendezvous_score(endpoint, key);
+		if (score <= best_score)
+			continue;
+		best_score = score;
+		best_id = endpoint->hub_id;
+	}
+	return best_id;
+}
+
+static void
+start_attempt(struct delegation *delegation,
+    const struct delegation_question *question, uint64_t hub_id,
+    uint64_t now_ms)
+{
+	const struct dispatch_decision *decision = &question->decision;
+	const struct dispatch_endpoint *endpoint =
+	    g_hash_table_lookup(delegation->dispatch->endpoints,
+		&decision->endpoint_id);
+	struct delegation_attempt *attempt = g_new0(struct delegation_attempt,
+	    1);
+
+	attempt->attempt_id = question->attempt_id;
+	attempt->hub_id = hub_id;
+	attempt->endpoint_id = decision->endpoint_id;
+	attempt->process_start_ms = endpoint->info.process_start_ms;
+	attempt->started_ms = now_ms;
+	attempt->prefill_tokens = (uint32_t)decision->prefill_tokens;
+	attempt->kv_tokens = (uint32_t)decision->kv_tokens;
+	g_hash_table_insert(delegation->attempts, &attempt->attempt_id,
+	    attempt);
+}
+
+static void
+finish_question(struct delegation_question *question, struct effects *effects)
+{
+	question->decided = true;
+	question->decision.seq = question->attempt_id;
+	effects_add(effects, EFFECT_DECIDED)->seq = question->attempt_id;
+}
+
+/* Decides here: as the hub of the endpoints, or since no hub can be asked. */
+static void
+decide_here(struct delegation *delegation, struct delegation_question *question,
+    bool as_hub, uint64_t now_ms, struct effects *effects)
+{
+	const struct dispatch_origin origin = {
+		.node_id = own_id(delegation),
+		.attempt_id = question->attempt_id,
+		.own_endpoints = as_hub,
+	};
+
+	dispatch_place(delegation->dispatch, &question->request, &origin,
+	    now_ms, &question->decision);
+	if (question->decision.start)
+		start_attempt(delegation, question, own_id(delegation), now_ms);
+	finish_question(question, effects);
+}
+
+static void
+send_question(struct delegation_question *question, uint64_t hub_id,
+    struct effects *effects)
+{
+	const struct dispatch_request *request = &question->request;
+	struct msg_place_request *asked =
+	    &effects_send(effects, hub_id, MSG_PLACE_REQUEST)->u.place_request;
+
+	asked->attempt_id = question->attempt_id;
+	asked->pool_id = request->pool_id;
+	asked->account_id = request->account_id;
+	asked->request_hash = request->request_hash;
+	memcpy(asked->segments, request->segments, sizeof(asked->segments));
+	asked->segments_count = request->segments_count;
+	memcpy(asked->tried_ids, request->tried_ids, sizeof(asked->tried_ids));
+	asked->tried_count = request->tried_count;
+	asked->prompt_tokens = request->prompt_tokens;
+	asked->response_tokens = request->response_tokens;
+	asked->latency_target_ms = request->latency_target_ms;
+	asked->remaining_ms = request->remaining_ms;
+	asked->asked_before = question->hubs_count > 0;
+}
+
+/* Asks the next hub. @return false if there is none */
+static bool
+ask_next_hub(struct delegation *delegation,
+    struct delegation_question *question, uint64_t now_ms,
+    struct effects *effects)
+{
+	uint64_t hub_id;
+
+	if (question->hubs_count == DELEGATION_HUBS_MAX_COUNT)
+		return false;
+	hub_id = choose_hub(delegation, question, now_ms);
+	if (hub_id == 0)
+		return false;
+	question->request.asked_before = question->hubs_count > 0;
+	if (hub_id == own_id(delegation)) {
+		question->hub_ids[question->hubs_count++] = hub_id;
+		decide_here(delegation, question, true, now_ms, effects);
+		return true;
+	}
+	send_question(question, hub_id, effects);
+	question->hub_ids[question->hubs_count++] = hub_id;
+	question->sent_ms = now_ms;
+	return true;
+}
+
+uint64_t
+delegation_submit(struct delegation *delegation,
+    const struct dispatch_request *request, uint64_t now_ms,
+    struct effects *effects)
+{
+	struct delegation_question *question =
+	    g_new0(struct delegation_question, 1);
+
+	question->attempt_id = delegation->next_attempt_id++;
+	question->request = *request;
+	g_hash_table_insert(delegation->questions, &question->attempt_id,
+	    question);
+	if (!dispatch_check_budget(delegation->dispatch, request, now_ms,
+		&question->decision) ||
+	    !dispatch_check_blocked(delegation->dispatch, request, now_ms,
+		&question->decision))
+		finish_question(question, effects);
+	else if (!ask_next_hub(delegation, question, now_ms, effects))
+		decide_here(delegation, question, false, now_ms, effects);
+	return question->attempt_id;
+}
+
+bool
+delegation_take(struct delegation *delegation, uint64_t attempt_id,
+    struct dispatch_decision *decision)
+{
+	const struct delegation_question *question =
+	    g_hash_table_lookup(delegation->questions, &attempt_id);
+
+	if (question == NULL || !question->decided)
+		return false;
+	*decision = question->decision;
+	g_hash_table_remove(delegation->questions, &attempt_id);
+	return true;
+}
+
+static void
+add_event(struct delegation *delegation, uint64_t hub_id,
+    const struct attempt_event *event, uint64_t now_ms, struct effects *effects)
+{
+	struct delegation_hub *hub;
+
+	if (hub_id == own_id(delegation)) {
+		dispatch_apply_event(delegation->dispatch, hub_id, event,
+		    now_ms, effects);
+		return;
+	}
+	hub = get_hub(delegation, hub_id);
+	/* a hub learns the rest from the list of running attempts */
+	if (hub->events->len < EVENTS_MAX_COUNT)
+		g_array_append_val(hub->events, *event);
+}
+
+static void
+release_at(struct delegation *delegation, uint64_t hub_id, uint64_t attempt_id,
+    uint64_t now_ms, struct effects *effects)
+{
+	const struct attempt_event event = {
+		.attempt_id = attempt_id,
+		.kind = ATTEMPT_ENDED,
+		.outcome = OUTCOME_CANCELLED,
+		.taken_ms = UINT32_MAX,
+	};
+
+	add_event(delegation, hub_id, &event, now_ms, effects);
+}
+
+static void
+read_placement(const struct msg_placement *placement,
+    struct dispatch_decision *decision)
+{
+	struct dispatch_forecast *forecast = &decision->forecast;
+
+	memset(decision, 0, sizeof(*decision));
+	decision->start = placement->start != 0;
+	decision->reason = (enum refuse_reason)placement->reason;
+	decision->endpoint_id = placement->endpoint_id;
+	decision->prefill_tokens = placement->prefill_tokens;
+	decision->kv_tokens = placement->kv_tokens;
+	decision->retry_after_ms = placement->retry_after_ms;
+	decision->rejection_hold_ms = placement->rejection_hold_ms;
+	forecast->backlog_ms = placement->backlog_ms;
+	forecast->prefill_ms = placement->prefill_ms;
+	forecast->first_token_ms = placement->first_token_ms;
+	forecast->admission_limit_ms = placement->admission_limit_ms;
+	forecast->running_count = placement->running_count;
+	forecast->share_permille = placement->share_permille;
+	forecast->over_share = placement->over_share != 0;
+}
+
+/* Another hub may have room where this one has none. */
+static bool
+may_ask_again(enum refuse_reason reason)
+{
+	return reason == REFUSE_QUEUE_FULL || reason == REFUSE_NO_ENDPOINT ||
+	    reason == REFUSE_ENDPOINT_LIMIT;
+}
+
+/* Tells a hub that has just started of an endpoint's limit. */
+static void
+send_limit(const struct dispatch_endpoint *endpoint, uint64_t hub_id,
+    uint64_t now_ms, struct effects *effects)
+{
+	const struct reported_limit limit = {
+		.endpoint_id = endpoint->endpoint_id,
+		.per_1000_s = endpoint->limit.per_1000_s,
+		.age_ms = (uint32_t)(now_ms - endpoint->limit.evidence_ms),
+	};
+	struct msg_endpoint_limits *limits = &effects_send(effects, hub_id,
+	    MSG_ENDPOINT_LIMITS)
+						  ->u.endpoint_limits;
+
+	limits->count = 1;
+	limits->items = g_memdup2(&limit, sizeof(limit));
+}
+
+/* @return whether this daemon knows of no reason against a hub's placement */
+static bool
+accepts_placement(const struct delegation *delegation,
+    const struct msg_placement *placement, uint64_t hub_id, uint64_t now_ms,
+    struct effects *effects)
+{
+	const struct dispatch_endpoint *endpoint =
+	    g_hash_table_lookup(delegation->dispatch->endpoints,
+		&placement->endpoint_id);
+
+	if (endpoint == NULL ||
+	    !dispatch_may_send_to(delegation->dispatch, endpoint, now_ms))
+		return false;
+	if (placement->limit_per_1000_s > 0 ||
+	    !endpoint_limit_in_force(&endpoint->limit, now_ms))
+		return true;
+	send_limit(endpoint, hub_id, now_ms, effects);
+	return false;
+}
+
+static void
+use_placement(struct delegation *delegation,
+    struct delegation_question *question, const struct msg *msg,
+    uint64_t now_ms, struct effects *effects)
+{
+	struct dispatch_decision *decision = &question->decision;
+	uint64_t hub_id = msg->from_node_id;
+
+	if (accepts_placement(delegation, &msg->u.placement, hub_id, now_ms,
+		effects)) {
+		const struct dispatch_endpoint *endpoint =
+		    g_hash_table_lookup(delegation->dispatch->endpoints,
+			&decision->endpoint_id);
+		memcpy(decision->name, endpoint->info.name, NAME_MAX_BYTES);
+		memcpy(decision->address, endpoint->info.address,
+		    ADDRESS_MAX_BYTES);
+		start_attempt(delegation, question, hub_id, now_ms);
+		finish_question(question, effects);
+		return;
+	}
+	release_at(delegation, hub_id, question->attempt_id, now_ms, effects);
+	decision->start = false;
+	decision->reason = REFUSE_NO_ENDPOINT;
+	decision->retry_after_ms = MIN(RETRY_AFTER_MS,
+	    question->request.remaining_ms / RETRY_AFTER_REMAINING_DIVISOR);
+	if (!ask_next_hub(delegation, question, now_ms, effects))
+		finish_question(question, effects);
+}
+
+void
+delegation_handle_placement(struct delegation *delegation,
+    const struct msg *msg, uint64_t now_ms, struct effects *effects)
+{
+	const struct msg_placement *placement = &msg->u.placement;
+	struct delegation_question *question =
+	    g_hash_table_lookup(delegation->questions, &placement->attempt_id);
+	uint64_t hub_id = msg->from_node_id;
+
+	get_hub(delegation, hub_id)->silent_ms = 0;
+	get_hub(delegation, hub_id)->silent_until_ms = 0;
+	if (question == NULL || question->decided ||
+	    question->hub_ids[question->hubs_count - 1] != hub_id) {
+		/* too late: the request was decided otherwise */
+		if (placement->start)
+			release_at(delegation, hub_id, placement->attempt_id,
+			    now_ms, effects);
+		return;
+	}
+	read_placement(placement, &question->decision);
+	if (question->decision.start)
+		use_placement(delegation, question, msg, now_ms, effects);
+	else if (!may_ask_again(question->decision.reason) ||
+	    !ask_next_hub(delegation, question, now_ms, effects))
+		finish_question(question, effects);
+}
+
+static struct delegation_attempt *
+find_attempt(const struct delegation *delegation, uint64_t attempt_id)
+{
+	return g_hash_table_lookup(delegation->attempts, &attempt_id);
+}
+
+/* @return time since the start of an attempt, UINT32_MAX if this daemon notices
+ * responses late */
+static uint32_t
+measure_ms(const struct delegation *delegation,
+    const struct delegation_attempt *attempt, uint64_t now_ms)
+{
+	return delegation->dispatch->daemon_busy
+	    ? UINT32_MAX
+	    : (uint32_t)(now_ms - attempt->started_ms);
+}
+
+void
+delegation_record_first_token(struct delegation *delegation,
+    uint64_t attempt_id, uint64_t now_ms, struct effects *effects)
+{
+	struct delegation_attempt *attempt = find_attempt(delegation,
+	    attempt_id);
+	struct attempt_event event = {
+		.attempt_id = attempt_id,
+		.kind = ATTEMPT_BEGAN,
+	};
+
+	if (attempt == NULL)
+		return;
+	attempt->prefill_tokens = 0;
+	event.taken_ms = measure_ms(delegation, attempt, now_ms);
+	add_event(delegation, attempt->hub_id, &event, now_ms, effects);
+}
+
+void
+delegation_record_limit(struct delegation *delegation, uint64_t attempt_id,
+    uint32_t per_1000_s, uint64_t now_ms, struct effects *effects)
+{
+	const struct delegation_attempt *attempt = find_attempt(delegation,
+	    attempt_id);
+	const struct attempt_event event = {
+		.attempt_id = attempt_id,
+		.kind = ATTEMPT_LIMIT,
+		.limit_per_1000_s = per_1000_s,
+	};
+	const struct dispatch_endpoint *endpoint;
+
+	if (attempt == NULL)
+		return;
+	endpoint = g_hash_table_lookup(delegation->dispatch->endpoints,
+	    &attempt->endpoint_id);
+	/* most responses name no limit, and the hub knows of none */
+	if (per_1000_s > 0 ||
+	    (endpoint != NULL && endpoint->limit.per_1000_s > 0))
+		add_event(delegation, attempt->hub_id, &event, now_ms, effects);
+}
+
+bool
+delegation_record_statement(struct delegation *delegation, uint64_t attempt_id,
+    const struct endpoint_statement *statement, uint64_t now_ms,
+    struct effects *effects)
+{
+	const struct delegation_attempt *attempt = find_attempt(delegation,
+	    attempt_id);
+	const struct attempt_event event = {
+		.attempt_id = attempt_id,
+		.kind = ATTEMPT_STATEMENT,
+		.pause_ms = statement->pause_ms,
+		.leaving = statement->leaving,
+	};
+
+	if (attempt == NULL)
+		return false;
+	if (attempt->hub_id != own_id(delegation))
+		add_event(delegation, attempt->hub_id, &event, now_ms, effects);
+	return dispatch_record_statement(delegation->dispatch,
+	    attempt->endpoint_id, attempt->process_start_ms, statement, now_ms);
+}
+
+void
+delegation_end_attempt(struct delegation *delegation, uint64_t attempt_id,
+    enum dispatch_outcome outcome, uint64_t now_ms, struct effects *effects)
+{
+	const struct delegation_attempt *attempt = find_attempt(delegation,
+	    attempt_id);
+	struct attempt_event event = {
+		.attempt_id = attempt_id,
+		.kind = ATTEMPT_ENDED,
+		.outcome = (uint8_t)outcome,
+	};
+
+	if (attempt == NULL)
+		return;
+	if (outcome != OUTCOME_CANCELLED)
+		dispatch_record_reached(delegation->dispatch,
+		    attempt->endpoint_id, outcome != OUTCOME_UNREACHED, now_ms);
+	event.taken_ms = measure_ms(delegation, attempt, now_ms);
+	add_event(delegation, attempt->hub_id, &event, now_ms, effects);
+	g_hash_table_remove(delegation->attempts, &attempt_id);
+}
+
+static void
+give_up_hub(struct delegation *delegation, uint64_t hub_id, uint64_t now_ms)
+{
+	struct delegation_hub *hub = get_hub(delegation, hub_id);
+
+	if (now_ms < hub->silent_until_ms)
+		return;
+	hub->silent_ms = CLAMP(hub->silent_ms * 2, SILENT_MIN_MS,
+	    SILENT_MAX_MS);
+	hub->silent_until_ms = now_ms + hub->silent_ms;
+}
+
+static bool
+is_overdue(const struct delegation_question *question, uint64_t now_ms)
+{
+	return !question->decided &&
+	    now_ms >= question->sent_ms + ANSWER_TIMEOUT_MS;
+}
+
+static GPtrArray *
+find_overdue(const struct delegation *delegation, uint64_t now_ms)
+{
+	GPtrArray *overdue = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, delegation->questions);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (is_overdue(value, now_ms))
+			g_ptr_array_add(overdue, value);
+	return overdue;
+}
+
+/* This daemon itself was suspended, or short of processor time. */
+static void
+extend_questions(struct delegation *delegation, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, delegation->questions);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct delegation_question *)value)->sent_ms = now_ms;
+}
+
+static void
+handle_overdue(struct delegation *delegation, uint64_t now_ms,
+    struct effects *effects)
+{
+	GPtrArray *overdue = find_overdue(delegation, now_ms);
+
+	for (guint i = 0; i < overdue->len; i++) {
+		struct delegation_question *question = overdue->pdata[i];
+		uint64_t hub_id = question->hub_ids[question->hubs_count - 1];
+
+		give_up_hub(delegation, hub_id, now_ms);
+		/* frees what the hub may have kept for the attempt */
+		release_at(delegation, hub_id, question->attempt_id, now_ms,
+		    effects);
+		if (!ask_next_hub(delegation, question, now_ms, effects))
+			decide_here(delegation, question, false, now_ms,
+			    effects);
+	}
+	g_ptr_array_free(overdue, TRUE);
+}
+
+static void
+send_events(struct delegation_hub *hub, struct effects *effects)
+{
+	struct msg_attempt_events *events;
+
+	if (hub->events->len == 0)
+		return;
+	events = &effects_send(effects, hub->node_id, MSG_ATTEMPT_EVENTS)
+		      ->u.attempt_events;
+	events->count = hub->events->len;
+	events->items = g_memdup2(hub->events->data,
+	    hub->events->len * sizeof(struct attempt_event));
+	g_array_set_size(hub->events, 0);
+}
+
+/* Moves attempts whose endpoints are assigned to another hub now. */
+static bool
+follow_assignment(struct delegation *delegation, uint64_t now_ms,
+    struct effects *effects)
+{
+	bool moved = false;
+	GHashTableIter iter;
+	gpointer value;
+
+	dispatch_assign_endpoints(delegation->dispatch);
+	g_hash_table_iter_init(&iter, delegation->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct delegation_attempt *attempt = value;
+		const struct dispatch_endpoint *endpoint =
+		    g_hash_table_lookup(delegation->dispatch->endpoints,
+			&attempt->endpoint_id);
+
+		if (endpoint == NULL || endpoint->hub_id == attempt->hub_id)
+			continue;
+		release_at(delegation, attempt->hub_id, attempt->attempt_id,
+		    now_ms, effects);
+		attempt->hub_id = endpoint->hub_id;
+		moved = true;
+	}
+	return moved;
+}
+
+static GArray *
+collect_running(const struct delegation *delegation, uint64_t hub_id)
+{
+	GArray *items = g_array_new(FALSE, FALSE,
+	    sizeof(struct running_attempt));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, delegation->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct delegation_attempt *attempt = value;
+		struct running_attempt item = { attempt->attempt_id,
+			attempt->endpoint_id, attempt->prefill_tokens,
+			attempt->kv_tokens };
+
+		if (attempt->hub_id == hub_id &&
+		    items->len < ATTEMPTS_MAX_COUNT)
+			g_array_append_val(items, item);
+	}
+	return items;
+}
+
+static void
+adopt_running(struct delegation *delegation, const GArray *items,
+    uint64_t now_ms)
+{
+	struct msg msg = { .from_node_id = own_id(delegation) };
+
+	msg.u.running_attempts.items = (void *)items->data;
+	msg.u.running_attempts.count = items->len;
+	dispatch_handle_running_attempts(delegation->dispatch, &msg, now_ms);
+}
+
+static void
+send_running(struct delegation *delegation, struct delegation_hub *hub,
+    uint64_t now_ms, struct effects *effects)
+{
+	GArray *items = collect_running(delegation, hub->node_id);
+	struct msg_running_attempts *attempts;
+
+	if (hub->node_id == own_id(delegation))
+		adopt_running(delegation, items, now_ms);
+	else if (items->len > 0 || hub->told) {
+		hub->told = items->len > 0;
+		attempts = &effects_send(effects, hub->node_id,
+		    MSG_RUNNING_ATTEMPTS)
+				->u.running_attempts;
+		attempts->count = items->len;
+		attempts->items = g_memdup2(items->data,
+		    items->len * sizeof(struct running_attempt));
+	}
+	g_array_free(items, TRUE);
+}
+
+void
+delegation_tick(struct delegation *delegation, uint64_t now_ms,
+    struct effects *effects)
+{
+	bool running_due = follow_assignment(delegation, now_ms, effects) ||
+	    now_ms >= delegation->running_due_ms;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now_ms > delegation->ticked_ms + ANSWER_TIMEOUT_MS)
+		extend_questions(delegation, now_ms);
+	delegation->ticked_ms = now_ms;
+	handle_overdue(delegation, now_ms, effects);
+	if (running_due) {
+		delegation->running_due_ms = now_ms + RUNNING_PERIOD_MS;
+		for (guint i = 0; i < delegation->dispatch->hub_ids->len; i++)
+			get_hub(delegation,
+			    g_array_index(delegation->dispatch->hub_ids,
+				uint64_t, i));
+	}
+	g_hash_table_iter_init(&iter, delegation->hubs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		send_events(value, effects);
+		if (running_due)
+			send_running(delegation, value, now_ms, effects);
+	}
+}
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -72,9 +72,9 @@
 	    sizeof(struct dispatch_loss));
 	dispatch->live_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	dispatch->cache_updates = g_array_new(FALSE, FALSE,
-	    sizeof(struct dispatch_cache_update));
+	dispatch->hub_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->hub_candidates = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_val(dispatch->hub_ids, config->node_id);
 	dispatch->is_hub = true;
 	dispatch->daemons_peak_count = 1;
 	dispatch->seq_next = 1;
@@ -96,7 +96,7 @@
 	g_array_free(dispatch->live_ids, TRUE);
 	g_array_free(dispatch->hubs, TRUE);
 	g_array_free(dispatch->hub_candidates, TRUE);
-	g_array_free(dispatch->cache_updates, TRUE);
+	g_array_free(dispatch->hub_ids, TRUE);
 }
 
 void
@@ -119,6 +119,9 @@
 	endpoint->slow_permille = SLOWNESS_NORMAL_PERMILLE;
 	endpoint->first_token_ms = FIRST_TOKEN_INITIAL_MS;
 	memset(&endpoint->limit, 0, sizeof(endpoint->limit));
+	endpoint->unreached_until_ms = 0;
+	endpoint->unreached_ms = 0;
+	endpoint->progress_ms = 0;
 	endpoint->probing = false;
 }
 
@@ -140,6 +143,8 @@
 		    endpoint);
 	} else if (endpoint->info.process_start_ms != info->process_start_ms)
 		endpoint_reset(endpoint);
+	dispatch->assignment_due |= !endpoint->listed ||
+	    endpoint->info.pool_id != info->pool_id;
 	endpoint->info = *info;
 	endpoint->listed = true;
 	endpoint->warm_at_ms = now_ms + info->warmup_remaining_ms;
@@ -154,7 +159,8 @@
 
 	if (endpoint == NULL)
 		return;
-	if (endpoint->local.running_count == 0)
+	dispatch->assignment_due = true;
+	if (endpoint->load.running_count == 0)
 		g_hash_table_remove(dispatch->endpoints, &endpoint_id);
 	else
 		endpoint->listed = false;
@@ -259,8 +265,9 @@
 
 static void
 admit(struct dispatch *dispatch, const struct dispatch_request *request,
-    const struct dispatch_candidate *best, uint64_t trial_segment_id,
-    uint64_t now_ms, struct dispatch_decision *decision)
+    const struct dispatch_origin *origin, const struct dispatch_candidate *best,
+    uint64_t trial_segment_id, uint64_t now_ms,
+    struct dispatch_decision *decision)
 {
 	struct dispatch_forecast *forecast = &decision->forecast;
 	struct dispatch_account *account = dispatch_get_account(dispatch,
@@ -271,7 +278,8 @@
 		ADMISSION_LIMIT_TARGET_PERCENT / 100;
 	uint64_t admission_limit_ms;
 
-	account->asked_tokens += tokens_to_charge(request);
+	if (!request->asked_before)
+		account->asked_tokens += tokens_to_charge(request);
 	share_permille = dispatch_share_permille(dispatch, account);
 	forecast->share_permille = (uint32_t)MIN(share_permille, UINT32_MAX);
 	share_permille = share_permille *
@@ -282,6 +290,9 @@
 	    admission_limit_percent(share_permille) / 100;
 	forecast->backlog_ms = (uint32_t)best->backlog_ms;
 	forecast->prefill_ms = (uint32_t)best->prefill_ms;
+	forecast->first_token_ms = (uint32_t)(best->backlog_ms +
+				       best->prefill_ms) +
+	    best->endpoint->first_token_ms;
 	forecast->admission_limit_ms = (uint32_t)admission_limit_ms;
 	if (exceeds_limit(best, admission_limit_ms)) {
 		refuse(dispatch, request,
@@ -298,14 +309,45 @@
 		return;
 	}
 	account->served_tokens += tokens_to_charge(request);
-	dispatch_start_attempt(dispatch, request, best, true, trial_segment_id,
-	    now_ms, decision);
+	dispatch_start_attempt(dispatch, request, origin, best, true,
+	    trial_segment_id, now_ms, decision);
 }
 
-void
-dispatch_decide(struct dispatch *dispatch,
+bool
+dispatch_check_budget(struct dispatch *dispatch,
+    const struct dispatch_request *request, uint64_t now_ms,
+    struct dispatch_decision *decision)
+{
+	if (request->tried_count == 0)
+		dispatch_count_request(dispatch, request->pool_id, now_ms);
+	else if (!request->unreached &&
+	    !dispatch_take_retry(dispatch, request->pool_id, now_ms)) {
+		refuse(dispatch, request, REFUSE_RETRY_BUDGET,
+		    DEFAULT_RETRY_AFTER_MS, decision);
+		return false;
+	}
+	return true;
+}
+
+bool
+dispatch_check_blocked(struct dispatch *dispatch,
     const struct dispatch_request *request, uint64_t now_ms,
     struct dispatch_decision *decision)
+{
+	struct suspect_verdict verdict;
+
+	dispatch_check_suspects(dispatch, request, now_ms, &verdict);
+	if (verdict.blocked)
+		refuse_until(dispatch, REFUSE_CRASH_SUSPECT,
+		    verdict.retry_after_ms, decision);
+	return !verdict.blocked;
+}
+
+void
+dispatch_place(struct dispatch *dispatch,
+    const struct dispatch_request *request,
+    const struct dispatch_origin *origin, uint64_t now_ms,
+    struct dispatch_decision *decision)
 {
 	const struct config_pool *pool = dispatch->configuration == NULL
 	    ? NULL
@@ -316,7 +358,7 @@
 	uint64_t closed_ms = 0;
 
 	memset(decision, 0, sizeof(*decision));
-	dispatch_sum_remote_load(dispatch);
+	dispatch_sum_remote_shares(dispatch);
 	decision->forecast.peers_age_ms = dispatch_peers_age_ms(dispatch,
 	    now_ms);
 	dispatch_check_suspects(dispatch, request, now_ms, &verdict);
@@ -325,17 +367,9 @@
 		    verdict.retry_after_ms, decision);
 		return;
 	}
-	if (request->tried_count == 0)
-		dispatch_count_request(dispatch, request->pool_id, now_ms);
-	else if (!request->unreached &&
-	    !dispatch_take_retry(dispatch, request->pool_id, now_ms)) {
-		refuse(dispatch, request, REFUSE_RETRY_BUDGET,
-		    DEFAULT_RETRY_AFTER_MS, decision);
-		return;
-	}
 	if (pool == NULL ||
-	    !dispatch_choose(dispatch, pool, request, now_ms, &best,
-		&closed_ms)) {
+	    !dispatch_choose(dispatch, pool, request, origin->own_endpoints,
+		now_ms, &best, &closed_ms)) {
 		if (closed_ms > 0)
 			refuse_until(dispatch, REFUSE_ENDPOINT_LIMIT,
 			    closed_ms + retry_soon_ms(request), decision);
@@ -347,9 +381,23 @@
 	decision->forecast.running_count = (uint32_t)dispatch_running_requests(
 	    best.endpoint);
 	if (pool->engine)
-		admit(dispatch, request, &best, verdict.trial_segment_id,
-		    now_ms, decision);
+		admit(dispatch, request, origin, &best,
+		    verdict.trial_segment_id, now_ms, decision);
 	else
-		dispatch_start_attempt(dispatch, request, &best, false,
+		dispatch_start_attempt(dispatch, request, origin, &best, false,
 		    verdict.trial_segment_id, now_ms, decision);
 }
+
+void
+dispatch_decide(struct dispatch *dispatch,
+    const struct dispatch_request *request, uint64_t now_ms,
+    struct dispatch_decision *decision)
+{
+	const struct dispatch_origin origin = {
+		.node_id = dispatch->config.node_id,
+	};
+
+	memset(decision, 0, sizeof(*decision));
+	if (dispatch_check_budget(dispatch, request, now_ms, decision))
+		dispatch_place(dispatch, request, &origin, now_ms, decision);
+}
--- a/core/dispatch_attempt.c
+++ b/core/dispatch_attempt.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "core/dispatch_private.h"
 
 /* After a shorter prefill, the time to the first token tells nothing of an
@@ -8,12 +10,25 @@
 #define AVERAGE_WEIGHT 16u
 /* For this long after it refused a request, an endpoint counts as full. */
 #define FULL_DURATION_MS 100u
+/* Daemons name their running attempts every second. */
+#define ATTEMPT_EXPIRY_MS 2500u
 #define SLOWNESS_MIN_PERMILLE 500u
 #define SLOWNESS_MAX_PERMILLE 8000u
 
+static void
+add_attempt(struct dispatch *dispatch, struct dispatch_endpoint *endpoint,
+    struct dispatch_attempt *attempt)
+{
+	endpoint->load.running_count++;
+	endpoint->load.prefill_tokens += attempt->prefill_tokens;
+	endpoint->load.kv_tokens += attempt->kv_tokens;
+	g_hash_table_insert(dispatch->attempts, &attempt->seq, attempt);
+}
+
 void
 dispatch_start_attempt(struct dispatch *dispatch,
     const struct dispatch_request *request,
+    const struct dispatch_origin *origin,
     const struct dispatch_candidate *candidate, bool engine,
     uint64_t trial_segment_id, uint64_t now_ms,
     struct dispatch_decision *decision)
@@ -21,7 +36,10 @@
 	struct dispatch_endpoint *endpoint = candidate->endpoint;
 	struct dispatch_attempt *attempt = g_new0(struct dispatch_attempt, 1);
 
-	attempt->seq = dispatch->seq_next++;
+	attempt->seq = origin->attempt_id == 0 ? dispatch->seq_next++
+					       : origin->attempt_id;
+	attempt->node_id = origin->node_id;
+	attempt->confirmed_ms = now_ms;
 	attempt->endpoint_id = endpoint->endpoint_id;
 	attempt->process_start_ms = endpoint->info.process_start_ms;
 	attempt->started_ms = now_ms;
@@ -32,7 +50,7 @@
 		    request->response_tokens;
 		attempt->forecast_ms = (uint32_t)(candidate->backlog_ms +
 		    candidate->prefill_ms);
-		dispatch_cache_record(dispatch, endpoint, request, now_ms);
+		dispatch_cache_record(endpoint, request, now_ms);
 	}
 	attempt->shared_segments_count = dispatch_shared_segment_ids(request,
 	    attempt->shared_segment_ids);
@@ -40,15 +58,14 @@
 	crash_suspects_start_trial(&dispatch->crash_suspects, trial_segment_id,
 	    now_ms);
 	endpoint_limit_take(&endpoint->limit);
-	endpoint->local.running_count++;
-	endpoint->local.prefill_tokens += attempt->prefill_tokens;
-	endpoint->local.kv_tokens += attempt->kv_tokens;
 	if (now_ms >= endpoint->ejected_until_ms && endpoint->eject_ms > 0)
 		endpoint->probing = true;
-	g_hash_table_insert(dispatch->attempts, &attempt->seq, attempt);
+	add_attempt(dispatch, endpoint, attempt);
 	decision->start = true;
 	decision->seq = attempt->seq;
 	decision->endpoint_id = endpoint->endpoint_id;
+	decision->prefill_tokens = attempt->prefill_tokens;
+	decision->kv_tokens = attempt->kv_tokens;
 	memcpy(decision->name, endpoint->info.name, NAME_MAX_BYTES);
 	memcpy(decision->address, endpoint->info.address, ADDRESS_MAX_BYTES);
 }
@@ -63,9 +80,8 @@
  * engine's speed, and a constant part. */
 static void
 update_speed(struct dispatch_endpoint *endpoint,
-    const struct dispatch_attempt *attempt, uint64_t now_ms)
+    const struct dispatch_attempt *attempt, uint64_t taken_ms)
 {
-	uint64_t taken_ms = now_ms - attempt->started_ms;
 	uint64_t first_token_ms = endpoint->first_token_ms, slowness_permille;
 
 	if (attempt->forecast_ms < SHORT_PREFILL_MS) {
@@ -94,9 +110,20 @@
 	    now_ms);
 }
 
+/* @return time since the start of an attempt, UINT32_MAX if this daemon notices
+ * responses late */
+static uint32_t
+measure_ms(const struct dispatch *dispatch,
+    const struct dispatch_attempt *attempt, uint64_t now_ms)
+{
+	return attempt == NULL || dispatch->daemon_busy
+	    ? UINT32_MAX
+	    : (uint32_t)(now_ms - attempt->started_ms);
+}
+
 void
-dispatch_record_first_token(struct dispatch *dispatch, uint64_t seq,
-    uint64_t now_ms)
+dispatch_begin_attempt(struct dispatch *dispatch, uint64_t seq,
+    uint32_t taken_ms, uint64_t now_ms)
 {
 	struct dispatch_attempt *attempt =
 	    g_hash_table_lookup(dispatch->attempts, &seq);
@@ -110,24 +137,56 @@
 	    &attempt->endpoint_id);
 	if (endpoint == NULL)
 		return;
-	endpoint->local.prefill_tokens -= attempt->prefill_tokens;
-	if (attempt->engine && !dispatch->daemon_busy)
-		update_speed(endpoint, attempt, now_ms);
+	endpoint->progress_ms = now_ms;
+	endpoint->load.prefill_tokens -= attempt->prefill_tokens;
+	if (attempt->engine && taken_ms != UINT32_MAX)
+		update_speed(endpoint, attempt, taken_ms);
+}
+
+void
+dispatch_record_first_token(struct dispatch *dispatch, uint64_t seq,
+    uint64_t now_ms)
+{
+	const struct dispatch_attempt *attempt =
+	    g_hash_table_lookup(dispatch->attempts, &seq);
+
+	dispatch_begin_attempt(dispatch, seq,
+	    measure_ms(dispatch, attempt, now_ms), now_ms);
 }
 
 static void
 release(struct dispatch_endpoint *endpoint,
     const struct dispatch_attempt *attempt)
 {
-	endpoint->local.running_count--;
-	endpoint->local.kv_tokens -= attempt->kv_tokens;
+	endpoint->load.running_count--;
+	endpoint->load.kv_tokens -= attempt->kv_tokens;
 	if (!attempt->first_token_arrived)
-		endpoint->local.prefill_tokens -= attempt->prefill_tokens;
+		endpoint->load.prefill_tokens -= attempt->prefill_tokens;
+}
+
+static void
+update_endpoint(struct dispatch *dispatch, struct dispatch_endpoint *endpoint,
+    const struct dispatch_attempt *attempt, enum dispatch_outcome outcome,
+    uint64_t now_ms, struct dispatch_health_update *health_update)
+{
+	release(endpoint, attempt);
+	if (outcome == OUTCOME_COMPLETE)
+		endpoint->progress_ms = now_ms;
+	if (outcome == OUTCOME_BROKEN)
+		dispatch_record_loss(dispatch, endpoint, attempt, now_ms);
+	health_update->change = dispatch_update_health(endpoint, outcome,
+	    now_ms);
+	health_update->failing_permille = endpoint->failing_permille;
+	health_update->eject_ms = endpoint->eject_ms;
+	if (outcome == OUTCOME_REFUSED)
+		endpoint->full_until_ms = now_ms + FULL_DURATION_MS;
+	if (!endpoint->listed && endpoint->load.running_count == 0)
+		g_hash_table_remove(dispatch->endpoints, &attempt->endpoint_id);
 }
 
 void
-dispatch_end_attempt(struct dispatch *dispatch, uint64_t seq,
-    enum dispatch_outcome outcome, uint64_t now_ms,
+dispatch_finish_attempt(struct dispatch *dispatch, uint64_t seq,
+    enum dispatch_outcome outcome, uint32_t taken_ms, uint64_t now_ms,
     struct dispatch_health_update *health_update)
 {
 	struct dispatch_attempt *attempt =
@@ -144,25 +203,69 @@
 		record_begin(dispatch, attempt, now_ms);
 	endpoint = g_hash_table_lookup(dispatch->endpoints,
 	    &attempt->endpoint_id);
-	if (endpoint != NULL) {
-		release(endpoint, attempt);
-		if (outcome == OUTCOME_BROKEN)
-			dispatch_record_loss(dispatch, endpoint, attempt,
-			    now_ms);
-		health_update->change = dispatch_update_health(endpoint,
-		    outcome, now_ms);
-		health_update->failing_permille = endpoint->failing_permille;
-		health_update->eject_ms = endpoint->eject_ms;
-		if (outcome == OUTCOME_REFUSED)
-			endpoint->full_until_ms = now_ms + FULL_DURATION_MS;
-		if (!endpoint->listed && endpoint->local.running_count == 0)
-			g_hash_table_remove(dispatch->endpoints,
-			    &attempt->endpoint_id);
-	}
+	if (endpoint != NULL)
+		update_endpoint(dispatch, endpoint, attempt, outcome, now_ms,
+		    health_update);
 	if (outcome == OUTCOME_COMPLETE && attempt->engine &&
-	    !dispatch->daemon_busy)
+	    taken_ms != UINT32_MAX)
 		dispatch->mean_duration_ms =
 		    dispatch_moving_average(dispatch->mean_duration_ms,
-			now_ms - attempt->started_ms, AVERAGE_WEIGHT);
+			taken_ms, AVERAGE_WEIGHT);
 	g_hash_table_remove(dispatch->attempts, &seq);
 }
+
+void
+dispatch_end_attempt(struct dispatch *dispatch, uint64_t seq,
+    enum dispatch_outcome outcome, uint64_t now_ms,
+    struct dispatch_health_update *health_update)
+{
+	const struct dispatch_attempt *attempt =
+	    g_hash_table_lookup(dispatch->attempts, &seq);
+
+	dispatch_finish_attempt(dispatch, seq, outcome,
+	    measure_ms(dispatch, attempt, now_ms), now_ms, health_update);
+}
+
+void
+dispatch_adopt_attempt(struct dispatch *dispatch, uint64_t node_id,
+    const struct running_attempt *running, uint64_t now_ms)
+{
+	struct dispatch_endpoint *endpoint =
+	    g_hash_table_lookup(dispatch->endpoints, &running->endpoint_id);
+	struct dispatch_attempt *attempt;
+
+	if (endpoint == NULL)
+		return;
+	attempt = g_new0(struct dispatch_attempt, 1);
+	attempt->seq = running->attempt_id;
+	attempt->node_id = node_id;
+	attempt->endpoint_id = running->endpoint_id;
+	attempt->process_start_ms = endpoint->info.process_start_ms;
+	attempt->started_ms = now_ms;
+	attempt->confirmed_ms = now_ms;
+	attempt->prefill_tokens = running->prefill_tokens;
+	attempt->kv_tokens = running->kv_tokens;
+	attempt->first_token_arrived = running->prefill_tokens == 0;
+	add_attempt(dispatch, endpoint, attempt);
+}
+
+void
+dispatch_expire_attempts(struct dispatch *dispatch, uint64_t now_ms)
+{
+	GArray *expired = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dispatch_attempt *attempt = value;
+		if (attempt->node_id != dispatch->config.node_id &&
+		    now_ms > attempt->confirmed_ms + ATTEMPT_EXPIRY_MS)
+			g_array_append_val(expired, attempt->seq);
+	}
+	for (guint i = 0; i < expired->len; i++)
+		dispatch_finish_attempt(dispatch,
+		    g_array_index(expired, uint64_t, i), OUTCOME_CANCELLED,
+		    UINT32_MAX, now_ms, NULL);
+	g_array_free(expired, TRUE);
+}
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -21,8 +21,8 @@
  * mean backlog, as it may take one from another daemon. */
 #define COUNTED_CLOSED_MAX_MS 200u
 
-static bool
-was_tried(const struct dispatch_request *request, uint64_t endpoint_id)
+bool
+dispatch_was_tried(const struct dispatch_request *request, uint64_t endpoint_id)
 {
 	for (uint32_t i = 0; i < request->tried_count; i++)
 		if (request->tried_ids[i] == endpoint_id)
@@ -30,18 +30,17 @@
 	return false;
 }
 
-/* Key for rendezvous hashing. Requests without a shared segment are spread
- * evenly. */
-static uint64_t
-affinity_key(const struct dispatch_request *request)
+uint64_t
+dispatch_affinity_key(const struct dispatch_request *request)
 {
 	const struct prompt_segment *shared = dispatch_shared_segment(request);
 
 	return shared == NULL ? request->request_hash : shared->segment_id;
 }
 
-static uint64_t
-rendezvous_score(const struct dispatch_endpoint *endpoint, uint64_t key)
+uint64_t
+dispatch_rendezvous_score(const struct dispatch_endpoint *endpoint,
+    uint64_t key)
 {
 	uint64_t words[] = { key, endpoint->endpoint_id };
 
@@ -51,8 +50,7 @@
 uint64_t
 dispatch_running_requests(const struct dispatch_endpoint *endpoint)
 {
-	return (uint64_t)endpoint->local.running_count +
-	    endpoint->remote.running_count;
+	return endpoint->load.running_count;
 }
 
 static uint64_t
@@ -74,12 +72,6 @@
 	return (running - slots + 1) * dispatch->mean_duration_ms / slots;
 }
 
-static uint64_t
-kv_tokens_of(const struct dispatch_endpoint *endpoint)
-{
-	return endpoint->local.kv_tokens + endpoint->remote.kv_tokens;
-}
-
 /* Tokens of the shared segments that the endpoint would prefill again. */
 static uint64_t
 uncached_shared_tokens(const struct dispatch_request *request,
@@ -100,18 +92,16 @@
     struct dispatch_candidate *candidate)
 {
 	const struct dispatch_endpoint *endpoint = candidate->endpoint;
-	uint64_t prefill_tokens = endpoint->local.prefill_tokens +
-	    endpoint->remote.prefill_tokens;
 	uint64_t slowness_permille = endpoint->slow_permille, needed_kv_tokens;
 
 	if (now_ms < endpoint->warm_at_ms)
 		slowness_permille *= WARMUP_SLOW_FACTOR;
 	candidate->uncached_tokens = dispatch_uncached_tokens(endpoint, request,
 	    now_ms);
-	candidate->backlog_ms = prefill_tokens * slowness_permille /
-		PREFILL_TOKENS_PER_MS / 1000 +
+	candidate->backlog_ms = endpoint->load.prefill_tokens *
+		slowness_permille / PREFILL_TOKENS_PER_MS / 1000 +
 	    slot_wait_ms(dispatch, endpoint);
-	needed_kv_tokens = kv_tokens_of(endpoint) + request->prompt_tokens +
+	needed_kv_tokens = endpoint->load.kv_tokens + request->prompt_tokens +
 	    request->response_tokens;
 	if (pool->kv_capacity_tokens > 0 &&
 	    needed_kv_tokens * 100 > pool->kv_capacity_tokens * KV_FULL_PERCENT)
@@ -139,9 +129,37 @@
 	    slots_of(endpoint);
 }
 
+static bool
+is_candidate(const struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint,
+    const struct dispatch_request *request)
+{
+	return endpoint->info.pool_id == request->pool_id && endpoint->listed &&
+	    !endpoint->info.leaving &&
+	    !dispatch_said_leaving(dispatch, endpoint) &&
+	    !dispatch_was_tried(request, endpoint->endpoint_id);
+}
+
+/* @return whether a pool has endpoints that are assigned to this hub */
+static bool
+owns_endpoints(const struct dispatch *dispatch, uint64_t pool_id)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dispatch_endpoint *endpoint = value;
+		if (endpoint->info.pool_id == pool_id && endpoint->listed &&
+		    endpoint->hub_id == dispatch->config.node_id)
+			return true;
+	}
+	return false;
+}
+
 static void
 collect_candidates(struct dispatch *dispatch,
-    const struct dispatch_request *request, uint64_t now_ms,
+    const struct dispatch_request *request, bool own_endpoints, uint64_t now_ms,
     bool include_ejected, GArray *candidates)
 {
 	GHashTableIter iter;
@@ -152,14 +170,13 @@
 		struct dispatch_endpoint *endpoint = value;
 		struct dispatch_candidate candidate = { .endpoint = endpoint };
 
-		if (endpoint->info.pool_id != request->pool_id ||
-		    !endpoint->listed || endpoint->info.leaving ||
-		    dispatch_said_leaving(dispatch, endpoint) ||
-		    was_tried(request, endpoint->endpoint_id) ||
+		if (!is_candidate(dispatch, endpoint, request) ||
+		    (own_endpoints &&
+			endpoint->hub_id != dispatch->config.node_id) ||
 		    (!include_ejected && !dispatch_is_usable(endpoint, now_ms)))
 			continue;
-		candidate.rendezvous_score = rendezvous_score(endpoint,
-		    affinity_key(request));
+		candidate.rendezvous_score = dispatch_rendezvous_score(endpoint,
+		    dispatch_affinity_key(request));
 		candidate.closed_ms = dispatch_closed_ms(dispatch, endpoint,
 		    now_ms);
 		g_array_append_val(candidates, candidate);
@@ -245,16 +262,21 @@
 
 bool
 dispatch_choose(struct dispatch *dispatch, const struct config_pool *pool,
-    const struct dispatch_request *request, uint64_t now_ms,
+    const struct dispatch_request *request, bool own_endpoints, uint64_t now_ms,
     struct dispatch_candidate *chosen, uint64_t *closed_ms)
 {
 	GArray *candidates = g_array_new(FALSE, FALSE,
 	    sizeof(struct dispatch_candidate));
 	const struct dispatch_candidate *best;
 
-	collect_candidates(dispatch, request, now_ms, false, candidates);
+	dispatch_assign_endpoints(dispatch);
+	own_endpoints = own_endpoints &&
+	    owns_endpoints(dispatch, request->pool_id);
+	collect_candidates(dispatch, request, own_endpoints, now_ms, false,
+	    candidates);
 	if (candidates->len == 0)
-		collect_candidates(dispatch, request, now_ms, true, candidates);
+		collect_candidates(dispatch, request, own_endpoints, now_ms,
+		    true, candidates);
 	best = choose_cheapest(dispatch, pool, request, now_ms, candidates);
 	if (best != NULL)
 		*chosen = *best;
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -5,6 +5,8 @@
  * time, a busy one within the second. */
 #define CRASH_SPREAD_MS 100u
 #define CRASH_SPREAD_MAX_MS 600u
+/* Daemons tell a hub of the progress of attempts this much later at most. */
+#define NOTICE_DELAY_MS 60u
 
 uint32_t
 dispatch_shared_segment_ids(const struct dispatch_request *request,
@@ -24,7 +26,7 @@
 {
 	uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT - 1];
 	uint32_t count = dispatch_shared_segment_ids(request, segment_ids);
-	uint64_t lot = request->request_hash % MAX(dispatch->live_count, 1);
+	uint64_t lot = request->request_hash % dispatch->hub_ids->len;
 
 	crash_suspects_check(&dispatch->crash_suspects, segment_ids, count, lot,
 	    now_ms, verdict);
@@ -47,18 +49,28 @@
 		g_array_append_val(dispatch->losses, loss);
 }
 
-/* An engine whose other attempts go on has not crashed. */
+/* An engine has not crashed if it responds to any daemon, or if other attempts
+ * of the daemon that lost one go on. */
 static bool
 engine_runs_on(const struct dispatch *dispatch,
     const struct dispatch_loss *loss)
 {
+	const struct dispatch_endpoint *endpoint =
+	    g_hash_table_lookup(dispatch->endpoints,
+		&loss->attempt.endpoint_id);
 	GHashTableIter iter;
 	gpointer value;
 
+	if (endpoint != NULL &&
+	    endpoint->info.process_start_ms == loss->attempt.process_start_ms &&
+	    endpoint->progress_ms > loss->lost_ms + NOTICE_DELAY_MS)
+		return true;
+
 	g_hash_table_iter_init(&iter, dispatch->attempts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct dispatch_attempt *attempt = value;
 		if (attempt->endpoint_id == loss->attempt.endpoint_id &&
+		    attempt->node_id == loss->attempt.node_id &&
 		    attempt->started_ms < loss->lost_ms)
 			return true;
 	}
--- a/core/dispatch_limit.c
+++ b/core/dispatch_limit.c
@@ -1,57 +1,9 @@
 #include "core/dispatch_private.h"
-#include "core/hash.h"
 
 /* Limits in force are announced again after this time, for daemons that missed
  * an announcement. */
 #define REFRESH_PERIOD_MS 2000u
 
-static uint64_t
-holder_score(const struct dispatch_endpoint *endpoint, uint64_t node_id)
-{
-	uint64_t words[] = { endpoint->endpoint_id, node_id };
-
-	return hash_bytes(words, sizeof(words));
-}
-
-/* @return how many live daemons come before this one */
-static uint32_t
-own_rank(const struct dispatch *dispatch,
-    const struct dispatch_endpoint *endpoint)
-{
-	uint64_t own_score = holder_score(endpoint, dispatch->config.node_id);
-	uint32_t rank = 0;
-
-	for (guint i = 0; i < dispatch->live_ids->len; i++)
-		rank += holder_score(endpoint,
-			    g_array_index(dispatch->live_ids, uint64_t, i)) >
-		    own_score;
-	return rank;
-}
-
-/* The most daemons ever live share a limit, so that one that is cut off from
- * the others does not take their parts. */
-static void
-update_holders(const struct dispatch *dispatch,
-    struct dispatch_endpoint *endpoint)
-{
-	uint32_t count = endpoint_limit_holders(endpoint->limit.per_1000_s,
-	    dispatch->daemons_peak_count);
-
-	endpoint_limit_set_holders(&endpoint->limit, count,
-	    own_rank(dispatch, endpoint) < count);
-}
-
-static void
-set_limit(const struct dispatch *dispatch, struct dispatch_endpoint *endpoint,
-    uint32_t per_1000_s, uint64_t evidence_ms, uint64_t now_ms)
-{
-	uint32_t known_per_1000_s = endpoint->limit.per_1000_s;
-
-	endpoint_limit_set(&endpoint->limit, per_1000_s, evidence_ms, now_ms);
-	if (endpoint->limit.per_1000_s != known_per_1000_s)
-		update_holders(dispatch, endpoint);
-}
-
 void
 dispatch_record_limit(struct dispatch *dispatch, uint64_t seq,
     uint32_t per_1000_s, uint64_t now_ms)
@@ -65,24 +17,12 @@
 	if (endpoint == NULL)
 		return;
 	if (per_1000_s > 0)
-		set_limit(dispatch, endpoint, per_1000_s, now_ms, now_ms);
+		endpoint_limit_set(&endpoint->limit, per_1000_s, now_ms,
+		    now_ms);
 	else if (endpoint->limit.per_1000_s > 0)
 		/* the response may be older than one that named the limit */
-		set_limit(dispatch, endpoint, 0, attempt->started_ms, now_ms);
-}
-
-void
-dispatch_update_holders(struct dispatch *dispatch)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, dispatch->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct dispatch_endpoint *endpoint = value;
-		if (endpoint->limit.per_1000_s > 0)
-			update_holders(dispatch, endpoint);
-	}
+		endpoint_limit_set(&endpoint->limit, 0, attempt->started_ms,
+		    now_ms);
 }
 
 void
@@ -97,7 +37,7 @@
 		    g_hash_table_lookup(dispatch->endpoints,
 			&item->endpoint_id);
 		if (endpoint != NULL)
-			set_limit(dispatch, endpoint, item->per_1000_s,
+			endpoint_limit_set(&endpoint->limit, item->per_1000_s,
 			    now_ms - MIN(item->age_ms, now_ms), now_ms);
 	}
 }
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -1,15 +1,20 @@
 #include "core/dispatch_private.h"
 
+/* Time until this daemon may have become the hub of an endpoint, or have reached
+ * its hub again. */
+#define NOT_HUB_WAIT_MS 500u
+/* An endpoint that this daemon could not connect to is left out for this long,
+ * doubled with each further failure. */
+#define UNREACHED_MIN_MS 500u
+#define UNREACHED_MAX_MS 4000u
+
 bool
-dispatch_record_statement(struct dispatch *dispatch, uint64_t seq,
-    const struct endpoint_statement *statement, uint64_t now_ms)
+dispatch_record_statement(struct dispatch *dispatch, uint64_t endpoint_id,
+    uint64_t process_start_ms, const struct endpoint_statement *statement,
+    uint64_t now_ms)
 {
-	const struct dispatch_attempt *attempt =
-	    g_hash_table_lookup(dispatch->attempts, &seq);
-
-	return attempt != NULL &&
-	    endpoint_notices_record(&dispatch->notices, attempt->endpoint_id,
-		attempt->process_start_ms, statement, now_ms);
+	return endpoint_notices_record(&dispatch->notices, endpoint_id,
+	    process_start_ms, statement, now_ms);
 }
 
 bool
@@ -20,6 +25,18 @@
 	    endpoint->endpoint_id, endpoint->info.process_start_ms);
 }
 
+/* Only the hub of an endpoint knows how much of its limit is used. */
+static uint64_t
+limit_wait_ms(const struct dispatch *dispatch,
+    struct dispatch_endpoint *endpoint, uint64_t now_ms)
+{
+	if (endpoint->hub_id == dispatch->config.node_id)
+		return endpoint_limit_wait_ms(&endpoint->limit, now_ms);
+	return endpoint_limit_in_force(&endpoint->limit, now_ms)
+	    ? NOT_HUB_WAIT_MS
+	    : 0;
+}
+
 uint64_t
 dispatch_closed_ms(const struct dispatch *dispatch,
     struct dispatch_endpoint *endpoint, uint64_t now_ms)
@@ -27,5 +44,34 @@
 	uint64_t pause_ms = endpoint_notices_wait_ms(&dispatch->notices,
 	    endpoint->endpoint_id, endpoint->info.process_start_ms, now_ms);
 
-	return MAX(pause_ms, endpoint_limit_wait_ms(&endpoint->limit, now_ms));
+	return MAX(pause_ms, limit_wait_ms(dispatch, endpoint, now_ms));
+}
+
+bool
+dispatch_may_send_to(const struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint, uint64_t now_ms)
+{
+	return endpoint->listed && !endpoint->info.leaving &&
+	    !dispatch_said_leaving(dispatch, endpoint) &&
+	    now_ms >= endpoint->unreached_until_ms &&
+	    endpoint_notices_wait_ms(&dispatch->notices, endpoint->endpoint_id,
+		endpoint->info.process_start_ms, now_ms) == 0;
+}
+
+void
+dispatch_record_reached(struct dispatch *dispatch, uint64_t endpoint_id,
+    bool reached, uint64_t now_ms)
+{
+	struct dispatch_endpoint *endpoint =
+	    g_hash_table_lookup(dispatch->endpoints, &endpoint_id);
+
+	if (endpoint == NULL)
+		return;
+	if (reached) {
+		endpoint->unreached_ms = 0;
+		return;
+	}
+	endpoint->unreached_ms = CLAMP(endpoint->unreached_ms * 2,
+	    UNREACHED_MIN_MS, UNREACHED_MAX_MS);
+	endpoint->unreached_until_ms = now_ms + endpoint->unreached_ms;
 }
--- a/core/dispatch_peers.c
+++ b/core/dispatch_peers.c
@@ -3,20 +3,21 @@
 #include "core/dispatch_private.h"
 #include "core/hash.h"
 
-/* Load reports of peers that are silent for longer are dropped. */
+/* Reports of peers that are silent for longer are dropped. */
 #define PEER_EXPIRY_MS 3000u
 /* A daemon switches to its next hub if the current one is silent for longer. */
 #define HUB_TIMEOUT_MS 700u
 /* In fleets up to this size, all daemons are hubs. */
 #define HUBS_MIN_COUNT 9u
-#define DAEMONS_PER_HUB 8u
+#define DAEMONS_PER_HUB 24u
+/* Time between reports of accounts, which change slowly. */
+#define ACCOUNTS_PERIOD_MS 300u
 
 void
 dispatch_peer_free(gpointer pointer)
 {
 	struct dispatch_peer *peer = pointer;
 
-	g_free(peer->endpoints);
 	g_free(peer->accounts);
 	g_free(peer);
 }
@@ -64,6 +65,7 @@
 choose_hubs(struct dispatch *dispatch, GArray *hubs)
 {
 	g_array_set_size(dispatch->hubs, 0);
+	g_array_set_size(dispatch->hub_ids, 0);
 	g_array_set_size(dispatch->hub_candidates, 0);
 	dispatch->is_hub = false;
 	for (guint i = 0; i < hubs->len; i++)
@@ -74,12 +76,14 @@
 	for (guint i = 0; i < hubs->len; i++) {
 		uint64_t node_id =
 		    g_array_index(hubs, struct dispatch_daemon, i).node_id;
+		g_array_append_val(dispatch->hub_ids, node_id);
 		if (node_id == dispatch->config.node_id)
 			continue;
 		g_array_append_val(dispatch->hubs, node_id);
 		if (!dispatch->is_hub)
 			g_array_append_val(dispatch->hub_candidates, node_id);
 	}
+	dispatch->assignment_due = true;
 	dispatch->hub_index = 0;
 	dispatch->hub_chosen_ms = 0;
 }
@@ -105,7 +109,6 @@
 	g_array_set_size(dispatch->live_ids, 0);
 	for (size_t i = 0; i < count; i++)
 		g_array_append_val(dispatch->live_ids, daemons[i].node_id);
-	dispatch_update_holders(dispatch);
 }
 
 void
@@ -116,69 +119,6 @@
 	dispatch->freshness[kind].as_of_ms = as_of_ms;
 }
 
-static void
-add_load(struct dispatch_load *sum, const struct load_endpoint *load)
-{
-	sum->running_count += load->running_count;
-	sum->prefill_tokens += load->prefill_tokens;
-	sum->kv_tokens += load->kv_tokens;
-}
-
-static void
-add_peer_load(struct dispatch *dispatch, const struct dispatch_peer *peer)
-{
-	for (uint32_t i = 0; i < peer->endpoints_count; i++) {
-		const struct load_endpoint *load = &peer->endpoints[i];
-		struct dispatch_endpoint *endpoint =
-		    g_hash_table_lookup(dispatch->endpoints,
-			&load->endpoint_id);
-		if (endpoint == NULL)
-			continue;
-		add_load(&endpoint->remote, load);
-		if (!peer->is_hub)
-			add_load(&endpoint->group, load);
-	}
-	for (uint32_t i = 0; i < peer->accounts_count; i++) {
-		const struct load_account *load = &peer->accounts[i];
-		struct dispatch_account *account =
-		    dispatch_get_account(dispatch, load->account_id);
-		account->remote_asked_tokens += load->asked_tokens;
-		account->remote_served_tokens += load->served_tokens;
-		if (peer->is_hub)
-			continue;
-		account->group_asked_tokens += load->asked_tokens;
-		account->group_served_tokens += load->served_tokens;
-	}
-}
-
-void
-dispatch_sum_remote_load(struct dispatch *dispatch)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!dispatch->peers_changed)
-		return;
-	dispatch->peers_changed = false;
-	g_hash_table_iter_init(&iter, dispatch->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct dispatch_endpoint *endpoint = value;
-		memset(&endpoint->remote, 0, sizeof(endpoint->remote));
-		memset(&endpoint->group, 0, sizeof(endpoint->group));
-	}
-	g_hash_table_iter_init(&iter, dispatch->accounts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct dispatch_account *account = value;
-		account->remote_asked_tokens = 0;
-		account->remote_served_tokens = 0;
-		account->group_asked_tokens = 0;
-		account->group_served_tokens = 0;
-	}
-	g_hash_table_iter_init(&iter, dispatch->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		add_peer_load(dispatch, value);
-}
-
 uint32_t
 dispatch_peers_age_ms(const struct dispatch *dispatch, uint64_t now_ms)
 {
@@ -193,15 +133,6 @@
 	return (uint32_t)(now_ms - oldest_ms);
 }
 
-static bool
-contains(const GArray *node_ids, uint64_t node_id)
-{
-	for (guint i = 0; i < node_ids->len; i++)
-		if (g_array_index(node_ids, uint64_t, i) == node_id)
-			return true;
-	return false;
-}
-
 uint64_t
 dispatch_hub_id(const struct dispatch *dispatch)
 {
@@ -211,11 +142,11 @@
 		  dispatch->hub_index);
 }
 
-/* Converts the freshness in a peer's load report to this daemon's clock. The
+/* Converts the freshness in a peer's report to this daemon's clock. The
  * age counts back from the echoed stamp, which this daemon sent before the peer
  * measured the age, so that a copy never appears fresher than it is. */
 static void
-read_freshness(const struct load_freshness *reported, uint64_t echo_ms,
+read_freshness(const struct reported_freshness *reported, uint64_t echo_ms,
     struct dispatch_freshness *freshness)
 {
 	memset(freshness, 0, sizeof(*freshness));
@@ -229,7 +160,7 @@
 
 static void
 write_freshness(const struct dispatch_freshness *freshness, uint64_t stamp_ms,
-    struct load_freshness *reported)
+    struct reported_freshness *reported)
 {
 	reported->version = freshness->version;
 	reported->age_ms = freshness->as_of_ms == 0
@@ -237,38 +168,51 @@
 	    : (uint32_t)MIN(stamp_ms - freshness->as_of_ms, UINT32_MAX - 1);
 }
 
+static struct dispatch_peer *
+find_or_add_peer(struct dispatch *dispatch, const struct msg *msg)
+{
+	struct dispatch_peer *peer = g_hash_table_lookup(dispatch->peers,
+	    &msg->from_node_id);
+
+	if (peer == NULL) {
+		peer = g_new0(struct dispatch_peer, 1);
+		peer->node_id = msg->from_node_id;
+		g_hash_table_insert(dispatch->peers, &peer->node_id, peer);
+	} else if (peer->incarnation == msg->from_incarnation)
+		return peer;
+	/* a new process knows nothing of what was announced before */
+	peer->incarnation = msg->from_incarnation;
+	crash_suspects_announce_again(&dispatch->crash_suspects);
+	dispatch->limits_refresh_due_ms = 0;
+	return peer;
+}
+
+static void
+set_accounts(struct dispatch *dispatch, struct dispatch_peer *peer,
+    const struct msg_report *report)
+{
+	g_free(peer->accounts);
+	peer->accounts_count = report->accounts_count;
+	peer->accounts = g_memdup2(report->accounts,
+	    report->accounts_count * sizeof(*report->accounts));
+	dispatch->peers_changed = true;
+}
+
 void
-dispatch_handle_load_report(struct dispatch *dispatch, const struct msg *msg,
+dispatch_handle_report(struct dispatch *dispatch, const struct msg *msg,
     uint64_t now_ms, struct dispatch_freshness freshness[RESOURCE_KIND_COUNT])
 {
-	const struct msg_load *load = &msg->u.load;
+	const struct msg_report *report = &msg->u.report;
 	struct dispatch_peer *peer;
 
 	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++)
-		read_freshness(&load->freshness[kind], load->echo_ms,
+		read_freshness(&report->freshness[kind], report->echo_ms,
 		    &freshness[kind]);
-	if (!g_hash_table_contains(dispatch->peers, &msg->from_node_id))
-		crash_suspects_announce_again(&dispatch->crash_suspects);
-	/* the current hub reports the load of all other daemons */
-	if (!dispatch->is_hub) {
-		if (msg->from_node_id != dispatch_hub_id(dispatch))
-			return;
-		g_hash_table_remove_all(dispatch->peers);
-	}
-	peer = g_new0(struct dispatch_peer, 1);
-	peer->node_id = msg->from_node_id;
+	peer = find_or_add_peer(dispatch, msg);
 	peer->received_ms = now_ms;
-	peer->stamp_ms = load->stamp_ms;
-	peer->is_hub = contains(dispatch->hubs, peer->node_id);
-	peer->endpoints_count = load->endpoints_count;
-	peer->accounts_count = load->accounts_count;
-	peer->endpoints = g_memdup2(load->endpoints,
-	    load->endpoints_count * sizeof(*load->endpoints));
-	peer->accounts = g_memdup2(load->accounts,
-	    load->accounts_count * sizeof(*load->accounts));
-	g_hash_table_replace(dispatch->peers, &peer->node_id, peer);
-	dispatch_cache_handle_updates(dispatch, load, peer);
-	dispatch->peers_changed = true;
+	peer->stamp_ms = report->stamp_ms;
+	if (report->has_accounts)
+		set_accounts(dispatch, peer, report);
 }
 
 static gboolean
@@ -280,126 +224,37 @@
 	return peer->received_ms + PEER_EXPIRY_MS < *(uint64_t *)now_ms;
 }
 
-static const struct load_endpoint *
-reported_endpoint(const struct dispatch_peer *peer, uint64_t endpoint_id)
-{
-	for (uint32_t i = 0; peer != NULL && i < peer->endpoints_count; i++)
-		if (peer->endpoints[i].endpoint_id == endpoint_id)
-			return &peer->endpoints[i];
-	return NULL;
-}
-
-static const struct load_account *
-reported_account(const struct dispatch_peer *peer, uint64_t account_id)
-{
-	for (uint32_t i = 0; peer != NULL && i < peer->accounts_count; i++)
-		if (peer->accounts[i].account_id == account_id)
-			return &peer->accounts[i];
-	return NULL;
-}
-
-/* Fills in the load that a peer is told of: for a hub, the load of this daemon
- * and its group; for a member, the load of all daemons except the member. */
-static void
-fill_endpoint(const struct dispatch_endpoint *endpoint,
-    const struct dispatch_peer *member, struct load_endpoint *item)
-{
-	const struct dispatch_load *rest = member == NULL ? &endpoint->group
-							  : &endpoint->remote;
-	const struct load_endpoint *contribution = reported_endpoint(member,
-	    endpoint->endpoint_id);
-
-	item->endpoint_id = endpoint->endpoint_id;
-	item->running_count = endpoint->local.running_count +
-	    rest->running_count;
-	item->prefill_tokens = (uint32_t)(endpoint->local.prefill_tokens +
-	    rest->prefill_tokens);
-	item->kv_tokens = (uint32_t)(endpoint->local.kv_tokens +
-	    rest->kv_tokens);
-	if (contribution == NULL)
-		return;
-	item->running_count -= contribution->running_count;
-	item->prefill_tokens -= contribution->prefill_tokens;
-	item->kv_tokens -= contribution->kv_tokens;
-}
-
-static void
-fill_account(const struct dispatch_account *account,
-    const struct dispatch_peer *member, struct load_account *item)
-{
-	const struct load_account *contribution = reported_account(member,
-	    account->account_id);
-
-	item->account_id = account->account_id;
-	item->asked_tokens = (uint32_t)(account->asked_tokens +
-	    (member == NULL ? account->group_asked_tokens
-			    : account->remote_asked_tokens));
-	item->served_tokens = (uint32_t)(account->served_tokens +
-	    (member == NULL ? account->group_served_tokens
-			    : account->remote_served_tokens));
-	if (contribution == NULL)
-		return;
-	item->asked_tokens -= contribution->asked_tokens;
-	item->served_tokens -= contribution->served_tokens;
-}
-
-static void
-fill_endpoints(const struct dispatch *dispatch,
-    const struct dispatch_peer *member, struct msg_load *load)
+static bool
+contains(const GArray *node_ids, uint64_t node_id)
 {
-	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct load_endpoint));
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, dispatch->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct load_endpoint item;
-		fill_endpoint(value, member, &item);
-		if (item.running_count > 0 && items->len < ENDPOINTS_MAX_COUNT)
-			g_array_append_val(items, item);
-	}
-	load->endpoints_count = items->len;
-	load->endpoints = (void *)g_array_free(items, FALSE);
+	for (guint i = 0; i < node_ids->len; i++)
+		if (g_array_index(node_ids, uint64_t, i) == node_id)
+			return true;
+	return false;
 }
 
-static void
-fill_accounts(const struct dispatch *dispatch,
-    const struct dispatch_peer *member, struct msg_load *load)
+static bool
+is_hub(const struct dispatch *dispatch, const struct dispatch_peer *peer)
 {
-	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct load_account));
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, dispatch->accounts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct load_account item;
-		fill_account(value, member, &item);
-		if (item.asked_tokens > 0 &&
-		    items->len < LOAD_ACCOUNTS_MAX_COUNT)
-			g_array_append_val(items, item);
-	}
-	load->accounts_count = items->len;
-	load->accounts = (void *)g_array_free(items, FALSE);
+	return contains(dispatch->hubs, peer->node_id);
 }
 
 static void
-send_report(struct dispatch *dispatch, uint64_t to_node_id,
-    const struct dispatch_peer *member, uint64_t stamp_ms,
-    struct effects *effects)
+send_report(struct dispatch *dispatch, uint64_t to_node_id, bool accounts,
+    uint64_t stamp_ms, struct effects *effects)
 {
 	const struct dispatch_peer *peer = g_hash_table_lookup(dispatch->peers,
 	    &to_node_id);
-	struct msg_load *load = &effects_send(effects, to_node_id, MSG_LOAD)
-				     ->u.load;
+	struct msg_report *report =
+	    &effects_send(effects, to_node_id, MSG_REPORT)->u.report;
 
-	load->stamp_ms = stamp_ms;
-	load->echo_ms = peer == NULL ? 0 : peer->stamp_ms;
+	report->stamp_ms = stamp_ms;
+	report->echo_ms = peer == NULL ? 0 : peer->stamp_ms;
 	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++)
 		write_freshness(&dispatch->freshness[kind], stamp_ms,
-		    &load->freshness[kind]);
-	fill_endpoints(dispatch, member, load);
-	fill_accounts(dispatch, member, load);
-	dispatch_cache_fill_report(dispatch, member, load);
+		    &report->freshness[kind]);
+	if (accounts)
+		dispatch_fill_accounts(dispatch, report);
 }
 
 void
@@ -422,27 +277,30 @@
 	g_hash_table_iter_init(&iter, dispatch->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct dispatch_peer *peer = value;
-		if (!peer->is_hub)
+		if (!is_hub(dispatch, peer))
 			fill(items, effects_send(effects, peer->node_id, type));
 	}
 }
 
 static void
-report_as_hub(struct dispatch *dispatch, uint64_t stamp_ms,
+report_as_hub(struct dispatch *dispatch, uint64_t now_ms, uint64_t stamp_ms,
     struct effects *effects)
 {
+	bool accounts = now_ms >= dispatch->accounts_due_ms;
 	GHashTableIter iter;
 	gpointer value;
 
+	if (accounts)
+		dispatch->accounts_due_ms = now_ms + ACCOUNTS_PERIOD_MS;
 	for (guint i = 0; i < dispatch->hubs->len; i++)
 		send_report(dispatch,
-		    g_array_index(dispatch->hubs, uint64_t, i), NULL, stamp_ms,
-		    effects);
+		    g_array_index(dispatch->hubs, uint64_t, i), accounts,
+		    stamp_ms, effects);
 	g_hash_table_iter_init(&iter, dispatch->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct dispatch_peer *peer = value;
-		if (!peer->is_hub)
-			send_report(dispatch, peer->node_id, peer, stamp_ms,
+		if (!is_hub(dispatch, peer))
+			send_report(dispatch, peer->node_id, false, stamp_ms,
 			    effects);
 	}
 }
@@ -469,7 +327,7 @@
 		    dispatch->hub_candidates->len;
 		dispatch->hub_chosen_ms = now_ms;
 	}
-	send_report(dispatch, dispatch_hub_id(dispatch), NULL, stamp_ms,
+	send_report(dispatch, dispatch_hub_id(dispatch), false, stamp_ms,
 	    effects);
 }
 
@@ -480,7 +338,8 @@
 	if (g_hash_table_foreach_remove(dispatch->peers, peer_expired,
 		&now_ms) > 0)
 		dispatch->peers_changed = true;
-	dispatch_sum_remote_load(dispatch);
+	dispatch_sum_remote_shares(dispatch);
+	dispatch_expire_attempts(dispatch, now_ms);
 	dispatch_update_shares(dispatch, now_ms);
 	dispatch_tick_crashes(dispatch, now_ms, effects);
 	dispatch_tick_limits(dispatch, now_ms, effects);
@@ -488,8 +347,7 @@
 		return;
 	dispatch->report_due_ms = now_ms + dispatch->config.report_period_ms;
 	if (dispatch->is_hub)
-		report_as_hub(dispatch, stamp_ms, effects);
+		report_as_hub(dispatch, now_ms, stamp_ms, effects);
 	else
 		report_to_hub(dispatch, now_ms, stamp_ms, effects);
-	g_array_set_size(dispatch->cache_updates, 0);
 }
--- a/core/dispatch_share.c
+++ b/core/dispatch_share.c
@@ -116,3 +116,63 @@
 	}
 	update_fair_share(dispatch);
 }
+
+static void
+add_remote(struct dispatch *dispatch, const struct dispatch_peer *peer)
+{
+	for (uint32_t i = 0; i < peer->accounts_count; i++) {
+		struct dispatch_account *account =
+		    dispatch_get_account(dispatch,
+			peer->accounts[i].account_id);
+		account->remote_asked_tokens += peer->accounts[i].asked_tokens;
+		account->remote_served_tokens += peer->accounts[i]
+						     .served_tokens;
+	}
+}
+
+void
+dispatch_sum_remote_shares(struct dispatch *dispatch)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!dispatch->peers_changed)
+		return;
+	dispatch->peers_changed = false;
+	g_hash_table_iter_init(&iter, dispatch->accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct dispatch_account *account = value;
+		account->remote_asked_tokens = 0;
+		account->remote_served_tokens = 0;
+	}
+	g_hash_table_iter_init(&iter, dispatch->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_remote(dispatch, value);
+}
+
+void
+dispatch_fill_accounts(const struct dispatch *dispatch,
+    struct msg_report *report)
+{
+	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct load_account));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dispatch_account *account = value;
+		struct load_account item = {
+			.account_id = account->account_id,
+			.asked_tokens = (uint32_t)MIN(account->asked_tokens,
+			    UINT32_MAX),
+			.served_tokens = (uint32_t)MIN(account->served_tokens,
+			    UINT32_MAX),
+		};
+		if (item.asked_tokens > 0 &&
+		    items->len < LOAD_ACCOUNTS_MAX_COUNT)
+			g_array_append_val(items, item);
+	}
+	report->has_accounts = 1;
+	report->accounts_count = items->len;
+	report->accounts = (void *)g_array_free(items, FALSE);
+}
--- a/core/effect.c
+++ b/core/effect.c
@@ -18,11 +18,12 @@
 			continue;
 		if (effect->msg.type == MSG_MEMBER_LIST)
 			g_free((gpointer)effect->msg.u.member_list.items);
-		if (effect->msg.type == MSG_LOAD) {
-			g_free((gpointer)effect->msg.u.load.endpoints);
-			g_free((gpointer)effect->msg.u.load.accounts);
-			g_free((gpointer)effect->msg.u.load.cached_segments);
-		}
+		if (effect->msg.type == MSG_REPORT)
+			g_free((gpointer)effect->msg.u.report.accounts);
+		if (effect->msg.type == MSG_ATTEMPT_EVENTS)
+			g_free((gpointer)effect->msg.u.attempt_events.items);
+		if (effect->msg.type == MSG_RUNNING_ATTEMPTS)
+			g_free((gpointer)effect->msg.u.running_attempts.items);
 		if (effect->msg.type == MSG_CRASH_RECORDS)
 			g_free((gpointer)effect->msg.u.crash_records.items);
 		if (effect->msg.type == MSG_ENDPOINT_LIMITS)
--- a/core/endpoint_limit.c
+++ b/core/endpoint_limit.c
@@ -3,26 +3,15 @@
 #include <glib.h>
 
 #define UREQ_PER_REQUEST 1000000u
-/* A holder may save up what it gets in this time, and one request. With a limit
- * of L requests a second and L + 3 holders, all of them together send at most
- * 5.5 L + 3 requests in 4 s. */
+/* What the endpoint takes in this time may be saved up, and one request: in 4 s
+ * it gets at most 4.5 times its limit and one request. */
 #define SAVED_MS 500u
-#define HOLDERS_EXTRA_COUNT 3u
 /* An endpoint that was not heard of for this long, or for the time of some
  * requests, is tried again without a limit. */
 #define LIMIT_KEEP_MS 10000u
 #define LIMIT_KEEP_REQUESTS_COUNT 4u
-/* Time until a daemon that is no holder may have become one, or its caller has
- * come to another daemon. */
-#define NO_PART_WAIT_MS 500u
 
-uint32_t
-endpoint_limit_holders(uint32_t per_1000_s, uint32_t daemons_count)
-{
-	return MIN(per_1000_s / 1000 + HOLDERS_EXTRA_COUNT, daemons_count);
-}
-
-/* Holders name the limit again with each response: only changes are news. */
+/* Endpoints name the limit again with each response: only changes are news. */
 static bool
 is_news(uint32_t known, uint32_t named)
 {
@@ -58,24 +47,15 @@
 		    limit->per_1000_s;
 }
 
-void
-endpoint_limit_set_holders(struct endpoint_limit *limit, uint32_t count,
-    bool is_holder)
-{
-	limit->holders_count = count;
-	limit->is_holder = is_holder;
-}
-
 static void
 refill(struct endpoint_limit *limit, uint64_t now_ms)
 {
-	uint64_t holders = MAX(limit->holders_count, 1u);
 	uint64_t saved_max_ureq = UREQ_PER_REQUEST +
-	    (uint64_t)limit->per_1000_s * SAVED_MS / holders;
+	    (uint64_t)limit->per_1000_s * SAVED_MS;
 	uint64_t elapsed_ms = now_ms - MIN(limit->refilled_ms, now_ms);
 
 	limit->allowance_ureq = MIN(limit->allowance_ureq +
-		elapsed_ms * limit->per_1000_s / holders,
+		elapsed_ms * limit->per_1000_s,
 	    saved_max_ureq);
 	limit->refilled_ms = now_ms;
 }
@@ -87,13 +67,11 @@
 
 	if (!endpoint_limit_in_force(limit, now_ms))
 		return 0;
-	if (!limit->is_holder)
-		return NO_PART_WAIT_MS;
 	refill(limit, now_ms);
 	if (limit->allowance_ureq >= UREQ_PER_REQUEST)
 		return 0;
 	missing_ureq = UREQ_PER_REQUEST - limit->allowance_ureq;
-	return missing_ureq * limit->holders_count / limit->per_1000_s + 1;
+	return missing_ureq / limit->per_1000_s + 1;
 }
 
 void
--- a/include/bamboorudderd/control.h
+++ b/include/bamboorudderd/control.h
@@ -20,6 +20,7 @@
 #include "bamboorudderd/table_watcher.h"
 #include "bamboorudderd/tablestore.h"
 #include "common/clk.h"
+#include "core/delegation.h"
 #include "core/dispatch.h"
 #include "core/entry.h"
 #include "core/members.h"
@@ -64,6 +65,9 @@
 	struct tablesync tablesync;
 	struct entry entry;
 	struct dispatch dispatch;
+	struct delegation delegation;
+	/** attempt_id to what waits for its decision; owned by the gateway. */
+	GHashTable *undecided;
 	struct config_snapshot *configuration; /**< of dispatch, or NULL */
 	uint64_t logged_hub_node_id; /**< in the last log_hub() */
 	GHashTable *owners; /**< pool_id to struct owner */
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -214,4 +214,7 @@
 
 void gateway_finish(struct gateway *gateway);
 
+/** Passes a decision on to the traffic thread; called by the control thread. */
+void gw_dispatch_on_decided(struct control *control, uint64_t attempt_id);
+
 #endif
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -35,7 +35,8 @@
 void gw_mailbox_run(struct gateway *gateway);
 extern const struct feed_sink_ops gw_feed_sink;
 
-/** Requests a dispatch decision from the control thread. */
+/** Requests a dispatch decision, which the control thread takes or gets from
+ * another daemon. */
 void gw_dispatch_decide(struct gw_request *request);
 /** Reports the first token of an attempt to the control thread. */
 void gw_dispatch_first_token(struct gw_request *request);
--- a/include/core/crash_suspects.h
+++ b/include/core/crash_suspects.h
@@ -40,6 +40,7 @@
 
 /** Whether a request may be sent. */
 struct suspect_verdict {
+	bool blocked; /**< refused, and not even a trial is due */
 	bool refuse;
 	uint32_t retry_after_ms; /**< if refused */
 	uint64_t trial_segment_id; /**< the request is a trial of it; 0: none */
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -1,9 +1,11 @@
 /**
  * @file
- * Chooses the endpoint for a request, or refuses the request at once. Every
- * daemon decides alone, from its local load and from the load reports that it
- * receives several times a second, so that no decision waits for another
- * daemon.
+ * Chooses the endpoint for a request, or refuses the request at once.
+ *
+ * Some daemons are hubs. Each endpoint is assigned to one hub, which decides on
+ * all requests for it and so knows its load exactly. Other daemons ask the hub
+ * (core/delegation.h) and tell it how the attempts go on. A daemon that reaches
+ * no hub decides alone, from its own attempts.
  */
 #ifndef CORE_DISPATCH_H
 #define CORE_DISPATCH_H
@@ -19,8 +21,6 @@
 #include "core/endpoint_notice.h"
 #include "core/msg.h"
 
-#define PROMPT_SEGMENTS_MAX_COUNT 16u
-#define TRIED_MAX_COUNT 4u
 /** Callers wait for at most this part of their remaining time. */
 #define RETRY_AFTER_REMAINING_DIVISOR 3u
 
@@ -37,12 +37,6 @@
 	bool leaving; /**< takes no new requests */
 };
 
-/** A piece of a prompt that an engine can cache for later requests. */
-struct prompt_segment {
-	uint64_t segment_id;
-	uint32_t tokens;
-};
-
 /** First attempt or retry of a request. */
 struct dispatch_request {
 	uint64_t pool_id;
@@ -57,12 +51,22 @@
 	uint64_t tried_ids[TRIED_MAX_COUNT]; /**< endpoints to leave out */
 	uint32_t tried_count;
 	bool unreached; /**< the previous attempt reached no endpoint */
+	bool asked_before; /**< another hub was asked for the same attempt */
+};
+
+/** Whose attempt a decision is about. */
+struct dispatch_origin {
+	uint64_t node_id; /**< daemon that sends the request */
+	uint64_t attempt_id; /**< 0: to be chosen */
+	/** Choose among the endpoints that are assigned to this hub, if any. */
+	bool own_endpoints;
 };
 
 /** Forecast behind a decision; for the log. */
 struct dispatch_forecast {
 	uint32_t backlog_ms; /**< at the chosen endpoint */
 	uint32_t prefill_ms; /**< of the request's own prompt */
+	uint32_t first_token_ms; /**< until the first token */
 	uint32_t admission_limit_ms;
 	uint32_t running_count; /**< requests known at the endpoint */
 	uint32_t peers_age_ms; /**< of the oldest load report in use */
@@ -80,6 +84,8 @@
 	uint32_t rejection_hold_ms;
 	uint64_t seq; /**< identifies the attempt in later calls */
 	uint64_t endpoint_id;
+	uint64_t prefill_tokens; /**< charged to the endpoint */
+	uint64_t kv_tokens; /**< charged to the endpoint */
 	char name[NAME_MAX_BYTES];
 	char address[ADDRESS_MAX_BYTES];
 	struct dispatch_forecast forecast;
@@ -130,14 +136,14 @@
 struct dispatch_config {
 	uint64_t node_id;
 	uint64_t domain_id;
-	uint32_t report_period_ms;
+	uint32_t report_period_ms; /**< between reports of freshness */
 	uint32_t retry_permille; /**< retries allowed for each 1,000 requests */
 	/** Retries allowed on top of these, in thousandths. */
 	uint32_t retry_slack_milli;
 	uint32_t retry_window_ms;
 };
 
-/** Load on one endpoint, caused by one or several daemons. */
+/** Load on one endpoint. */
 struct dispatch_load {
 	uint64_t prefill_tokens; /**< in prompts without a first token yet */
 	uint64_t kv_tokens;
@@ -147,10 +153,9 @@
 struct dispatch_endpoint {
 	uint64_t endpoint_id;
 	struct dispatch_endpoint_info info;
-	struct dispatch_load local;
-	struct dispatch_load remote;
-	/** Load of the daemons that report to this hub. */
-	struct dispatch_load group;
+	struct dispatch_load
+	    load; /**< of the attempts that this daemon placed */
+	uint64_t hub_id; /**< the hub that it is assigned to */
 	/** segment_id to the time of its last use in ms. */
 	GHashTable *cached_segments;
 	uint64_t warm_at_ms;
@@ -162,6 +167,10 @@
 	uint32_t slow_permille; /**< measured over forecast prefill time */
 	/** Part of the time to a first token that does not depend on prefill. */
 	uint32_t first_token_ms;
+	uint64_t progress_ms; /**< when a response last began or completed */
+	/** This daemon could not connect to it, and doesn't try until then. */
+	uint64_t unreached_until_ms;
+	uint32_t unreached_ms; /**< length of that time */
 	struct endpoint_limit limit;
 	bool probing; /**< a probe request is running */
 	bool listed; /**< present in discovery */
@@ -172,10 +181,8 @@
 	uint64_t account_id;
 	uint64_t asked_tokens; /**< local, refused requests included */
 	uint64_t served_tokens; /**< local */
-	uint64_t remote_asked_tokens;
-	uint64_t remote_served_tokens;
-	uint64_t group_asked_tokens;
-	uint64_t group_served_tokens;
+	uint64_t remote_asked_tokens; /**< at other hubs */
+	uint64_t remote_served_tokens; /**< at other hubs */
 };
 
 struct dispatch {
@@ -186,16 +193,16 @@
 	GHashTable *accounts; /**< account_id to struct dispatch_account */
 	GHashTable *peers; /**< node_id to struct dispatch_peer */
 	GArray *hubs; /**< node_ids of the other hubs */
+	GArray *hub_ids; /**< node_ids of all hubs */
+	bool assignment_due; /**< endpoints have to be assigned to hubs again */
 	GArray *live_ids; /**< node_ids of the live daemons */
 	uint64_t limits_refresh_due_ms;
-	/** struct dispatch_cache_update, sent with the next load report. */
-	GArray *cache_updates;
 	/** node_ids of hubs, the preferred one first; empty on a hub. */
 	GArray *hub_candidates;
 	bool is_hub;
 	/** This daemon's processor is busy: it notices responses late. */
 	bool daemon_busy;
-	bool peers_changed; /**< the sums of remote load are out of date */
+	bool peers_changed; /**< the sums of other hubs are out of date */
 	uint32_t live_count;
 	uint64_t hub_chosen_ms; /**< when the current hub was chosen */
 	uint32_t hub_index; /**< in hub_candidates */
@@ -203,6 +210,7 @@
 	uint32_t daemons_peak_count; /**< most daemons ever live at once */
 	uint64_t seq_next;
 	uint64_t report_due_ms;
+	uint64_t accounts_due_ms; /**< next report of accounts to other hubs */
 	uint64_t decay_due_ms;
 	/** Fair share of an account as a decaying sum; UINT64_MAX if the
 	 * capacity suffices for all. */
@@ -232,9 +240,9 @@
 
 /**
  * Sets the live daemons, this one included, and selects the hubs among them.
- * Each daemon sends its load reports to one hub, and hubs exchange theirs, so
- * that the messages of a daemon do not grow with the fleet. In a small fleet
- * every daemon is a hub.
+ * Each daemon reports to one hub, and hubs exchange reports, so that the messages
+ * of a daemon do not grow with the fleet. In a small fleet every daemon is a
+ * hub.
  */
 void dispatch_set_daemons(struct dispatch *dispatch,
     const struct dispatch_daemon *daemons, size_t count);
@@ -247,10 +255,47 @@
 void dispatch_set_freshness(struct dispatch *dispatch, enum resource_kind kind,
     uint64_t version, uint64_t as_of_ms);
 
+/** Decides on a request that this daemon sends itself, with its retry budget. */
 void dispatch_decide(struct dispatch *dispatch,
     const struct dispatch_request *request, uint64_t now_ms,
     struct dispatch_decision *decision);
 
+/**
+ * Takes a request, or a retry, from this daemon's part of the retry budget.
+ * @return false if the request is refused, as the decision then tells
+ */
+bool dispatch_check_budget(struct dispatch *dispatch,
+    const struct dispatch_request *request, uint64_t now_ms,
+    struct dispatch_decision *decision);
+
+/**
+ * Looks for segments of a request that are known to crash engines, so that the
+ * hub need not be asked. Trials are for the hub to decide on.
+ * @return false if the request is refused, as the decision then tells
+ */
+bool dispatch_check_blocked(struct dispatch *dispatch,
+    const struct dispatch_request *request, uint64_t now_ms,
+    struct dispatch_decision *decision);
+
+/** Decides on a request without its retry budget. */
+void dispatch_place(struct dispatch *dispatch,
+    const struct dispatch_request *request,
+    const struct dispatch_origin *origin, uint64_t now_ms,
+    struct dispatch_decision *decision);
+
+/** Assigns the endpoints to the hubs if something has changed. To be called
+ * before hub_id of an endpoint is read. */
+void dispatch_assign_endpoints(struct dispatch *dispatch);
+
+/** @return whether this daemon may send requests to an endpoint now, apart from
+ * its load and its health as its hub knows it */
+bool dispatch_may_send_to(const struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint, uint64_t now_ms);
+
+/** Records whether this daemon could connect to an endpoint. */
+void dispatch_record_reached(struct dispatch *dispatch, uint64_t endpoint_id,
+    bool reached, uint64_t now_ms);
+
 /**
  * Computes when a refused caller may try again.
  * @param over_ms time until the backlog is within the account's admission limit
@@ -264,7 +309,7 @@
 uint64_t dispatch_share_permille(const struct dispatch *dispatch,
     const struct dispatch_account *account);
 
-/** @return age of the oldest load report in use, in ms */
+/** @return age of the oldest report in use, in ms */
 uint32_t dispatch_peers_age_ms(const struct dispatch *dispatch,
     uint64_t now_ms);
 
@@ -276,6 +321,24 @@
 void dispatch_record_first_token(struct dispatch *dispatch, uint64_t seq,
     uint64_t now_ms);
 
+/** Handles a daemon's question where to send a request. */
+void dispatch_handle_place_request(struct dispatch *dispatch,
+    const struct msg *msg, uint64_t now_ms, struct effects *effects);
+
+/** Applies an event of an attempt that this daemon placed. */
+void dispatch_apply_event(struct dispatch *dispatch, uint64_t node_id,
+    const struct attempt_event *event, uint64_t now_ms,
+    struct effects *effects);
+
+/** Handles a daemon's events of attempts that this hub placed. */
+void dispatch_handle_attempt_events(struct dispatch *dispatch,
+    const struct msg *msg, uint64_t now_ms, struct effects *effects);
+
+/** Handles a daemon's list of all its attempts at this hub's endpoints: takes
+ * over those that are not known, such as those placed by an earlier hub. */
+void dispatch_handle_running_attempts(struct dispatch *dispatch,
+    const struct msg *msg, uint64_t now_ms);
+
 /**
  * Records what the response to an attempt says of its endpoint's limit.
  * @param per_1000_s requests in 1,000 s, 0 if the response names no limit
@@ -284,11 +347,12 @@
     uint32_t per_1000_s, uint64_t now_ms);
 
 /**
- * Records what the response to an attempt says of its endpoint.
+ * Records what a process of an endpoint said of itself.
  * @return whether it is news
  */
-bool dispatch_record_statement(struct dispatch *dispatch, uint64_t seq,
-    const struct endpoint_statement *statement, uint64_t now_ms);
+bool dispatch_record_statement(struct dispatch *dispatch, uint64_t endpoint_id,
+    uint64_t process_start_ms, const struct endpoint_statement *statement,
+    uint64_t now_ms);
 
 /** Handles a peer's message of endpoints' limits. */
 void dispatch_handle_endpoint_limits(struct dispatch *dispatch,
@@ -303,20 +367,19 @@
     struct dispatch_health_update *health_update);
 
 /**
- * Handles a peer's load report.
+ * Handles a peer's report.
  * @param freshness receives what the report confirms for each resource kind;
  * version 0: nothing
  */
-void dispatch_handle_load_report(struct dispatch *dispatch,
-    const struct msg *msg, uint64_t now_ms,
-    struct dispatch_freshness freshness[RESOURCE_KIND_COUNT]);
+void dispatch_handle_report(struct dispatch *dispatch, const struct msg *msg,
+    uint64_t now_ms, struct dispatch_freshness freshness[RESOURCE_KIND_COUNT]);
 
 /** Handles a peer's records of prompt segments that were in engine crashes. */
 void dispatch_handle_crash_records(struct dispatch *dispatch,
     const struct msg *msg, uint64_t now_ms);
 
 /**
- * Expires old load reports, updates the fair share and sends load reports when
+ * Expires old reports and attempts, updates the fair share and sends reports when
  * they are due. To be called at least every 50 ms.
  * @param stamp_ms time of a clock that runs on while the machine is suspended
  */
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -7,9 +7,12 @@
 
 #include "core/dispatch.h"
 
-/** A running attempt at an endpoint. */
+/** A running attempt at an endpoint, placed by this daemon. */
 struct dispatch_attempt {
 	uint64_t seq;
+	uint64_t node_id; /**< daemon that sends the request */
+	/** When another daemon last named it among its running ones. */
+	uint64_t confirmed_ms;
 	uint64_t endpoint_id;
 	uint64_t process_start_ms; /**< of the endpoint's process */
 	uint64_t started_ms;
@@ -37,15 +40,13 @@
 	return (average * (weight - 1) + sample) / weight;
 }
 
-/** The last load report of one peer; owns its arrays. */
+/** The last report of one peer; owns its array. */
 struct dispatch_peer {
 	uint64_t node_id;
+	uint64_t incarnation; /**< identifies its process */
 	uint64_t received_ms;
 	uint64_t stamp_ms; /**< the peer's stamp, to be echoed */
-	bool is_hub;
-	struct load_endpoint *endpoints;
 	struct load_account *accounts;
-	uint32_t endpoints_count;
 	uint32_t accounts_count;
 };
 
@@ -63,14 +64,46 @@
 	uint64_t closed_ms;
 };
 
+/** Number for rendezvous hashing. Requests with the same shared segment have the
+ * same; the others are spread evenly.
+ * @return the request's affinity key */
+uint64_t dispatch_affinity_key(const struct dispatch_request *request);
+
+/** @return the endpoint's score among others for an affinity key */
+uint64_t dispatch_rendezvous_score(const struct dispatch_endpoint *endpoint,
+    uint64_t key);
+
+/** @return whether a request leaves an endpoint out */
+bool dispatch_was_tried(const struct dispatch_request *request,
+    uint64_t endpoint_id);
+
+/** Marks an attempt as begun, and learns from the time that it took.
+ * @param taken_ms UINT32_MAX if it was not measured */
+void dispatch_begin_attempt(struct dispatch *dispatch, uint64_t seq,
+    uint32_t taken_ms, uint64_t now_ms);
+
+/** Ends an attempt.
+ * @param taken_ms UINT32_MAX if it was not measured */
+void dispatch_finish_attempt(struct dispatch *dispatch, uint64_t seq,
+    enum dispatch_outcome outcome, uint32_t taken_ms, uint64_t now_ms,
+    struct dispatch_health_update *health_update);
+
+/** Takes over a daemon's attempt that this hub has not placed. */
+void dispatch_adopt_attempt(struct dispatch *dispatch, uint64_t node_id,
+    const struct running_attempt *running, uint64_t now_ms);
+
+/** Ends attempts of other daemons that no longer name them. */
+void dispatch_expire_attempts(struct dispatch *dispatch, uint64_t now_ms);
+
 /**
  * Chooses the endpoint with the lowest cost for a request.
+ * @param own_endpoints choose among those that are assigned to this hub, if any
  * @param closed_ms receives the time until an endpoint takes a request from
  * this daemon, if none does now; else 0
  * @return false if the pool has no usable endpoint
  */
 bool dispatch_choose(struct dispatch *dispatch, const struct config_pool *pool,
-    const struct dispatch_request *request, uint64_t now_ms,
+    const struct dispatch_request *request, bool own_endpoints, uint64_t now_ms,
     struct dispatch_candidate *chosen, uint64_t *closed_ms);
 
 /** Starts an attempt at the chosen endpoint.
@@ -78,37 +111,20 @@
  * @param trial_segment_id the suspect that the request is a trial of, or 0 */
 void dispatch_start_attempt(struct dispatch *dispatch,
     const struct dispatch_request *request,
+    const struct dispatch_origin *origin,
     const struct dispatch_candidate *candidate, bool engine,
     uint64_t trial_segment_id, uint64_t now_ms,
     struct dispatch_decision *decision);
 
-/** A cached segment to be announced to peers. */
-struct dispatch_cache_update {
-	struct load_cached_segment item;
-	uint64_t from_node_id;
-	bool from_hub;
-};
-
 /** @return the last segment of the prompt that other requests can share, which
  * is the one before the request's own; NULL if there is none. An engine that
  * has it cached has all segments before it, too. */
 const struct prompt_segment *dispatch_shared_segment(
     const struct dispatch_request *request);
 
-/** Records the segments that an endpoint will have cached after a request, and
- * announces the shared one to peers. */
-void dispatch_cache_record(struct dispatch *dispatch,
-    struct dispatch_endpoint *endpoint, const struct dispatch_request *request,
-    uint64_t now_ms);
-
-/** Handles the cached segments in a peer's load report. */
-void dispatch_cache_handle_updates(struct dispatch *dispatch,
-    const struct msg_load *load, const struct dispatch_peer *peer);
-
-/** Adds the cached segments to a load report for a member of this hub's group,
- * or for a hub if member is NULL. */
-void dispatch_cache_fill_report(const struct dispatch *dispatch,
-    const struct dispatch_peer *member, struct msg_load *load);
+/** Records the segments that an endpoint will have cached after a request. */
+void dispatch_cache_record(struct dispatch_endpoint *endpoint,
+    const struct dispatch_request *request, uint64_t now_ms);
 
 /** @return tokens of the prompt that the endpoint does not have cached */
 uint64_t dispatch_uncached_tokens(const struct dispatch_endpoint *endpoint,
@@ -123,8 +139,12 @@
 
 void dispatch_peer_free(gpointer peer);
 
-/** Recomputes the remote load if load reports changed. */
-void dispatch_sum_remote_load(struct dispatch *dispatch);
+/** Recomputes what other hubs served if their reports changed. */
+void dispatch_sum_remote_shares(struct dispatch *dispatch);
+
+/** Adds the tokens that this hub served to a report. */
+void dispatch_fill_accounts(const struct dispatch *dispatch,
+    struct msg_report *report);
 
 /** Decays the accounts' counters and computes the fair share. */
 void dispatch_update_shares(struct dispatch *dispatch, uint64_t now_ms);
@@ -171,15 +191,12 @@
 void dispatch_tick_crashes(struct dispatch *dispatch, uint64_t now_ms,
     struct effects *effects);
 
-/** Sends a message to the daemons that receive this daemon's load reports.
+/** Sends a message to the daemons that receive this daemon's reports.
  * @param fill sets the message's array to a copy of the items */
 void dispatch_send_to_peers(const struct dispatch *dispatch, enum msg_type type,
     void (*fill)(const GArray *items, struct msg *msg), const GArray *items,
     struct effects *effects);
 
-/** Finds the holders of all limits again, since the live daemons changed. */
-void dispatch_update_holders(struct dispatch *dispatch);
-
 /** Sends changed limits to other daemons. */
 void dispatch_tick_limits(struct dispatch *dispatch, uint64_t now_ms,
     struct effects *effects);
--- a/include/core/effect.h
+++ b/include/core/effect.h
@@ -6,6 +6,7 @@
 #ifndef CORE_EFFECT_H
 #define CORE_EFFECT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -21,7 +22,13 @@
 	/** log that the phase of the prompt segment segment_id has changed */
 	EFFECT_SUSPECT_CHANGED,
 	/** log that the limit of endpoint_id has changed */
-	EFFECT_LIMIT_CHANGED
+	EFFECT_LIMIT_CHANGED,
+	/** log that the health of endpoint_id has changed */
+	EFFECT_HEALTH_CHANGED,
+	/** log that endpoint_id has said that it leaves or pauses */
+	EFFECT_STATEMENT,
+	/** the decision on the attempt seq can be taken */
+	EFFECT_DECIDED
 };
 
 struct effect {
@@ -35,6 +42,11 @@
 	enum suspect_phase phase;
 	uint32_t limit_per_1000_s; /**< requests in 1,000 s; 0: none */
 	uint32_t crashes_count; /**< engine processes that crashed with it */
+	bool ejected; /**< EFFECT_HEALTH_CHANGED; false: back in routing */
+	uint32_t failing_permille;
+	uint32_t eject_ms;
+	bool leaving; /**< EFFECT_STATEMENT */
+	uint32_t pause_ms;
 	struct msg msg;
 };
 
--- a/include/core/limits.h
+++ b/include/core/limits.h
@@ -13,7 +13,12 @@
 #define POOLS_MAX_COUNT 256u
 #define ENDPOINTS_MAX_COUNT 1024u
 #define LOAD_ACCOUNTS_MAX_COUNT 1024u
-#define LOAD_CACHED_SEGMENTS_MAX_COUNT 256u
+/** Segments of a prompt that are told apart. */
+#define PROMPT_SEGMENTS_MAX_COUNT 16u
+/** Endpoints that one request leaves out. */
+#define TRIED_MAX_COUNT 4u
+/** Attempts, or events of attempts, in one message. */
+#define ATTEMPTS_MAX_COUNT 4096u
 /** Records of suspected prompt segments in one message. */
 #define CRASH_RECORDS_MAX_COUNT 64u
 /** Crashes that a record of a prompt segment names. */
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -29,9 +29,13 @@
 	MSG_TABLES_ANNOUNCE,
 	MSG_TABLES_PULL,
 	MSG_TABLES_DATA,
-	MSG_LOAD,
+	MSG_REPORT,
 	MSG_CRASH_RECORDS,
 	MSG_ENDPOINT_LIMITS,
+	MSG_PLACE_REQUEST,
+	MSG_PLACEMENT,
+	MSG_ATTEMPT_EVENTS,
+	MSG_RUNNING_ATTEMPTS,
 	MSG_TYPE_COUNT
 };
 
@@ -230,14 +234,6 @@
 	uint64_t pools_version;
 };
 
-/** Load of an endpoint from the requests of one daemon or group. */
-struct load_endpoint {
-	uint64_t endpoint_id;
-	uint32_t running_count;
-	uint32_t prefill_tokens; /**< in prompts without a first token yet */
-	uint32_t kv_tokens;
-};
-
 /** Tokens that an account requested and received, as decaying sums. */
 struct load_account {
 	uint64_t account_id;
@@ -245,12 +241,6 @@
 	uint32_t served_tokens;
 };
 
-/** Prompt segment that was sent to an endpoint and is likely cached there. */
-struct load_cached_segment {
-	uint64_t endpoint_id;
-	uint64_t segment_id;
-};
-
 /** Kinds of data that a daemon watches in the platform's store. */
 enum resource_kind {
 	RESOURCE_CONFIGURATION,
@@ -259,31 +249,113 @@
 };
 
 /** Freshness of a daemon's copy of a resource. */
-struct load_freshness {
+struct reported_freshness {
 	uint64_t version; /**< 0 without a copy */
 	/** time since the copy was known to be current; UINT32_MAX if never */
 	uint32_t age_ms;
 };
 
 /**
- * Load report: load that the sender causes or aggregates for its group. The
- * arrays have the same owner as those of msg_request_report. The report also
- * states the freshness of the sender's configuration and endpoint list. The
+ * Report of the freshness of the sender's configuration and endpoint list. The
  * clocks of two daemons can't be compared, so the sender returns the
  * receiver's last timestamp as echo_ms: the receiver knows that the sender's
  * copy was current at echo_ms - age_ms of the receiver's own clock or later.
+ * Hubs tell each other also of the accounts that they served. The array has the
+ * same owner as those of msg_request_report.
  */
-struct msg_load {
+struct msg_report {
 	uint64_t stamp_ms; /**< sender's clock, which includes suspend time */
 	uint64_t echo_ms; /**< last stamp_ms of the receiver, 0 if none */
-	struct load_freshness freshness[RESOURCE_KIND_COUNT];
-	const struct load_endpoint *endpoints;
+	struct reported_freshness freshness[RESOURCE_KIND_COUNT];
 	const struct load_account *accounts;
-	/** segments recorded since the previous report */
-	const struct load_cached_segment *cached_segments;
-	uint32_t endpoints_count;
 	uint32_t accounts_count;
-	uint32_t cached_segments_count;
+	uint8_t has_accounts; /**< 0: the last ones still hold */
+};
+
+/** A piece of a prompt that an engine can cache for later requests. */
+struct prompt_segment {
+	uint64_t segment_id;
+	uint32_t tokens;
+};
+
+/** Asks a hub for the endpoint of a request. */
+struct msg_place_request {
+	uint64_t attempt_id; /**< chosen by the sender, unique in the fleet */
+	uint64_t pool_id;
+	uint64_t account_id;
+	uint64_t request_hash;
+	struct prompt_segment segments[PROMPT_SEGMENTS_MAX_COUNT];
+	uint64_t tried_ids[TRIED_MAX_COUNT]; /**< endpoints to leave out */
+	uint32_t segments_count;
+	uint32_t tried_count;
+	uint32_t prompt_tokens;
+	uint32_t response_tokens;
+	uint32_t latency_target_ms;
+	uint32_t remaining_ms;
+	uint8_t asked_before; /**< another hub was asked for the same attempt */
+};
+
+/** Answer of a hub: the endpoint, or why the request is refused. */
+struct msg_placement {
+	uint64_t attempt_id;
+	uint64_t endpoint_id;
+	uint64_t prefill_tokens; /**< charged to the endpoint */
+	uint64_t kv_tokens; /**< charged to the endpoint */
+	uint32_t retry_after_ms;
+	uint32_t rejection_hold_ms;
+	uint32_t backlog_ms;
+	uint32_t prefill_ms;
+	uint32_t first_token_ms;
+	uint32_t admission_limit_ms;
+	uint32_t running_count;
+	uint32_t share_permille;
+	uint32_t limit_per_1000_s; /**< of the endpoint; 0: none is known */
+	uint8_t start;
+	uint8_t reason; /**< enum refuse_reason */
+	uint8_t over_share;
+};
+
+enum attempt_event_kind {
+	ATTEMPT_BEGAN, /**< the first token arrived */
+	ATTEMPT_ENDED,
+	ATTEMPT_LIMIT, /**< the response told whether the endpoint has a limit */
+	ATTEMPT_STATEMENT, /**< the endpoint said that it leaves or pauses */
+	ATTEMPT_EVENT_KIND_COUNT
+};
+
+/** What happened to an attempt. */
+struct attempt_event {
+	uint64_t attempt_id;
+	/** ATTEMPT_BEGAN, ATTEMPT_ENDED: since the decision, UINT32_MAX if not
+	 * measured. */
+	uint32_t taken_ms;
+	uint32_t limit_per_1000_s; /**< ATTEMPT_LIMIT; 0: none */
+	uint32_t pause_ms; /**< ATTEMPT_STATEMENT; 0: none */
+	uint8_t kind; /**< enum attempt_event_kind */
+	uint8_t outcome; /**< ATTEMPT_ENDED: enum dispatch_outcome */
+	uint8_t leaving; /**< ATTEMPT_STATEMENT */
+};
+
+/** Events of attempts that the receiver placed. The array has the same owner as
+ * those of msg_request_report. */
+struct msg_attempt_events {
+	const struct attempt_event *items;
+	uint32_t count;
+};
+
+/** An attempt in progress. */
+struct running_attempt {
+	uint64_t attempt_id;
+	uint64_t endpoint_id;
+	uint32_t prefill_tokens; /**< 0 once the first token arrived */
+	uint32_t kv_tokens;
+};
+
+/** All attempts of the sender at endpoints that the receiver decides on. The
+ * array has the same owner as those of msg_request_report. */
+struct msg_running_attempts {
+	const struct running_attempt *items;
+	uint32_t count;
 };
 
 /** What a daemon knows of a prompt segment that was in engine crashes. */
@@ -348,9 +420,13 @@
 		struct msg_stale_owner stale_owner;
 		struct msg_tables_versions versions;
 		struct msg_tables_data tables_data;
-		struct msg_load load;
+		struct msg_report report;
 		struct msg_crash_records crash_records;
 		struct msg_endpoint_limits endpoint_limits;
+		struct msg_place_request place_request;
+		struct msg_placement placement;
+		struct msg_attempt_events attempt_events;
+		struct msg_running_attempts running_attempts;
 	} u;
 };
 
--- /dev/null
+++ b/tests/unit/engine_fleet.h
@@ -0,0 +1,756 @@
+/**
+ * @file
+ * Simulation of daemons before a pool of model engines, on a virtual clock.
+ *
+ * The daemons run the real cores and exchange their messages, encoded, with a
+ * delay. An engine batches: it prefills prompts in chunks, in the order of
+ * arrival, and generates a token for each running request in each step. It keeps
+ * prompt segments in what memory is left.
+ */
+#ifndef TESTS_UNIT_ENGINE_FLEET_H
+#define TESTS_UNIT_ENGINE_FLEET_H
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+extern "C" {
+#include "common/codec.h"
+#include "core/delegation.h"
+#include "core/dispatch.h"
+#include "core/hash.h"
+}
+
+namespace engine_fleet
+{
+
+using time_us = uint64_t;
+
+constexpr time_us MS = 1000, SECOND = 1000 * MS;
+/** Between two instances, and between an instance and an endpoint. */
+constexpr time_us HOP = 1 * MS;
+/** Time that a daemon takes to handle a message. */
+constexpr time_us HANDLING = 1 * MS;
+constexpr time_us TICK_PERIOD = 50 * MS;
+/** After this, a shared segment that is read again is not counted. */
+constexpr time_us REREAD_WINDOW = 10 * SECOND;
+
+struct kind {
+	double per_s;
+	uint32_t aim_ms;
+	uint32_t deadline_ms;
+	uint32_t group_tokens, groups_count;
+	uint32_t subject_tokens, subjects_count;
+	double own_tokens, own_spread;
+	uint32_t own_max_tokens;
+	double response_tokens, response_spread;
+	double worth, late_worth;
+};
+
+struct shape {
+	size_t daemons_count, high_cpu_count, engines_count, domains_count;
+	size_t accounts_count, callers_count;
+	/** Daemons at which the callers of an account enter; 0: any. */
+	size_t entries_per_account;
+	/** The first accounts, which ask for half of all. */
+	size_t large_accounts_count;
+	uint32_t slots, queue_count, chunk_tokens;
+	uint64_t kv_tokens;
+	double step_ms, step_ms_per_slot, prefill_tokens_per_ms, first_ms;
+	std::vector<kind> kinds;
+	double duration_s, warmup_s, load;
+};
+
+struct result {
+	uint64_t asked = 0, in_aim = 0, late = 0, rejected = 0, lost = 0;
+	uint64_t full_count = 0; /**< rejections by engines */
+	uint64_t read_tokens = 0, reread_tokens = 0;
+	double earned = 0, owed = 0;
+	std::vector<double> errors; /**< of the forecast, over the aim */
+	std::vector<uint64_t> engine_tokens;
+	uint64_t control_bytes = 0, most_control_bytes = 0;
+	std::map<size_t, std::pair<uint64_t, uint64_t>> by_kind;
+	std::vector<uint64_t> account_asked, account_got;
+
+	double share(uint64_t count) const
+	{
+		return asked == 0 ? 0 : (double)count / (double)asked;
+	}
+
+	double worth() const
+	{
+		return owed == 0 ? 0 : earned / owed;
+	}
+
+	double median_error() const
+	{
+		std::vector<double> sorted = errors;
+
+		if (sorted.empty())
+			return 0;
+		std::sort(sorted.begin(), sorted.end());
+		return sorted[sorted.size() / 2];
+	}
+
+	double busiest_over_mean() const
+	{
+		uint64_t most = 0, sum = 0;
+
+		for (uint64_t tokens : engine_tokens) {
+			most = std::max(most, tokens);
+			sum += tokens;
+		}
+		return sum == 0
+		    ? 0
+		    : (double)most * (double)engine_tokens.size() / (double)sum;
+	}
+};
+
+struct call {
+	size_t kind, account, caller, daemon;
+	time_us asked_us; /**< by the caller's first attempt */
+	time_us started_us;
+	uint64_t attempt_id;
+	dispatch_request request;
+	dispatch_decision decision;
+	uint32_t response_tokens;
+	uint32_t tries;
+	/* at the engine */
+	uint64_t unread_tokens, held_tokens;
+	uint32_t made_tokens;
+	bool begun;
+};
+
+using call_ptr = std::shared_ptr<call>;
+
+class Simulation;
+
+class Engine
+{
+      public:
+	Engine(Simulation &owner, size_t index) : sim(owner), id(index)
+	{
+	}
+
+	void arrive(const call_ptr &item);
+
+      private:
+	struct segment {
+		uint32_t tokens;
+		std::list<uint64_t>::iterator position;
+	};
+
+	void begin_step();
+	void end_step(const std::vector<call_ptr> &read);
+	void admit();
+	uint64_t lookup(const call_ptr &item);
+	void keep(uint64_t segment_id, uint32_t tokens);
+	void evict();
+
+	Simulation &sim;
+	size_t id;
+	std::deque<call_ptr> waiting;
+	std::vector<call_ptr> running;
+	std::deque<call_ptr> unread; /* admitted, prompt not read */
+	std::list<uint64_t> by_use; /* oldest first */
+	std::unordered_map<uint64_t, segment> kept;
+	uint64_t kept_tokens = 0, held_tokens = 0;
+	bool stepping = false;
+};
+
+class Simulation
+{
+      public:
+	explicit Simulation(const shape &config, uint64_t seed = 1)
+	    : conf(config), random(seed)
+	{
+		configuration = config_snapshot_new();
+		config_pool pool = {};
+		pool.pool_id = POOL;
+		pool.engine = true;
+		pool.kv_capacity_tokens = conf.kv_tokens;
+		g_array_append_val(configuration->pools, pool);
+		for (size_t i = 0; i < conf.engines_count; i++)
+			engines.push_back(std::make_unique<Engine>(*this, i));
+		for (size_t i = 0; i < conf.daemons_count; i++)
+			make_daemon(i);
+		set_daemons();
+		effects_init(&effects);
+		out.engine_tokens.resize(conf.engines_count);
+		out.account_asked.resize(conf.accounts_count);
+		out.account_got.resize(conf.accounts_count);
+		place_callers();
+	}
+
+	~Simulation()
+	{
+		effects_finish(&effects);
+		for (auto &item : delegations)
+			delegation_finish(item.get());
+		for (auto &core : cores)
+			dispatch_finish(core.get());
+		config_snapshot_unref(configuration);
+	}
+
+	Simulation(const Simulation &) = delete;
+	Simulation &operator=(const Simulation &) = delete;
+
+	result run()
+	{
+		for (size_t i = 0; i < cores.size(); i++)
+			at(i * TICK_PERIOD / cores.size(),
+			    [this, i] { tick(i); });
+		for (size_t k = 0; k < conf.kinds.size(); k++)
+			at(SECOND, [this, k] { ask(k); });
+		end_us = (time_us)(conf.duration_s * (double)SECOND);
+		while (!events.empty() && events.top().at_us < end_us) {
+			auto run_event = std::move(
+			    const_cast<event &>(events.top()).run);
+			now_us = events.top().at_us;
+			events.pop();
+			run_event();
+		}
+		for (uint64_t bytes : control_bytes) {
+			out.control_bytes += bytes;
+			out.most_control_bytes =
+			    std::max(out.most_control_bytes, bytes);
+		}
+		return out;
+	}
+
+	void at(time_us at_us, std::function<void()> run_event)
+	{
+		events.push({ at_us, sequence++, std::move(run_event) });
+	}
+
+	bool counted(const call_ptr &item) const
+	{
+		return item->asked_us >=
+		    (time_us)(conf.warmup_s * (double)SECOND);
+	}
+
+	/** An engine began to respond. */
+	void begin(const call_ptr &item)
+	{
+		at(now_us + HOP, [this, item] {
+			const kind &type = conf.kinds[item->kind];
+			double seen_ms = (double)(now_us - item->started_us) /
+			    (double)MS;
+			bool in_aim = now_us - item->asked_us <=
+			    type.aim_ms * MS;
+			const dispatch_forecast &forecast = item->decision
+								.forecast;
+
+			delegation_record_first_token(delegations[item->daemon]
+							  .get(),
+			    item->attempt_id, now_us / MS, &effects);
+			run_effects(item->daemon);
+			if (!counted(item))
+				return;
+			out.in_aim += in_aim;
+			out.late += !in_aim;
+			out.earned += in_aim ? type.worth : type.late_worth;
+			out.by_kind[item->kind].second += in_aim;
+			out.account_got[item->account] += charge(*item);
+			out.errors.push_back(
+			    std::fabs(seen_ms - forecast.first_token_ms) /
+			    type.aim_ms);
+		});
+	}
+
+	void complete(const call_ptr &item)
+	{
+		at(now_us + HOP, [this, item] {
+			delegation_end_attempt(delegations[item->daemon].get(),
+			    item->attempt_id, OUTCOME_COMPLETE, now_us / MS,
+			    &effects);
+			run_effects(item->daemon);
+		});
+	}
+
+	void reject_at_engine(const call_ptr &item)
+	{
+		at(now_us + HOP, [this, item] {
+			delegation_end_attempt(delegations[item->daemon].get(),
+			    item->attempt_id, OUTCOME_REFUSED, now_us / MS,
+			    &effects);
+			run_effects(item->daemon);
+			out.full_count += counted(item);
+			come_back(item, 500);
+		});
+	}
+
+	void count_read(uint64_t segment_id, uint32_t tokens, bool shared,
+	    size_t engine)
+	{
+		out.read_tokens += tokens;
+		out.engine_tokens[engine] += tokens;
+		if (!shared)
+			return;
+		auto used = last_use.find(segment_id);
+		if (used != last_use.end() &&
+		    now_us - used->second < REREAD_WINDOW &&
+		    now_us >= (time_us)(conf.warmup_s * (double)SECOND))
+			out.reread_tokens += tokens;
+	}
+
+	void count_use(uint64_t segment_id)
+	{
+		last_use[segment_id] = now_us;
+	}
+
+	const shape conf;
+	time_us now_us = 0;
+
+      private:
+	static constexpr uint64_t POOL = 77, FIRST_NODE = 1000;
+
+	struct event {
+		time_us at_us;
+		uint64_t sequence;
+		std::function<void()> run;
+
+		bool operator<(const event &other) const
+		{
+			return at_us != other.at_us ? at_us > other.at_us
+						    : sequence > other.sequence;
+		}
+	};
+
+	static uint64_t charge(const call &item)
+	{
+		return item.request.prompt_tokens +
+		    2 * (uint64_t)item.request.response_tokens;
+	}
+
+	void make_daemon(size_t index)
+	{
+		dispatch_config config = {};
+
+		config.node_id = FIRST_NODE + index;
+		config.domain_id = index % conf.domains_count;
+		config.report_period_ms = 100;
+		config.retry_permille = 200;
+		config.retry_window_ms = 10000;
+		cores.push_back(std::make_unique<dispatch>());
+		dispatch_init(cores.back().get(), &config);
+		dispatch_set_configuration(cores.back().get(), configuration);
+		delegations.push_back(std::make_unique<delegation>());
+		delegation_init(delegations.back().get(), cores.back().get(),
+		    1);
+		undecided.emplace_back();
+		control_bytes.push_back(0);
+		for (size_t e = 0; e < conf.engines_count; e++) {
+			dispatch_endpoint_info info = {};
+			std::string name = "engine" + std::to_string(e);
+			g_strlcpy(info.name, name.c_str(), sizeof(info.name));
+			info.pool_id = POOL;
+			info.domain_id = e % conf.domains_count;
+			info.process_start_ms = 1;
+			info.slots = conf.slots;
+			engine_index[hash_name(info.name)] = e;
+			dispatch_put_endpoint(cores.back().get(), &info, 0);
+		}
+	}
+
+	void set_daemons()
+	{
+		std::vector<dispatch_daemon> live;
+
+		for (size_t i = 0; i < cores.size(); i++)
+			live.push_back({ FIRST_NODE + i, i % conf.domains_count,
+			    i < conf.high_cpu_count });
+		for (auto &core : cores)
+			dispatch_set_daemons(core.get(), live.data(),
+			    live.size());
+	}
+
+	void place_callers()
+	{
+		std::uniform_int_distribution<size_t> any(0, cores.size() - 1);
+
+		for (size_t i = 0; i < conf.callers_count; i++) {
+			size_t account = i % conf.accounts_count;
+			size_t daemon = any(random);
+			if (conf.entries_per_account > 0) {
+				uint64_t words[] = { account,
+					i / conf.accounts_count %
+					    conf.entries_per_account };
+				daemon = hash_bytes(words, sizeof(words)) %
+				    cores.size();
+			}
+			callers.push_back({ account, daemon });
+		}
+	}
+
+	void tick(size_t index)
+	{
+		dispatch_tick(cores[index].get(), now_us / MS, now_us / MS,
+		    &effects);
+		delegation_tick(delegations[index].get(), now_us / MS,
+		    &effects);
+		run_effects(index);
+		at(now_us + TICK_PERIOD, [this, index] { tick(index); });
+	}
+
+	void run_effects(size_t index)
+	{
+		std::vector<uint64_t> decided;
+
+		for (size_t i = 0; i < effects.count; i++)
+			if (effects.items[i].type == EFFECT_SEND)
+				send(index, &effects.items[i]);
+			else if (effects.items[i].type == EFFECT_DECIDED)
+				decided.push_back(effects.items[i].seq);
+		effects_clear(&effects);
+		for (uint64_t attempt_id : decided)
+			take_decision(index, attempt_id);
+	}
+
+	void send(size_t from, effect *item)
+	{
+		GByteArray *bytes = g_byte_array_new();
+		size_t to = item->to_node_id - FIRST_NODE;
+
+		item->msg.from_node_id = FIRST_NODE + from;
+		codec_encode(&item->msg, bytes);
+		std::string text((const char *)bytes->data, bytes->len);
+		g_byte_array_free(bytes, TRUE);
+		control_bytes[from] += text.size();
+		at(now_us + HOP + HANDLING,
+		    [this, to, text] { receive(to, text); });
+	}
+
+	void receive(size_t to, const std::string &text)
+	{
+		dispatch_freshness unused[RESOURCE_KIND_COUNT];
+		struct msg msg;
+
+		if (!codec_decode(text.data(), text.size(), &msg))
+			abort();
+		if (msg.type == MSG_REPORT)
+			dispatch_handle_report(cores[to].get(), &msg,
+			    now_us / MS, unused);
+		else if (msg.type == MSG_PLACE_REQUEST)
+			dispatch_handle_place_request(cores[to].get(), &msg,
+			    now_us / MS, &effects);
+		else if (msg.type == MSG_PLACEMENT)
+			delegation_handle_placement(delegations[to].get(), &msg,
+			    now_us / MS, &effects);
+		else if (msg.type == MSG_ATTEMPT_EVENTS)
+			dispatch_handle_attempt_events(cores[to].get(), &msg,
+			    now_us / MS, &effects);
+		else if (msg.type == MSG_RUNNING_ATTEMPTS)
+			dispatch_handle_running_attempts(cores[to].get(), &msg,
+			    now_us / MS);
+		run_effects(to);
+		codec_release(&msg);
+	}
+
+	double lognormal(double mean, double spread)
+	{
+		std::lognormal_distribution<double> value(std::log(mean) -
+			spread * spread / 2,
+		    spread);
+
+		return value(random);
+	}
+
+	/* A subject's number, lower ones being asked for more often. */
+	size_t pick_subject(size_t count)
+	{
+		std::uniform_real_distribution<double> unit(0, 1);
+
+		return std::min(count - 1,
+		    (size_t)(std::pow(unit(random), 1 / 0.7) * (double)count));
+	}
+
+	void ask(size_t index)
+	{
+		const kind &type = conf.kinds[index];
+		std::exponential_distribution<double> gap(
+		    type.per_s * conf.load);
+		call_ptr item = std::make_shared<call>();
+
+		at(now_us + (time_us)(gap(random) * (double)SECOND) + 1,
+		    [this, index] { ask(index); });
+		*item = {};
+		item->kind = index;
+		item->caller = pick_caller();
+		item->account = callers[item->caller].account;
+		item->daemon = callers[item->caller].daemon;
+		item->asked_us = now_us;
+		fill_request(type, index, *item);
+		if (counted(item)) {
+			out.asked++;
+			out.owed += type.worth;
+			out.by_kind[index].first++;
+			out.account_asked[item->account] += charge(*item);
+		}
+		decide(item);
+	}
+
+	size_t pick_caller()
+	{
+		std::uniform_int_distribution<size_t> any(0,
+		    callers.size() - 1);
+		size_t caller = any(random);
+
+		if (conf.large_accounts_count == 0 || random() % 2 == 0)
+			return caller;
+		/* callers take turns among the accounts */
+		return caller - caller % conf.accounts_count +
+		    random() % conf.large_accounts_count;
+	}
+
+	void fill_request(const kind &type, size_t index, call &item)
+	{
+		dispatch_request &request = item.request;
+		size_t subject = pick_subject(type.subjects_count);
+		uint64_t subject_words[] = { index, 1, subject };
+		uint64_t group_words[] = { index, 2,
+			subject % type.groups_count };
+		uint32_t own = (uint32_t)std::min<double>(type.own_max_tokens,
+		    1 + lognormal(type.own_tokens, type.own_spread));
+
+		request.pool_id = POOL;
+		request.account_id = item.account + 1;
+		request.latency_target_ms = type.aim_ms;
+		request.segments_count = 3;
+		request.segments[0] = { hash_bytes(group_words,
+					    sizeof(group_words)),
+			type.group_tokens };
+		request.segments[1] = { hash_bytes(subject_words,
+					    sizeof(subject_words)),
+			type.subject_tokens };
+		request.segments[2] = { random(), own };
+		request.prompt_tokens = type.group_tokens +
+		    type.subject_tokens + own;
+		item.response_tokens = (uint32_t)(1 +
+		    lognormal(type.response_tokens, type.response_spread));
+		request.response_tokens = (uint32_t)(1 +
+		    item.response_tokens * lognormal(1, 0.5));
+	}
+
+	void decide(const call_ptr &item)
+	{
+		time_us deadline_us = item->asked_us +
+		    conf.kinds[item->kind].deadline_ms * MS;
+
+		item->request.request_hash = random();
+		item->request.remaining_ms = (uint32_t)(deadline_us > now_us
+			? (deadline_us - now_us) / MS
+			: 0);
+		item->attempt_id =
+		    delegation_submit(delegations[item->daemon].get(),
+			&item->request, now_us / MS, &effects);
+		undecided[item->daemon][item->attempt_id] = item;
+		run_effects(item->daemon);
+	}
+
+	void take_decision(size_t index, uint64_t attempt_id)
+	{
+		auto found = undecided[index].find(attempt_id);
+		call_ptr item = found->second;
+
+		undecided[index].erase(found);
+		delegation_take(delegations[index].get(), attempt_id,
+		    &item->decision);
+		if (!item->decision.start) {
+			come_back(item, item->decision.retry_after_ms);
+			return;
+		}
+		item->started_us = now_us;
+		size_t engine = engine_index.at(item->decision.endpoint_id);
+		at(now_us + HOP,
+		    [this, engine, item] { engines[engine]->arrive(item); });
+	}
+
+	/* A refused caller comes back once, to another daemon. */
+	void come_back(const call_ptr &item, uint32_t retry_after_ms)
+	{
+		std::uniform_int_distribution<size_t> any(0, cores.size() - 1);
+
+		if (item->tries++ > 0 ||
+		    retry_after_ms > item->request.remaining_ms / 3) {
+			out.rejected += counted(item);
+			return;
+		}
+		call_ptr again = std::make_shared<call>(*item);
+		at(now_us + retry_after_ms * MS, [this, again] {
+			std::uniform_int_distribution<size_t> other(0,
+			    cores.size() - 1);
+			again->daemon = other(random);
+			decide(again);
+		});
+	}
+
+	struct caller_place {
+		size_t account, daemon;
+	};
+
+	std::mt19937_64 random;
+	struct config_snapshot *configuration;
+	std::vector<std::unique_ptr<dispatch>> cores;
+	std::vector<std::unique_ptr<delegation>> delegations;
+	std::vector<std::unordered_map<uint64_t, call_ptr>> undecided;
+	std::vector<std::unique_ptr<Engine>> engines;
+	std::unordered_map<uint64_t, size_t> engine_index;
+	std::vector<caller_place> callers;
+	std::vector<uint64_t> control_bytes;
+	std::unordered_map<uint64_t, time_us> last_use;
+	std::priority_queue<event> events;
+	uint64_t sequence = 0;
+	time_us end_us = 0;
+	struct effects effects;
+	result out;
+};
+
+inline void
+Engine::arrive(const call_ptr &item)
+{
+	if (waiting.size() >= sim.conf.queue_count) {
+		sim.reject_at_engine(item);
+		return;
+	}
+	waiting.push_back(item);
+	if (!stepping)
+		begin_step();
+}
+
+inline void
+Engine::keep(uint64_t segment_id, uint32_t tokens)
+{
+	auto found = kept.find(segment_id);
+
+	if (found != kept.end()) {
+		by_use.splice(by_use.end(), by_use, found->second.position);
+		return;
+	}
+	by_use.push_back(segment_id);
+	kept[segment_id] = { tokens, std::prev(by_use.end()) };
+	kept_tokens += tokens;
+	evict();
+}
+
+inline void
+Engine::evict()
+{
+	while (
+	    !by_use.empty() && kept_tokens + held_tokens > sim.conf.kv_tokens) {
+		auto oldest = kept.find(by_use.front());
+		kept_tokens -= oldest->second.tokens;
+		kept.erase(oldest);
+		by_use.pop_front();
+	}
+}
+
+/* @return tokens of the prompt that have to be read */
+inline uint64_t
+Engine::lookup(const call_ptr &item)
+{
+	const dispatch_request &request = item->request;
+	uint64_t unread_tokens = 0;
+	bool found = true;
+
+	for (uint32_t i = 0; i < request.segments_count; i++) {
+		const prompt_segment &part = request.segments[i];
+		found = found && kept.count(part.segment_id) > 0;
+		if (!found) {
+			unread_tokens += part.tokens;
+			sim.count_read(part.segment_id, part.tokens,
+			    i + 1 < request.segments_count, id);
+		}
+	}
+	for (uint32_t i = 0; i + 1 < request.segments_count; i++) {
+		sim.count_use(request.segments[i].segment_id);
+		keep(request.segments[i].segment_id,
+		    request.segments[i].tokens);
+	}
+	return unread_tokens;
+}
+
+inline void
+Engine::admit()
+{
+	while (!waiting.empty() &&
+	    running.size() + unread.size() < sim.conf.slots) {
+		call_ptr item = waiting.front();
+		uint64_t needed = item->request.segments[2].tokens +
+		    item->response_tokens;
+		if (held_tokens + needed > sim.conf.kv_tokens &&
+		    held_tokens > 0)
+			return;
+		waiting.pop_front();
+		item->held_tokens = needed;
+		held_tokens += needed;
+		item->unread_tokens = lookup(item);
+		evict();
+		unread.push_back(item);
+	}
+}
+
+inline void
+Engine::begin_step()
+{
+	uint64_t budget = sim.conf.chunk_tokens, read_tokens = 0;
+	std::vector<call_ptr> read;
+	double step_ms;
+
+	admit();
+	while (!unread.empty() && budget > 0) {
+		call_ptr item = unread.front();
+		uint64_t tokens = std::min(budget, item->unread_tokens);
+		item->unread_tokens -= tokens;
+		budget -= tokens;
+		read_tokens += tokens;
+		if (item->unread_tokens > 0)
+			break;
+		read.push_back(item);
+		unread.pop_front();
+	}
+	stepping = !running.empty() || read_tokens > 0 || !read.empty();
+	if (!stepping)
+		return;
+	step_ms = sim.conf.step_ms +
+	    sim.conf.step_ms_per_slot * (double)running.size() +
+	    (double)read_tokens / sim.conf.prefill_tokens_per_ms;
+	sim.at(sim.now_us + (time_us)(step_ms * (double)MS),
+	    [this, read] { end_step(read); });
+}
+
+inline void
+Engine::end_step(const std::vector<call_ptr> &read)
+{
+	std::vector<call_ptr> left;
+
+	for (const call_ptr &item : running)
+		if (++item->made_tokens < item->response_tokens)
+			left.push_back(item);
+		else {
+			held_tokens -= item->held_tokens;
+			sim.complete(item);
+		}
+	running = std::move(left);
+	for (const call_ptr &item : read) {
+		call_ptr begun = item;
+		sim.at(sim.now_us + (time_us)(sim.conf.first_ms * (double)MS),
+		    [this, begun] { sim.begin(begun); });
+		running.push_back(item);
+	}
+	begin_step();
+}
+
+} // namespace engine_fleet
+
+#endif
