Block a request that crashes engines by the last segment of its prompt

Cause: callers repeat the request under other ids and at other daemons. What its copies have in common is the last segment of the prompt, which was left out of the records as the request's own; so only segments that it shares with sound requests were blocked, if anything.

The last segment is watched like the others, but other daemons hear of it only once it is blocked. Since it comes last, it explains the crashes of the segments before it, which stay free: fewer sound requests are refused. Segments that are watched and cleared without having been blocked are not logged (13,500 lines in 21 s were seen).

--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -209,7 +209,8 @@
 	for (uint32_t i = 0; i < count; i++) {
 		struct suspect *suspect = find(suspects, segment_ids[i]);
 
-		set_begun(suspects, segment_ids[i], now_ms);
+		if (i + 1 < count)
+			set_begun(suspects, segment_ids[i], now_ms);
 		if (suspect != NULL && !suspect->record.cleared)
 			clear(suspect, now_ms);
 	}
@@ -237,7 +238,7 @@
 
 static void
 blame(struct crash_suspects *suspects, uint64_t segment_id, uint32_t depth,
-    uint64_t crash_id, uint64_t now_ms)
+    bool own, uint64_t crash_id, uint64_t now_ms)
 {
 	struct suspect *suspect;
 	struct crash_record *record;
@@ -255,6 +256,7 @@
 		record->epoch++;
 	}
 	record->depth = MAX(record->depth, depth);
+	suspect->own = own;
 	if (add_crash(record, crash_id))
 		mark_changed(suspect, now_ms);
 }
@@ -285,7 +287,8 @@
 		explained |= is_blocked(suspects, segment_ids[i]);
 	for (uint32_t i = 0; i < count; i++)
 		if (!explained || is_blocked(suspects, segment_ids[i]))
-			blame(suspects, segment_ids[i], i, crash_id, now_ms);
+			blame(suspects, segment_ids[i], i, i + 1 == count,
+			    crash_id, now_ms);
 }
 
 /* @return whether all crashes of a record are among those of another */
@@ -428,6 +431,13 @@
 		clear(suspect, now_ms);
 }
 
+bool
+crash_suspects_was_blocked(const struct suspect *suspect)
+{
+	return suspect->record.failed_trials_count > 0 ||
+	    suspect->record.crashes_count >= BLOCKED_CRASHES_COUNT;
+}
+
 void
 crash_suspects_announce_again(struct crash_suspects *suspects)
 {
@@ -454,7 +464,11 @@
 		if (!suspect->to_announce &&
 		    !(refresh && is_blocking(&suspect->record)))
 			continue;
+		if (suspect->own && !is_blocking(&suspect->record) &&
+		    !suspect->announced)
+			continue;
 		suspect->to_announce = false;
+		suspect->announced = true;
 		suspect->record.age_ms = (uint32_t)MIN(now_ms -
 			suspect->changed_ms,
 		    UINT32_MAX);
--- a/core/dispatch_attempt.c
+++ b/core/dispatch_attempt.c
@@ -52,8 +52,8 @@
 		    candidate->prefill_ms);
 		dispatch_cache_record(endpoint, request, now_ms);
 	}
-	attempt->shared_segments_count = dispatch_shared_segment_ids(request,
-	    attempt->shared_segment_ids);
+	attempt->segments_count = dispatch_segment_ids(request,
+	    attempt->segment_ids);
 	attempt->trial_segment_id = trial_segment_id;
 	crash_suspects_start_trial(&dispatch->crash_suspects, trial_segment_id,
 	    now_ms);
@@ -106,8 +106,7 @@
     uint64_t now_ms)
 {
 	crash_suspects_record_begin(&dispatch->crash_suspects,
-	    attempt->shared_segment_ids, attempt->shared_segments_count,
-	    now_ms);
+	    attempt->segment_ids, attempt->segments_count, now_ms);
 }
 
 /* @return time since the start of an attempt, UINT32_MAX if this daemon notices
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -9,14 +9,12 @@
 #define NOTICE_DELAY_MS 60u
 
 uint32_t
-dispatch_shared_segment_ids(const struct dispatch_request *request,
-    uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT - 1])
+dispatch_segment_ids(const struct dispatch_request *request,
+    uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT])
 {
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i + 1 < request->segments_count; i++)
-		segment_ids[count++] = request->segments[i].segment_id;
-	return count;
+	for (uint32_t i = 0; i < request->segments_count; i++)
+		segment_ids[i] = request->segments[i].segment_id;
+	return request->segments_count;
 }
 
 void
@@ -24,8 +22,8 @@
     const struct dispatch_request *request, uint64_t now_ms,
     struct suspect_verdict *verdict)
 {
-	uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT - 1];
-	uint32_t count = dispatch_shared_segment_ids(request, segment_ids);
+	uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT];
+	uint32_t count = dispatch_segment_ids(request, segment_ids);
 	uint64_t lot = request->request_hash % dispatch->hub_ids->len;
 
 	crash_suspects_check(&dispatch->crash_suspects, segment_ids, count, lot,
@@ -45,7 +43,7 @@
 		.lost_ms = now_ms,
 	};
 
-	if (!attempt->first_token_arrived && attempt->shared_segments_count > 0)
+	if (!attempt->first_token_arrived && attempt->segments_count > 0)
 		g_array_append_val(dispatch->losses, loss);
 }
 
@@ -89,7 +87,7 @@
 	if (engine_runs_on(dispatch, loss))
 		return now_ms >= loss->lost_ms + CRASH_SPREAD_MAX_MS;
 	crash_suspects_record_crash(&dispatch->crash_suspects, loss->crash_id,
-	    attempt->shared_segment_ids, attempt->shared_segments_count,
+	    attempt->segment_ids, attempt->segments_count,
 	    attempt->trial_segment_id, now_ms);
 	return true;
 }
@@ -130,6 +128,8 @@
 		if (!suspect->to_log)
 			continue;
 		suspect->to_log = false;
+		if (!crash_suspects_was_blocked(suspect))
+			continue;
 		effect = effects_add(effects, EFFECT_SUSPECT_CHANGED);
 		effect->segment_id = suspect->record.segment_id;
 		effect->phase = suspect_phase(suspect, now_ms);
--- a/include/core/crash_suspects.h
+++ b/include/core/crash_suspects.h
@@ -3,8 +3,9 @@
  * Finds the prompt segments that crash each engine which begins a response to
  * them, and keeps requests with them away from the engines.
  *
- * When an engine crashes, the shared segments of the requests without a first
- * token there are watched. A response that begins clears its segments. A segment
+ * When an engine crashes, the segments of the requests without a first token
+ * there are watched. The last segment of a prompt is the request's own, or its
+ * session's; callers repeat it with the request. A response that begins clears its segments. A segment
  * that was in the crashes of two engine processes is blocked, unless a deeper
  * segment of the same prompts explains them. After some time one request may
  * try whether it still crashes engines; if so, the segment
@@ -34,7 +35,11 @@
 	struct crash_record record; /**< its age_ms is not kept up to date */
 	uint64_t changed_ms; /**< time of the latest evidence */
 	uint64_t trial_ms; /**< start of this daemon's last trial, or 0 */
+	/** The last segment of its prompts: other daemons are not told of it
+	 * before it is blocked, as few others have it. */
+	bool own;
 	bool to_announce; /**< not sent to other daemons yet */
+	bool announced; /**< was sent to other daemons before */
 	bool to_log;
 };
 
@@ -56,7 +61,8 @@
 void crash_suspects_init(struct crash_suspects *suspects);
 void crash_suspects_finish(struct crash_suspects *suspects);
 
-/** Records that a response to a prompt with the segments began. */
+/** Records that a response to a prompt with the segments began, the last of them
+ * the request's own. */
 void crash_suspects_record_begin(struct crash_suspects *suspects,
     const uint64_t *segment_ids, uint32_t count, uint64_t now_ms);
 
@@ -64,7 +70,7 @@
  * Records that an engine process crashed with a request that had no first
  * token.
  * @param crash_id identifies the process
- * @param segment_ids shared segments of the request
+ * @param segment_ids segments of the request, the last one its own
  * @param trial_segment_id the segment that the request was a trial of, or 0
  */
 void crash_suspects_record_crash(struct crash_suspects *suspects,
@@ -88,6 +94,10 @@
 void crash_suspects_merge(struct crash_suspects *suspects,
     const struct crash_record *record, uint64_t now_ms);
 
+/** @return whether requests with the segment are refused, or were until its last
+ * change */
+bool crash_suspects_was_blocked(const struct suspect *suspect);
+
 /** Marks the blocked segments to be announced, since a daemon has joined. */
 void crash_suspects_announce_again(struct crash_suspects *suspects);
 
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -21,9 +21,9 @@
 	uint32_t forecast_ms; /**< until the end of its prefill */
 	bool engine;
 	bool first_token_arrived;
-	/** Segments of the prompt but the request's own. */
-	uint64_t shared_segment_ids[PROMPT_SEGMENTS_MAX_COUNT - 1];
-	uint32_t shared_segments_count;
+	/** Segments of the prompt; the last one is the request's own. */
+	uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT];
+	uint32_t segments_count;
 	uint64_t trial_segment_id; /**< a trial of a suspect; 0: none */
 };
 
@@ -170,10 +170,9 @@
 bool dispatch_take_retry(struct dispatch *dispatch, uint64_t pool_id,
     uint64_t now_ms);
 
-/** Copies the segments of a prompt but the request's own. @return their number
- */
-uint32_t dispatch_shared_segment_ids(const struct dispatch_request *request,
-    uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT - 1]);
+/** Copies the ids of a prompt's segments. @return their number */
+uint32_t dispatch_segment_ids(const struct dispatch_request *request,
+    uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT]);
 
 /** Decides whether a request may reach an engine although its prompt may have
  * crashed others. */
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -123,13 +123,14 @@
 	/** A prompt with the route's segment, a subject's, further ones and one
 	 * of its own. */
 	dispatch_request make_request(uint64_t subject,
-	    const std::vector<uint64_t> &further = {})
+	    const std::vector<uint64_t> &further = {}, uint64_t own = 0)
 	{
 		dispatch_request request = {};
 		std::vector<uint64_t> ids = { ROUTE_SEGMENT, subject };
 
 		ids.insert(ids.end(), further.begin(), further.end());
-		ids.push_back(++last_own_segment);
+		++last_own_segment;
+		ids.push_back(own == 0 ? last_own_segment : own);
 		request.pool_id = hash_name("engines");
 		request.account_id = 1;
 		request.request_hash = hash_bytes(&last_own_segment,
@@ -150,7 +151,7 @@
 		dispatch_decision decision;
 		bool deadly = false;
 
-		for (uint32_t k = 0; k + 1 < request.segments_count; k++)
+		for (uint32_t k = 0; k < request.segments_count; k++)
 			deadly |= deadly_segments.count(
 				      request.segments[k].segment_id) > 0;
 		uint64_t attempt_id = delegation_submit(delegations[i].get(),
--- a/tests/unit/test_crash_suspects.cc
+++ b/tests/unit/test_crash_suspects.cc
@@ -110,6 +110,35 @@
 	EXPECT_LE(fleet.crashes_ms.size(), 8u);
 }
 
+/* Callers repeat a request under other ids and at other daemons; only the last
+ * segment of its prompt is its own. */
+TEST(CrashSuspects, ARepeatedRequestThatCrashesEnginesIsSentNoFurther)
+{
+	constexpr uint64_t DEADLY_REQUEST = 4242;
+
+	for (size_t daemons_count : { 1u, 7u, 76u }) {
+		CrashFleet fleet(daemons_count, 18);
+		size_t started = 0;
+
+		fleet.run_for(500);
+		fleet.deadly_segments = { DEADLY_REQUEST };
+		run_traffic(fleet, 2000, 11);
+		for (size_t i = 0; i < 50; i++) {
+			started += fleet
+				       .send(i * 31 % daemons_count,
+					   fleet.make_request(11, {},
+					       DEADLY_REQUEST))
+				       .start;
+			fleet.run_for(400);
+		}
+		/* two crashes, and one trial */
+		EXPECT_LE(started, 3u) << daemons_count << " daemons";
+		traffic_counts counts = run_traffic(fleet, 3000, 11);
+		EXPECT_GE(counts.sound_started * 100, counts.sound_sent * 95)
+		    << daemons_count << " daemons";
+	}
+}
+
 TEST(CrashSuspects, ARestartedDaemonLearnsOfDeadlySegments)
 {
 	for (size_t daemons_count : { 7u, 76u }) {
