Answer what still runs at the end of a drain, and exit within the grace period

What callers saw: a request that was still running half a second before the end of the grace period was cut without an answer, also one that may not be repeated. Then the process needed 1.3 s more to stop and was killed by the platform.

Cause: the traffic thread aborted all connections when the time was up; the administration server, which takes a second to stop, was stopped after that.

An eighth of the grace period is reserved for the end now: running requests get 504 (the outcome is unknown) or 503 (not sent), streams are aborted, the answers are written, and the administration server is stopped meanwhile. Requests that come late in a drain are accepted only if their deadline is before that.

Test: e2e-gateway_faults; ARequestThatOutlastsTheGracePeriodGetsAnAnswer failed before (no answer, exit after 3.8 s of 3.0 s).

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -25,8 +25,13 @@
 #define DRAIN_ACCEPT_MS 2600u
 /* Time without requests after which the process may exit. */
 #define DRAIN_IDLE_MS 300u
-/* The process exits this long before the platform kills it. */
-#define DRAIN_EXIT_MARGIN_MS 500u
+/* This part of the grace period is reserved for the answers of the requests that
+ * are still running, and for the end of the process. */
+#define DRAIN_EXIT_DIVISOR 8u
+/* Time that the rest of the process needs to stop. */
+#define DRAIN_ENDS_SOON_MS 1500u
+/* Time for the answers to be written. */
+#define DRAIN_FLUSH_MS 100u
 
 uint64_t
 gw_now_ms(const struct gateway *gateway)
@@ -83,21 +88,49 @@
 	}
 }
 
+uint64_t
+gw_drain_end_ms(const struct gateway *gateway)
+{
+	uint32_t grace_ms = gateway->settings->shutdown_grace_ms;
+
+	return gateway->drain_start_ms + grace_ms -
+	    grace_ms / DRAIN_EXIT_DIVISOR;
+}
+
+static void
+end_requests_for_exit(struct gateway *gateway)
+{
+	struct gw_request *request, *next;
+
+	for (request = LIST_FIRST(&gateway->requests); request != NULL;
+	     request = next) {
+		next = LIST_NEXT(request, entries);
+		gw_request_end_for_exit(request);
+	}
+}
+
 /* Ends draining once no request has been active for a while, or at the latest
  * shortly before the platform kills the process. */
 static void
 check_drain(struct gateway *gateway, uint64_t now_ms)
 {
 	uint64_t draining_ms = now_ms - gateway->drain_start_ms;
+	bool time_is_up = now_ms >= gw_drain_end_ms(gateway);
 
+	if (now_ms + DRAIN_ENDS_SOON_MS >= gw_drain_end_ms(gateway))
+		atomic_store(&gateway->drain_ends_soon, 1);
 	if (gateway->active_count > 0)
 		gateway->idle_since_ms = now_ms;
-	if ((draining_ms >= DRAIN_ACCEPT_MS &&
-		now_ms >= gateway->idle_since_ms + DRAIN_IDLE_MS) ||
-	    draining_ms + DRAIN_EXIT_MARGIN_MS >=
-		gateway->settings->shutdown_grace_ms)
+	if (!gateway->shutting_down &&
+	    (time_is_up ||
+		(draining_ms >= DRAIN_ACCEPT_MS &&
+		    now_ms >= gateway->idle_since_ms + DRAIN_IDLE_MS))) {
 		gateway->shutting_down = true;
-	if (gateway->shutting_down)
+		gateway->shutdown_ms = now_ms;
+		end_requests_for_exit(gateway);
+	}
+	if (gateway->shutting_down &&
+	    now_ms >= gateway->shutdown_ms + DRAIN_FLUSH_MS)
 		atomic_store(&gateway->drained, 1);
 }
 
@@ -230,6 +263,12 @@
 	gw_mailbox_post(gateway, run_drain, NULL);
 }
 
+bool
+gateway_drain_ends_soon(struct gateway *gateway)
+{
+	return atomic_load(&gateway->drain_ends_soon) != 0;
+}
+
 bool
 gateway_drained(struct gateway *gateway)
 {
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -5,11 +5,10 @@
 #include "common/metric.h"
 #include "core/hash.h"
 
-/* A draining daemon accepts all requests for this long. */
+/* A draining daemon accepts all requests for this long, and after that those
+ * with a deadline at least DRAIN_REQUEST_MARGIN_MS before it ends the rest. */
 #define DRAIN_SERVE_MS 3000u
-/* After that it accepts those with a deadline at least this long before the
- * platform kills the process. */
-#define DRAIN_REQUEST_MARGIN_MS 600u
+#define DRAIN_REQUEST_MARGIN_MS 100u
 #define DRAIN_RETRY_AFTER_MS 100u
 /* Allowance for the time from the sending of a request to the check whether the
  * configuration is fresh enough for its key. */
@@ -242,7 +241,7 @@
 		return false;
 	return now_ms <= gateway->drain_start_ms + DRAIN_SERVE_MS ||
 	    request->deadline_ms + DRAIN_REQUEST_MARGIN_MS <=
-	    gateway->drain_start_ms + gateway->settings->shutdown_grace_ms;
+	    gw_drain_end_ms(gateway);
 }
 
 bool
@@ -426,19 +425,29 @@
 	gw_resume(request);
 }
 
-void
-gw_request_check_deadline(struct gw_request *request, uint64_t now_ms)
+static void
+give_up(struct gw_request *request, const char *outcome,
+    const char *not_run_outcome)
 {
-	bool may_have_run;
-
-	if (!request->submitted || request->state == GW_STATE_ENDED ||
-	    now_ms < request->deadline_ms)
-		return;
 	cancel_attempt(request);
-	may_have_run = request->may_have_run || request->attempts_count > 0;
-	if (may_have_run)
-		gw_request_respond_error(request, 504, "timeout", 0);
+	if (request->may_have_run || request->attempts_count > 0)
+		gw_request_respond_error(request, 504, outcome, 0);
 	else
-		gw_request_respond_error(request, 503, "timeout_not_run",
+		gw_request_respond_error(request, 503, not_run_outcome,
 		    GW_RETRY_AFTER_MS);
 }
+
+void
+gw_request_check_deadline(struct gw_request *request, uint64_t now_ms)
+{
+	if (request->submitted && request->state != GW_STATE_ENDED &&
+	    now_ms >= request->deadline_ms)
+		give_up(request, "timeout", "timeout_not_run");
+}
+
+void
+gw_request_end_for_exit(struct gw_request *request)
+{
+	if (request->submitted && request->state != GW_STATE_ENDED)
+		give_up(request, "exit", "shutting_down");
+}
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -129,12 +129,17 @@
 	return NULL;
 }
 
-/* Stops both servers concurrently, since stopping one takes about a second. */
+/* Stops the server on a thread of its own, since that takes about a second. */
+static GThread *
+start_finishing_admin(struct daemon *daemon)
+{
+	return g_thread_new("finish-admin", finish_admin, &daemon->admin);
+}
+
 static void
 finish_servers(struct daemon *daemon)
 {
-	GThread *thread = g_thread_new("finish-admin", finish_admin,
-	    &daemon->admin);
+	GThread *thread = start_finishing_admin(daemon);
 
 	frontend_finish(&daemon->frontend);
 	g_thread_join(thread);
@@ -164,18 +169,25 @@
 stop_gateway(struct daemon *daemon, const sigset_t *signals)
 {
 	struct timespec pause = { 0, DRAIN_POLL_INTERVAL_MS * NS_PER_MS };
+	GThread *admin_thread = NULL;
 	int signal_number = 0;
 
 	log_event(LOG_LEVEL_INFO, "draining", NULL);
 	gateway_drain(&daemon->gateway);
 	while (!gateway_drained(&daemon->gateway) && signal_number != SIGTERM &&
-	    signal_number != SIGINT)
+	    signal_number != SIGINT) {
 		signal_number = sigtimedwait(signals, NULL, &pause);
+		if (admin_thread == NULL &&
+		    gateway_drain_ends_soon(&daemon->gateway))
+			admin_thread = start_finishing_admin(daemon);
+	}
+	if (admin_thread == NULL)
+		admin_thread = start_finishing_admin(daemon);
 	control_drain(&daemon->control);
 	platform_stop(&daemon->platform);
 	control_detach_gateway(&daemon->control);
 	gateway_finish(&daemon->gateway);
-	admin_finish(&daemon->admin);
+	g_thread_join(admin_thread);
 	control_stop(&daemon->control);
 	control_finish(&daemon->control);
 	fault_injector_finish(&daemon->fault_injector);
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -198,7 +198,9 @@
 	bool shutting_down; /**< draining is over; refuses all requests */
 	bool stopping;
 	uint64_t drain_start_ms;
+	uint64_t shutdown_ms; /**< when shutting_down was set */
 	uint64_t idle_since_ms; /**< last time with a request, in a drain */
+	_Atomic uint32_t drain_ends_soon; /**< read by the main thread */
 	_Atomic uint32_t drained; /**< read by the main thread */
 };
 
@@ -209,6 +211,9 @@
 /** Reports the daemon as not ready and serves the remaining requests. */
 void gateway_drain(struct gateway *gateway);
 
+/** @return whether draining will be over within two seconds */
+bool gateway_drain_ends_soon(struct gateway *gateway);
+
 /** @return whether draining is over and the gateway may be stopped */
 bool gateway_drained(struct gateway *gateway);
 
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -12,6 +12,9 @@
 
 uint64_t gw_now_ms(const struct gateway *gateway);
 
+/** @return when a drain ends the requests that are still running */
+uint64_t gw_drain_end_ms(const struct gateway *gateway);
+
 /** Adds a file descriptor to the event loop. */
 void gw_source_add(struct gateway *gateway, struct gw_source *source,
     uint32_t events);
@@ -76,6 +79,9 @@
 void gw_request_end(struct gw_request *request);
 /** Ends a request whose caller has disconnected. */
 void gw_request_disconnected(struct gw_request *request);
+/** Ends a request that lasts longer than a drain, and tells the caller whether it
+ * may have run. */
+void gw_request_end_for_exit(struct gw_request *request);
 /** Ends the request if its deadline has passed. */
 void gw_request_check_deadline(struct gw_request *request, uint64_t now_ms);
 /** Responds with an error, or aborts the response if it has begun.
