Check again before each attempt whether a request may still be sent

What happened: a daemon that was suspended for 2.5 s while a request was at its first endpoint sent it on to the second one under a key that had been revoked meanwhile, and past the time within which revoked keys have to stop working.

Cause: the key, the freshness of the configuration and the deadline were checked when the head of the request arrived, and never again. Decisions come from other daemons now, and take time as well.

Test: e2e-gateway_faults, ADaemonThatWasSuspendedDoesNotSendOnWithAnOldKey; the second endpoint got the request before.

--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -56,6 +56,40 @@
 	    MAX(request->decision.retry_after_ms, 1u));
 }
 
+/* How a caller is told that its request may not be sent any more. */
+static const struct {
+	uint32_t status;
+	const char *outcome;
+	uint32_t retry_after_ms;
+} denials[] = {
+	[GW_PERMISSION_GIVEN] = { 0, "", 0 },
+	[GW_PERMISSION_LATE] = { 503, "timeout_not_run", GW_RETRY_AFTER_MS },
+	[GW_PERMISSION_UNCONFIRMED] = { 503, "configuration_too_old",
+	    GW_RETRY_AFTER_MS },
+	[GW_PERMISSION_REVOKED] = { 401, "unknown_key", 0 },
+};
+
+/* Sends a request as decided, unless it may not be sent any more. */
+static void
+start_attempt(struct gw_request *request)
+{
+	enum gw_permission permission = gw_request_check_permission(request);
+
+	if (permission == GW_PERMISSION_GIVEN) {
+		request->gateway->load_counts.started_count++;
+		gw_caller_watch(request);
+		gw_transfer_start(request);
+		return;
+	}
+	gw_dispatch_done(request, OUTCOME_CANCELLED);
+	if (request->may_have_run)
+		gw_request_respond_error(request, 502, "no_answer", 0);
+	else
+		gw_request_respond_error(request, denials[permission].status,
+		    denials[permission].outcome,
+		    denials[permission].retry_after_ms);
+}
+
 void
 gw_request_on_decision(struct gw_request *request)
 {
@@ -69,11 +103,9 @@
 		if (request->decision.start)
 			gw_dispatch_done(request, OUTCOME_CANCELLED);
 		gw_request_release(request);
-	} else if (request->decision.start) {
-		request->gateway->load_counts.started_count++;
-		gw_caller_watch(request);
-		gw_transfer_start(request);
-	} else
+	} else if (request->decision.start)
+		start_attempt(request);
+	else
 		refuse_by_decision(request);
 }
 
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -182,6 +182,23 @@
 	    gateway->fresh_as_of_ms + revoke_ms;
 }
 
+enum gw_permission
+gw_request_check_permission(const struct gw_request *request)
+{
+	const struct gateway *gateway = request->gateway;
+
+	if (gw_now_ms(gateway) >= request->deadline_ms)
+		return GW_PERMISSION_LATE;
+	if (request->account == NULL)
+		return GW_PERMISSION_GIVEN;
+	if (!configuration_is_fresh(gateway))
+		return GW_PERMISSION_UNCONFIRMED;
+	return config_snapshot_find_account(gateway->configuration,
+		   request->head.key) == NULL
+	    ? GW_PERMISSION_REVOKED
+	    : GW_PERMISSION_GIVEN;
+}
+
 static bool
 refuse_early(struct gw_request *request, uint32_t status, const char *outcome,
     uint32_t retry_after_ms)
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -82,6 +82,18 @@
 /** Ends a request that lasts longer than a drain, and tells the caller whether it
  * may have run. */
 void gw_request_end_for_exit(struct gw_request *request);
+/** Whether a request may be sent to an endpoint. */
+enum gw_permission {
+	GW_PERMISSION_GIVEN,
+	GW_PERMISSION_LATE, /**< its deadline has passed */
+	GW_PERMISSION_UNCONFIRMED, /**< its key may have been revoked */
+	GW_PERMISSION_REVOKED
+};
+
+/** Checks again what may have changed since a request was accepted: this process
+ * may have been suspended, and decisions and earlier attempts take time. */
+enum gw_permission gw_request_check_permission(
+    const struct gw_request *request);
 /** Ends the request if its deadline has passed. */
 void gw_request_check_deadline(struct gw_request *request, uint64_t now_ms);
 /** Responds with an error, or aborts the response if it has begun.
--- a/tests/e2e/test_gateway_faults.cc
+++ b/tests/e2e/test_gateway_faults.cc
@@ -134,4 +134,61 @@
 	EXPECT_EQ(response.status, 504);
 }
 
+class GatewayRevocation : public Gateway
+{
+      protected:
+	GatewayRevocation()
+	{
+		harness_with_keys = std::make_unique<GatewayHarness>(
+		    "revoke_ms = 1500\n");
+	}
+
+	std::unique_ptr<GatewayHarness> harness_with_keys;
+	std::atomic<bool> may_refuse{ false };
+};
+
+TEST_F(GatewayRevocation, ADaemonThatWasSuspendedDoesNotSendOnWithAnOldKey)
+{
+	GatewayHarness &own = *harness_with_keys;
+	const std::vector<RouteSpec> keyed_routes = {
+		{ "/keyed/", "safe", 2, false },
+	};
+	Response response;
+
+	first_endpoint.set_script(
+	    [this](Connection &connection, const std::string &request) {
+		    first_request_count++;
+		    while (!may_refuse)
+			    std::this_thread::sleep_for(milliseconds(10));
+		    connection.send_text(
+			response_text(request, "", "503 Service Unavailable",
+			    "X-Bamboorudder-Not-Executed: 1\r\n"));
+	    });
+	second_endpoint.set_script(count_and_respond(&second_request_count));
+	own.store.put("config", "main",
+	    configuration_json(3, keyed_routes, accounts));
+	own.add_endpoint("e1", first_endpoint);
+	ASSERT_TRUE(
+	    eventually([&] { return own.is_ready() && own.discovered("e1"); }));
+	std::thread caller([&] {
+		response = own.send("GET", "/keyed/",
+		    { "X-Bamboorudder-Credential: k1" });
+	});
+	ASSERT_TRUE(eventually([&] { return first_request_count == 1; }));
+	own.add_endpoint("e2", second_endpoint);
+	ASSERT_TRUE(eventually([&] { return own.discovered("e2"); }));
+	own.daemon->signal(SIGSTOP);
+	own.store.put("config", "main",
+	    configuration_json(4, keyed_routes,
+		"{\"name\":\"desk\",\"api_keys\":[\"k2\"],\"priority\":1}"));
+	std::this_thread::sleep_for(milliseconds(2500));
+	may_refuse = true;
+	std::this_thread::sleep_for(milliseconds(100));
+	own.daemon->signal(SIGCONT);
+	caller.join();
+	EXPECT_TRUE(response.status == 401 || response.status == 503)
+	    << response.status;
+	EXPECT_EQ(second_request_count, 0);
+}
+
 } // namespace
