Keep floods from the control thread's way, and call the store less

Each question to a hub scored all 145 endpoints, with three look-ups each; the control thread worked through its mailbox without looking at its peers' messages, so that no answer arrived, the fleet took the daemon for lost, and requests waited until their deadline (timeout_not_run). A slow tick also put off giving up a hub that does not answer, for ever.

- A hub is chosen among groups, by weighted rendezvous hashing, and hubs look at their own endpoints alone.
- The control thread looks at its peers after 32 tasks.
- An account with 32 requests that wait for a decision is refused at once (daemon_busy).
- Questions are put off only after a suspension of this process.
- A placement names the endpoint's address and process, so that a daemon need not have discovered it.
Daemons that decide on nothing update their list of endpoints every 2 s at most.
While peers report, a daemon that relies on them calls a store that nobody reaches every 2.5 s at most.

Tests: e2e-feed (two new ones; DelaysRemovals waits until the calls for the endpoints have failed as well, which the fixture's timing gave before).

--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -56,8 +56,12 @@
 		    tablesync_poll_period_ms(control->members.peers->len + 1,
 			control->settings->watch_wait_ms);
 	if (control->gateway != NULL) {
-		feed_set_watching(&control->gateway->feed, period_ms == 0,
-		    control->members.peers->len + 1);
+		const struct feed_role role = {
+			.watching = period_ms == 0,
+			.deciding = control->dispatch.is_hub,
+			.daemons_count = control->members.peers->len + 1,
+		};
+		feed_set_role(&control->gateway->feed, &role);
 		store_lost = feed_is_failing(&control->gateway->feed);
 	}
 	for (int kind = 0; control->watchers != NULL && kind < TABLE_KIND_COUNT;
--- a/bamboorudderd/control_mailbox.c
+++ b/bamboorudderd/control_mailbox.c
@@ -4,18 +4,30 @@
 #include "bamboorudderd/dump.h"
 #include "common/log.h"
 
+/* Messages of other daemons are handled after this many tasks, so that a flood of
+ * requests does not keep their answers waiting. */
+#define TASKS_PER_RUN 32
+
 static void
-mailbox_push(struct control *control, struct control_task *task)
+wake_control_thread(const struct control *control)
 {
 	uint64_t one = 1;
+
+	if (write(control->wake_fd, &one, sizeof(one)) < 0)
+		log_event(LOG_LEVEL_ERROR, "wake_failed", NULL);
+}
+
+static void
+mailbox_push(struct control *control, struct control_task *task)
+{
 	bool first;
 
 	pthread_mutex_lock(&control->mailbox_mutex);
 	first = STAILQ_EMPTY(&control->mailbox);
 	STAILQ_INSERT_TAIL(&control->mailbox, task, entries);
 	pthread_mutex_unlock(&control->mailbox_mutex);
-	if (first && write(control->wake_fd, &one, sizeof(one)) < 0)
-		log_event(LOG_LEVEL_ERROR, "wake_failed", NULL);
+	if (first)
+		wake_control_thread(control);
 }
 
 static struct control_task *
@@ -71,25 +83,34 @@
 	pthread_cond_destroy(&task->done_cond);
 }
 
+static void
+run_task(struct control *control, struct control_task *task)
+{
+	bool synchronous = task->synchronous;
+
+	task->run(control, task);
+	control_run_effects(control, clk_monotonic_ms(&control->clk));
+	if (!synchronous) {
+		g_free(task);
+		return;
+	}
+	pthread_mutex_lock(&task->mutex);
+	task->done = true;
+	pthread_cond_signal(&task->done_cond);
+	pthread_mutex_unlock(&task->mutex);
+}
+
 void
 mailbox_run(struct control *control)
 {
-	struct control_task *task;
+	for (int i = 0; i < TASKS_PER_RUN; i++) {
+		struct control_task *task = mailbox_pop(control);
 
-	while ((task = mailbox_pop(control)) != NULL) {
-		bool synchronous = task->synchronous;
-
-		task->run(control, task);
-		control_run_effects(control, clk_monotonic_ms(&control->clk));
-		if (!synchronous) {
-			g_free(task);
-			continue;
-		}
-		pthread_mutex_lock(&task->mutex);
-		task->done = true;
-		pthread_cond_signal(&task->done_cond);
-		pthread_mutex_unlock(&task->mutex);
+		if (task == NULL)
+			return;
+		run_task(control, task);
 	}
+	wake_control_thread(control);
 }
 
 void
--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -28,6 +28,9 @@
 /* This part of the grace period is reserved for the answers of the requests that
  * are still running, and for the end of the process. */
 #define DRAIN_EXIT_DIVISOR 8u
+/* More of a short grace period is reserved, up to this time. */
+#define DRAIN_EXIT_MIN_MS 700u
+#define DRAIN_EXIT_MIN_DIVISOR 4u
 /* Time that the rest of the process needs to stop. */
 #define DRAIN_ENDS_SOON_MS 1500u
 /* Time for the answers to be written. */
@@ -93,8 +96,10 @@
 {
 	uint32_t grace_ms = gateway->settings->shutdown_grace_ms;
 
-	return gateway->drain_start_ms + grace_ms -
-	    grace_ms / DRAIN_EXIT_DIVISOR;
+	uint32_t exit_ms = MAX(grace_ms / DRAIN_EXIT_DIVISOR,
+	    MIN(DRAIN_EXIT_MIN_MS, grace_ms / DRAIN_EXIT_MIN_DIVISOR));
+
+	return gateway->drain_start_ms + grace_ms - exit_ms;
 }
 
 static void
@@ -237,6 +242,8 @@
 	gateway->stream_epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	gateway->rejection_holds = g_hash_table_new_full(g_int64_hash,
 	    g_int64_equal, g_free, g_free);
+	gateway->undecided_counts = g_hash_table_new_full(g_int64_hash,
+	    g_int64_equal, g_free, g_free);
 	load_shedder_init(&gateway->load_shedder);
 	gateway->mailbox_source.kind = GW_SOURCE_MAILBOX;
 	gateway->mailbox_source.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
@@ -317,6 +324,7 @@
 	gw_transfers_finish(gateway);
 	config_snapshot_unref(gateway->configuration);
 	g_hash_table_destroy(gateway->rejection_holds);
+	g_hash_table_destroy(gateway->undecided_counts);
 	load_shedder_finish(&gateway->load_shedder);
 	pthread_mutex_destroy(&gateway->mailbox_mutex);
 	close(gateway->mailbox_source.fd);
--- a/bamboorudderd/gateway_mailbox.c
+++ b/bamboorudderd/gateway_mailbox.c
@@ -56,12 +56,34 @@
 	struct dispatch_decision decision;
 };
 
+static uint32_t *
+undecided_count(const struct gw_request *request)
+{
+	GHashTable *counts = request->gateway->undecided_counts;
+	uint64_t account_id = request->dispatch.account_id;
+	uint32_t *count = g_hash_table_lookup(counts, &account_id);
+
+	if (count != NULL)
+		return count;
+	count = g_new0(uint32_t, 1);
+	g_hash_table_insert(counts, g_memdup2(&account_id, sizeof(account_id)),
+	    count);
+	return count;
+}
+
+uint32_t
+gw_undecided_count(const struct gw_request *request)
+{
+	return *undecided_count(request);
+}
+
 static void
 apply_decision(struct gateway *gateway, void *context)
 {
 	struct decision_args *args = context;
 
 	(void)gateway;
+	(*undecided_count(args->request))--;
 	args->request->decision = args->decision;
 	gw_request_on_decision(args->request);
 	g_free(args);
@@ -102,6 +124,7 @@
 	args->request = request;
 	args->dispatch = request->dispatch;
 	request->decision_pending = true;
+	(*undecided_count(request))++;
 	mailbox_post_context(request->gateway->control, run_decide, args);
 }
 
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -13,6 +13,8 @@
 /* Allowance for the time from the sending of a request to the check whether the
  * configuration is fresh enough for its key. */
 #define FRESHNESS_MARGIN_MS 400u
+/* An account whose requests wait for more decisions floods this daemon. */
+#define ACCOUNT_UNDECIDED_MAX_COUNT 32u
 #define TEXT_BYTES 24
 #define US_PER_MS 1000u
 
@@ -409,7 +411,8 @@
 		refuse_by_hold(request, hold);
 	else if (load_shedder_rejects(&request->gateway->load_shedder,
 		     request->dispatch.account_id,
-		     request->dispatch.request_hash))
+		     request->dispatch.request_hash) ||
+	    gw_undecided_count(request) >= ACCOUNT_UNDECIDED_MAX_COUNT)
 		refuse_for_load(request);
 	else
 		gw_request_decide(request);
--- a/common/codec_dispatch_decode.c
+++ b/common/codec_dispatch_decode.c
@@ -70,6 +70,9 @@
 {
 	placement->attempt_id = reader_uint(reader, UINT64_MAX);
 	placement->endpoint_id = reader_uint(reader, UINT64_MAX);
+	reader_text(reader, placement->name, sizeof(placement->name));
+	reader_text(reader, placement->address, sizeof(placement->address));
+	placement->process_start_ms = reader_uint(reader, UINT64_MAX);
 	placement->prefill_tokens = reader_uint(reader, UINT32_MAX);
 	placement->kv_tokens = reader_uint(reader, UINT32_MAX);
 	placement->retry_after_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
--- a/common/codec_dispatch_encode.c
+++ b/common/codec_dispatch_encode.c
@@ -1,4 +1,7 @@
 #include "common/codec_dispatch.h"
+
+#include <string.h>
+
 #include "common/codec_format.h"
 #include "common/codec_writer.h"
 
@@ -50,6 +53,9 @@
 {
 	writer_uint(out, placement->attempt_id);
 	writer_uint(out, placement->endpoint_id);
+	writer_text(out, placement->name, strlen(placement->name));
+	writer_text(out, placement->address, strlen(placement->address));
+	writer_uint(out, placement->process_start_ms);
 	writer_uint(out, placement->prefill_tokens);
 	writer_uint(out, placement->kv_tokens);
 	writer_uint(out, placement->retry_after_ms);
--- a/core/delegation.c
+++ b/core/delegation.c
@@ -92,35 +92,29 @@
 	    : question->request.request_hash;
 }
 
-/* @return the hub of the endpoint that comes first for a request by rendezvous
- * hashing, among those that it may be sent to; 0 if there is none to be asked */
+/* @return the hub of the group of endpoints that comes first for a request by
+ * rendezvous hashing; 0 if there is none to be asked */
 static uint64_t
 choose_hub(const struct delegation *delegation,
     const struct delegation_question *question, uint64_t now_ms)
 {
 	struct dispatch *dispatch = delegation->dispatch;
-	uint64_t key = key_for(question), best_id = 0, best_score = 0;
-	GHashTableIter iter;
-	gpointer value;
+	uint64_t key = key_for(question), best_id = 0;
+	const struct dispatch_pool *pool;
+	double best_score = 0;
 
 	dispatch_assign_endpoints(dispatch);
-	g_hash_table_iter_init(&iter, dispatch->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct dispatch_endpoint *endpoint = value;
-		uint64_t score;
-
-		if (endpoint->info.pool_id != question->request.pool_id ||
-		    !dispatch_may_send_to(dispatch, endpoint, now_ms) ||
-		    dispatch_was_tried(&question->request,
-			endpoint->endpoint_id) ||
-		    was_asked(question, endpoint->hub_id) ||
-		    is_silent(delegation, endpoint->hub_id, now_ms))
-			continue;
-		score = dispatch_rendezvous_score(endpoint, key);
-		if (score <= best_score)
+	pool = dispatch_find_pool(dispatch, question->request.pool_id);
+	for (guint i = 0; pool != NULL && i < pool->groups->len; i++) {
+		const struct dispatch_group *group =
+		    &g_array_index(pool->groups, struct dispatch_group, i);
+		double score = dispatch_group_score(group, i, key);
+
+		if (score <= best_score || was_asked(question, group->hub_id) ||
+		    is_silent(delegation, group->hub_id, now_ms))
 			continue;
 		best_score = score;
-		best_id = endpoint->hub_id;
+		best_id = group->hub_id;
 	}
 	return best_id;
 }
@@ -131,16 +125,13 @@
     uint64_t now_ms)
 {
 	const struct dispatch_decision *decision = &question->decision;
-	const struct dispatch_endpoint *endpoint =
-	    g_hash_table_lookup(delegation->dispatch->endpoints,
-		&decision->endpoint_id);
 	struct delegation_attempt *attempt = g_new0(struct delegation_attempt,
 	    1);
 
 	attempt->attempt_id = question->attempt_id;
 	attempt->hub_id = hub_id;
 	attempt->endpoint_id = decision->endpoint_id;
-	attempt->process_start_ms = endpoint->info.process_start_ms;
+	attempt->process_start_ms = decision->process_start_ms;
 	attempt->started_ms = now_ms;
 	attempt->prefill_tokens = (uint32_t)decision->prefill_tokens;
 	attempt->kv_tokens = (uint32_t)decision->kv_tokens;
@@ -269,6 +260,9 @@
 	decision->start = placement->start != 0;
 	decision->reason = (enum refuse_reason)placement->reason;
 	decision->endpoint_id = placement->endpoint_id;
+	memcpy(decision->name, placement->name, NAME_MAX_BYTES);
+	memcpy(decision->address, placement->address, ADDRESS_MAX_BYTES);
+	decision->process_start_ms = placement->process_start_ms;
 	decision->prefill_tokens = placement->prefill_tokens;
 	decision->kv_tokens = placement->kv_tokens;
 	decision->retry_after_ms = placement->retry_after_ms;
@@ -318,8 +312,11 @@
 	    g_hash_table_lookup(delegation->dispatch->endpoints,
 		&placement->endpoint_id);
 
+	/* the hub may have discovered it first, or its next process */
 	if (endpoint == NULL ||
-	    !dispatch_may_send_to(delegation->dispatch, endpoint, now_ms))
+	    endpoint->info.process_start_ms < placement->process_start_ms)
+		return placement->address[0] != '\0';
+	if (!dispatch_may_send_to(delegation->dispatch, endpoint, now_ms))
 		return false;
 	if (placement->limit_per_1000_s > 0 ||
 	    !endpoint_limit_in_force(&endpoint->limit, now_ms))
@@ -338,12 +335,6 @@
 
 	if (accepts_placement(delegation, &msg->u.placement, hub_id, now_ms,
 		effects)) {
-		const struct dispatch_endpoint *endpoint =
-		    g_hash_table_lookup(delegation->dispatch->endpoints,
-			&decision->endpoint_id);
-		memcpy(decision->name, endpoint->info.name, NAME_MAX_BYTES);
-		memcpy(decision->address, endpoint->info.address,
-		    ADDRESS_MAX_BYTES);
 		start_attempt(delegation, question, hub_id, now_ms);
 		finish_question(question, effects);
 		return;
@@ -418,7 +409,7 @@
 	return overdue;
 }
 
-/* This daemon itself was suspended, or short of processor time. */
+/* This daemon itself was suspended: the hubs are not to blame. */
 static void
 extend_questions(struct delegation *delegation, uint64_t now_ms)
 {
@@ -455,7 +446,7 @@
 delegation_tick(struct delegation *delegation, uint64_t now_ms,
     struct effects *effects)
 {
-	if (now_ms > delegation->ticked_ms + ANSWER_TIMEOUT_MS)
+	if (now_ms > delegation->ticked_ms + PAUSE_MIN_MS)
 		extend_questions(delegation, now_ms);
 	delegation->ticked_ms = now_ms;
 	handle_overdue(delegation, now_ms, effects);
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -58,6 +58,8 @@
 	dispatch->config = *config;
 	dispatch->endpoints = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, endpoint_free);
+	dispatch->pools = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    NULL, dispatch_pool_free);
 	dispatch->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, g_free);
 	dispatch->accounts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -85,6 +87,7 @@
 void
 dispatch_finish(struct dispatch *dispatch)
 {
+	g_hash_table_destroy(dispatch->pools);
 	g_hash_table_destroy(dispatch->endpoints);
 	g_hash_table_destroy(dispatch->attempts);
 	g_hash_table_destroy(dispatch->accounts);
@@ -144,7 +147,8 @@
 	} else if (endpoint->info.process_start_ms != info->process_start_ms)
 		endpoint_reset(endpoint);
 	dispatch->assignment_due |= !endpoint->listed ||
-	    endpoint->info.pool_id != info->pool_id;
+	    endpoint->info.pool_id != info->pool_id ||
+	    endpoint->info.leaving != info->leaving;
 	endpoint->info = *info;
 	endpoint->listed = true;
 	endpoint->warm_at_ms = now_ms + info->warmup_remaining_ms;
--- a/core/dispatch_attempt.c
+++ b/core/dispatch_attempt.c
@@ -68,6 +68,7 @@
 	decision->kv_tokens = attempt->kv_tokens;
 	memcpy(decision->name, endpoint->info.name, NAME_MAX_BYTES);
 	memcpy(decision->address, endpoint->info.address, ADDRESS_MAX_BYTES);
+	decision->process_start_ms = endpoint->info.process_start_ms;
 }
 
 void
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -134,49 +134,43 @@
     const struct dispatch_endpoint *endpoint,
     const struct dispatch_request *request)
 {
-	return endpoint->info.pool_id == request->pool_id && endpoint->listed &&
-	    !endpoint->info.leaving &&
+	return !endpoint->info.leaving &&
 	    !dispatch_said_leaving(dispatch, endpoint) &&
 	    !dispatch_was_tried(request, endpoint->endpoint_id);
 }
 
-/* @return whether a pool has endpoints that are assigned to this hub */
-static bool
-owns_endpoints(const struct dispatch *dispatch, uint64_t pool_id)
+/* @return the endpoints to choose from; NULL if there are none */
+static const GPtrArray *
+endpoints_to_choose(struct dispatch *dispatch, uint64_t pool_id,
+    bool own_endpoints)
 {
-	GHashTableIter iter;
-	gpointer value;
+	const struct dispatch_pool *pool;
 
-	g_hash_table_iter_init(&iter, dispatch->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct dispatch_endpoint *endpoint = value;
-		if (endpoint->info.pool_id == pool_id && endpoint->listed &&
-		    endpoint->hub_id == dispatch->config.node_id)
-			return true;
-	}
-	return false;
+	dispatch_assign_endpoints(dispatch);
+	pool = dispatch_find_pool(dispatch, pool_id);
+	if (pool == NULL)
+		return NULL;
+	return own_endpoints && pool->own_endpoints->len > 0
+	    ? pool->own_endpoints
+	    : pool->endpoints;
 }
 
 static void
 collect_candidates(struct dispatch *dispatch,
-    const struct dispatch_request *request, bool own_endpoints, uint64_t now_ms,
-    bool include_ejected, GArray *candidates)
+    const struct dispatch_request *request, const GPtrArray *endpoints,
+    uint64_t now_ms, bool include_ejected, GArray *candidates)
 {
-	GHashTableIter iter;
-	gpointer value;
+	uint64_t key = dispatch_affinity_key(request);
 
-	g_hash_table_iter_init(&iter, dispatch->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct dispatch_endpoint *endpoint = value;
+	for (guint i = 0; i < endpoints->len; i++) {
+		struct dispatch_endpoint *endpoint = endpoints->pdata[i];
 		struct dispatch_candidate candidate = { .endpoint = endpoint };
 
 		if (!is_candidate(dispatch, endpoint, request) ||
-		    (own_endpoints &&
-			endpoint->hub_id != dispatch->config.node_id) ||
 		    (!include_ejected && !dispatch_is_usable(endpoint, now_ms)))
 			continue;
 		candidate.rendezvous_score = dispatch_rendezvous_score(endpoint,
-		    dispatch_affinity_key(request));
+		    key);
 		candidate.closed_ms = dispatch_closed_ms(dispatch, endpoint,
 		    now_ms);
 		g_array_append_val(candidates, candidate);
@@ -265,22 +259,26 @@
     const struct dispatch_request *request, bool own_endpoints, uint64_t now_ms,
     struct dispatch_candidate *chosen, uint64_t *closed_ms)
 {
-	GArray *candidates = g_array_new(FALSE, FALSE,
-	    sizeof(struct dispatch_candidate));
+	const GPtrArray *endpoints = endpoints_to_choose(dispatch,
+	    request->pool_id, own_endpoints);
 	const struct dispatch_candidate *best;
+	GArray *candidates;
 
-	dispatch_assign_endpoints(dispatch);
-	own_endpoints = own_endpoints &&
-	    owns_endpoints(dispatch, request->pool_id);
-	collect_candidates(dispatch, request, own_endpoints, now_ms, false,
+	*closed_ms = 0;
+	if (endpoints == NULL)
+		return false;
+	candidates = g_array_new(FALSE, FALSE,
+	    sizeof(struct dispatch_candidate));
+	collect_candidates(dispatch, request, endpoints, now_ms, false,
 	    candidates);
 	if (candidates->len == 0)
-		collect_candidates(dispatch, request, own_endpoints, now_ms,
-		    true, candidates);
+		collect_candidates(dispatch, request, endpoints, now_ms, true,
+		    candidates);
 	best = choose_cheapest(dispatch, pool, request, now_ms, candidates);
 	if (best != NULL)
 		*chosen = *best;
-	*closed_ms = best == NULL ? min_closed_ms(candidates) : 0;
+	else
+		*closed_ms = min_closed_ms(candidates);
 	g_array_free(candidates, TRUE);
 	return best != NULL;
 }
--- a/core/dispatch_serve.c
+++ b/core/dispatch_serve.c
@@ -44,13 +44,17 @@
 	placement->over_share = forecast->over_share;
 }
 
-static uint32_t
-limit_of(const struct dispatch *dispatch, uint64_t endpoint_id)
+static void
+write_endpoint(const struct dispatch *dispatch,
+    const struct dispatch_decision *decision, struct msg_placement *placement)
 {
 	const struct dispatch_endpoint *endpoint =
-	    g_hash_table_lookup(dispatch->endpoints, &endpoint_id);
+	    g_hash_table_lookup(dispatch->endpoints, &decision->endpoint_id);
 
-	return endpoint == NULL ? 0 : endpoint->limit.per_1000_s;
+	memcpy(placement->name, decision->name, NAME_MAX_BYTES);
+	memcpy(placement->address, decision->address, ADDRESS_MAX_BYTES);
+	placement->process_start_ms = endpoint->info.process_start_ms;
+	placement->limit_per_1000_s = endpoint->limit.per_1000_s;
 }
 
 void
@@ -77,8 +81,7 @@
 	placement->attempt_id = asked->attempt_id;
 	write_placement(&decision, placement);
 	if (decision.start)
-		placement->limit_per_1000_s = limit_of(dispatch,
-		    decision.endpoint_id);
+		write_endpoint(dispatch, &decision, placement);
 }
 
 static void
--- a/core/endpoint_notice.c
+++ b/core/endpoint_notice.c
@@ -19,9 +19,11 @@
 find(const struct endpoint_notices *notices, uint64_t endpoint_id,
     uint64_t process_start_ms)
 {
-	const struct endpoint_notice *notice =
-	    g_hash_table_lookup(notices->notices, &endpoint_id);
+	const struct endpoint_notice *notice;
 
+	if (g_hash_table_size(notices->notices) == 0)
+		return NULL;
+	notice = g_hash_table_lookup(notices->notices, &endpoint_id);
 	return notice != NULL && notice->process_start_ms == process_start_ms
 	    ? notice
 	    : NULL;
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -193,6 +193,8 @@
 	struct load_shedder load_shedder;
 	/** Hash of account and pool to struct gw_rejection_hold. */
 	GHashTable *rejection_holds;
+	/** account_id to the number of its requests that wait for a decision. */
+	GHashTable *undecided_counts;
 	bool server_due; /**< MHD_run() has to be called */
 	bool draining;
 	bool shutting_down; /**< draining is over; refuses all requests */
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -41,6 +41,8 @@
 /** Requests a dispatch decision, which the control thread takes or gets from
  * another daemon. */
 void gw_dispatch_decide(struct gw_request *request);
+/** @return how many requests of the same account wait for a decision */
+uint32_t gw_undecided_count(const struct gw_request *request);
 /** Reports the first token of an attempt to the control thread. */
 void gw_dispatch_first_token(struct gw_request *request);
 /** Reports what the head of a response says of its endpoint, if anything. */
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -88,6 +88,7 @@
 	uint64_t kv_tokens; /**< charged to the endpoint */
 	char name[NAME_MAX_BYTES];
 	char address[ADDRESS_MAX_BYTES];
+	uint64_t process_start_ms; /**< of the endpoint's process */
 	struct dispatch_forecast forecast;
 };
 
@@ -189,6 +190,7 @@
 	struct dispatch_config config;
 	const struct config_snapshot *configuration; /**< owned by the caller */
 	GHashTable *endpoints; /**< endpoint_id to struct dispatch_endpoint */
+	GHashTable *pools; /**< pool_id to struct dispatch_pool */
 	GHashTable *attempts; /**< seq to struct dispatch_attempt */
 	GHashTable *accounts; /**< account_id to struct dispatch_account */
 	GHashTable *peers; /**< node_id to struct dispatch_peer */
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -50,6 +50,34 @@
 	uint32_t accounts_count;
 };
 
+/** Endpoints of a pool that one hub decides on. */
+struct dispatch_group {
+	uint64_t hub_id;
+	uint32_t endpoints_count; /**< that take new requests */
+};
+
+/** The listed endpoints of a pool, as they are assigned to hubs. */
+struct dispatch_pool {
+	uint64_t pool_id;
+	GArray *groups; /**< struct dispatch_group */
+	GPtrArray *endpoints; /**< struct dispatch_endpoint */
+	GPtrArray *own_endpoints; /**< those that this daemon decides on */
+};
+
+/** Frees a struct dispatch_pool; a GDestroyNotify. */
+void dispatch_pool_free(gpointer pool);
+
+/** @return the pool, or NULL if none of its endpoints is listed; valid until the
+ * endpoints or the hubs change */
+const struct dispatch_pool *dispatch_find_pool(const struct dispatch *dispatch,
+    uint64_t pool_id);
+
+/** Score of a group by weighted rendezvous hashing: requests are spread over the
+ * groups by their endpoints, and those with the same key have the same best
+ * group. */
+double dispatch_group_score(const struct dispatch_group *group, uint32_t index,
+    uint64_t key);
+
 /** An endpoint evaluated for one request. */
 struct dispatch_candidate {
 	struct dispatch_endpoint *endpoint;
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -299,6 +299,11 @@
 struct msg_placement {
 	uint64_t attempt_id;
 	uint64_t endpoint_id;
+	/** Name, address and process of the endpoint, which the receiver may not
+	 * have discovered yet; "" and 0 if the request is refused. */
+	char name[NAME_MAX_BYTES];
+	char address[ADDRESS_MAX_BYTES];
+	uint64_t process_start_ms;
 	uint64_t prefill_tokens; /**< charged to the endpoint */
 	uint64_t kv_tokens; /**< charged to the endpoint */
 	uint32_t retry_after_ms;
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -77,6 +77,7 @@
 	/** Calls the store if that is due. @return whether it was due */
 	bool (*poll)(struct reflector *reflector);
 	bool synced; /**< the first list is complete */
+	uint64_t polled_ms; /**< start of the last call */
 };
 
 struct feed {
@@ -84,6 +85,8 @@
 	const struct feed_sink_ops *sink;
 	void *context;
 	_Atomic uint32_t watching; /**< this daemon is a watcher */
+	_Atomic uint32_t deciding; /**< this daemon decides on endpoints */
+	_Atomic uint64_t peer_heard_ms; /**< last report of a peer */
 	_Atomic uint32_t daemons_count;
 	pthread_mutex_t mutex;
 	pthread_cond_t wakeup; /**< a call to the store may be due */
@@ -98,12 +101,19 @@
 void feed_init(struct feed *feed, const struct feed_config *config,
     const struct feed_sink_ops *sink, void *context);
 
-/**
- * Sets whether this daemon is a watcher. The others rely on the freshness in
- * their peers' load reports, and call the store only when a peer has a newer
- * version or when their own copy was not confirmed for too long.
- */
-void feed_set_watching(struct feed *feed, bool watching, size_t daemons_count);
+/** Part of this daemon in the fleet. */
+struct feed_role {
+	/** The others rely on the freshness in their peers' reports, and call the
+	 * store only when a peer has a newer version or when their own copy was
+	 * not confirmed for too long. */
+	bool watching;
+	/** The others hear of endpoints from those that decide on them, and
+	 * update their list less often. */
+	bool deciding;
+	size_t daemons_count;
+};
+
+void feed_set_role(struct feed *feed, const struct feed_role *role);
 
 /** Handles a peer's report of how fresh its copy of a resource is. */
 void feed_offer_freshness(struct feed *feed, enum resource_kind kind,
--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -87,9 +87,9 @@
 		feed_init(&feed, &config, &ops, &sink);
 		EXPECT_TRUE(eventually(
 		    [&] { return sink.synced && sink.version == 3; }));
-		feed_set_watching(&feed, false, 3);
-		/* the watches in progress end in this time */
-		std::this_thread::sleep_for(std::chrono::milliseconds(500));
+		set_watching(false);
+		/* the calls that confirm the first reads end in this time */
+		std::this_thread::sleep_for(std::chrono::milliseconds(1800));
 	}
 
 	~Feed() override
@@ -97,14 +97,20 @@
 		feed_finish(&feed);
 	}
 
+	void set_watching(bool watching)
+	{
+		const feed_role role = { watching, false, 3 };
+
+		feed_set_role(&feed, &role);
+	}
+
 	/** Lets peers confirm for a while that the known versions are the
 	 * newest. */
 	void offer_versions_for(uint32_t duration_ms)
 	{
 		for (uint32_t i = 0; i < duration_ms; i += 50) {
 			offer_version(RESOURCE_CONFIGURATION, 3);
-			offer_version(RESOURCE_ENDPOINTS,
-			    sink.endpoints_version);
+			offer_version(RESOURCE_ENDPOINTS, store.revision());
 			std::this_thread::sleep_for(
 			    std::chrono::milliseconds(50));
 		}
@@ -134,6 +140,7 @@
 {
 	uint32_t calls_before = store.call_count("servers") +
 	    store.call_count("config");
+	uint32_t stale_before = store.stale_call_count();
 
 	offer_versions_for(2500);
 	EXPECT_EQ(store.call_count("servers") + store.call_count("config"),
@@ -144,9 +151,34 @@
 	offer_versions_for(500);
 	EXPECT_LE(store.call_count("servers") + store.call_count("config"),
 	    calls_before + 1);
+	EXPECT_EQ(store.stale_call_count(), stale_before + 1);
+}
+
+/* All daemons of a fleet may start in the same moment. */
+TEST_F(Feed, TheFirstListOfEndpointsCostsTheStoreLittle)
+{
+	/* one more call confirms it, since no peer does */
+	EXPECT_LE(store.call_count("servers"), 2u);
+	EXPECT_LE(store.call_count("config"), 2u);
 	EXPECT_EQ(store.stale_call_count(), 1u);
 }
 
+TEST_F(Feed, CallsAnUnreachableStoreSeldomWhileItsPeersReport)
+{
+	uint64_t confirmed_ms = feed_clock_ms();
+	uint32_t calls_before = store.call_count("servers") +
+	    store.call_count("config");
+	dispatch_freshness freshness = { 3, confirmed_ms };
+
+	store.fail_with(503);
+	for (int i = 0; i < 80; i++) {
+		feed_offer_freshness(&feed, RESOURCE_CONFIGURATION, &freshness);
+		std::this_thread::sleep_for(std::chrono::milliseconds(100));
+	}
+	EXPECT_LE(store.call_count("servers") + store.call_count("config"),
+	    calls_before + 2 * 3);
+}
+
 TEST_F(Feed, RetriesWithoutAllowStaleWhenAStaleResponseIsTooOld)
 {
 	store.serve_stale(true);
@@ -193,6 +225,8 @@
 {
 	store.fail_with(503);
 	EXPECT_TRUE(eventually([&] { return feed_is_failing(&feed); }, 5000));
+	/* the calls for the endpoints fail as well in this time */
+	std::this_thread::sleep_for(std::chrono::milliseconds(1800));
 	store.fail_with(0);
 	EXPECT_TRUE(eventually([&] { return !feed_is_failing(&feed); }, 5000));
 	store.remove("servers", "e1");
@@ -265,7 +299,7 @@
 {
 	int number = 0;
 
-	feed_set_watching(&feed, true, 3);
+	set_watching(true);
 	for (const std::string &spec : unreadable_specs()) {
 		std::string name = "good" + std::to_string(++number);
 
@@ -292,7 +326,7 @@
 
 TEST_F(FeedWithOddEntries, AnEntryThatBecomesUnreadableNamesNoEndpoint)
 {
-	feed_set_watching(&feed, true, 3);
+	set_watching(true);
 	ASSERT_TRUE(has_endpoint("e1"));
 	store.put("servers", "e1", unreadable_specs()[0]);
 	EXPECT_TRUE(eventually([&] { return !has_endpoint("e1"); }));
