--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -258,26 +258,10 @@
 }
 
 static void
-handle_message(struct control *control, const struct msg *msg, uint64_t now_ms)
+handle_dispatch_message(struct control *control, const struct msg *msg,
+    uint64_t now_ms)
 {
-	if (!is_membership_message(msg->type) &&
-	    !members_verify_sender(&control->members, msg, now_ms,
-		&control->effects))
-		return;
 	switch (msg->type) {
-	case MSG_HEARTBEAT:
-	case MSG_HEARTBEAT_ACK:
-	case MSG_PROBE_REQUEST:
-	case MSG_GOSSIP:
-	case MSG_JOIN:
-	case MSG_MEMBER_LIST:
-		handle_membership(control, msg, now_ms);
-		break;
-	case MSG_TABLES_ANNOUNCE:
-	case MSG_TABLES_PULL:
-	case MSG_TABLES_DATA:
-		handle_tables(control, msg, now_ms);
-		break;
 	case MSG_REPORT:
 		handle_report(control, msg, now_ms);
 		break;
@@ -304,6 +288,32 @@
 		dispatch_handle_endpoint_limits(&control->dispatch, msg,
 		    now_ms);
 		break;
+	default:
+		break;
+	}
+}
+
+static void
+handle_message(struct control *control, const struct msg *msg, uint64_t now_ms)
+{
+	if (!is_membership_message(msg->type) &&
+	    !members_verify_sender(&control->members, msg, now_ms,
+		&control->effects))
+		return;
+	switch (msg->type) {
+	case MSG_HEARTBEAT:
+	case MSG_HEARTBEAT_ACK:
+	case MSG_PROBE_REQUEST:
+	case MSG_GOSSIP:
+	case MSG_JOIN:
+	case MSG_MEMBER_LIST:
+		handle_membership(control, msg, now_ms);
+		break;
+	case MSG_TABLES_ANNOUNCE:
+	case MSG_TABLES_PULL:
+	case MSG_TABLES_DATA:
+		handle_tables(control, msg, now_ms);
+		break;
 	case MSG_SLOT_REQUEST:
 		deliver_to_owner(control, msg->u.slot_request.pool_id, msg,
 		    now_ms);
@@ -328,6 +338,7 @@
 		entry_handle(&control->entry, msg, now_ms, &control->effects);
 		break;
 	default:
+		handle_dispatch_message(control, msg, now_ms);
 		break;
 	}
 }
--- a/common/codec_decode.c
+++ b/common/codec_decode.c
@@ -227,29 +227,8 @@
 	case MSG_TABLES_DATA:
 		read_tables_data(reader, &msg->u.tables_data);
 		break;
-	case MSG_REPORT:
-		codec_read_report(reader, &msg->u.report);
-		break;
-	case MSG_CRASH_RECORDS:
-		codec_read_crash_records(reader, &msg->u.crash_records);
-		break;
-	case MSG_ENDPOINT_LIMITS:
-		codec_read_endpoint_limits(reader, &msg->u.endpoint_limits);
-		break;
-	case MSG_PLACE_REQUEST:
-		codec_read_place_request(reader, &msg->u.place_request);
-		break;
-	case MSG_PLACEMENT:
-		codec_read_placement(reader, &msg->u.placement);
-		break;
-	case MSG_ATTEMPT_EVENTS:
-		codec_read_attempt_events(reader, &msg->u.attempt_events);
-		break;
-	case MSG_RUNNING_ATTEMPTS:
-		codec_read_running_attempts(reader, &msg->u.running_attempts);
-		break;
-	case MSG_TYPE_COUNT:
-		reader->failed = true;
+	default:
+		codec_read_dispatch(reader, msg);
 		break;
 	}
 }
--- a/common/codec_dispatch_decode.c
+++ b/common/codec_dispatch_decode.c
@@ -12,8 +12,8 @@
 	account->served_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
 }
 
-void
-codec_read_report(struct reader *reader, struct msg_report *report)
+static void
+read_report(struct reader *reader, struct msg_report *report)
 {
 	struct load_account *accounts;
 
@@ -43,9 +43,8 @@
 	segment->tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
 }
 
-void
-codec_read_place_request(struct reader *reader,
-    struct msg_place_request *request)
+static void
+read_place_request(struct reader *reader, struct msg_place_request *request)
 {
 	request->attempt_id = reader_uint(reader, UINT64_MAX);
 	request->pool_id = reader_uint(reader, UINT64_MAX);
@@ -65,8 +64,8 @@
 	request->asked_before = (uint8_t)reader_uint(reader, 1);
 }
 
-void
-codec_read_placement(struct reader *reader, struct msg_placement *placement)
+static void
+read_placement(struct reader *reader, struct msg_placement *placement)
 {
 	placement->attempt_id = reader_uint(reader, UINT64_MAX);
 	placement->endpoint_id = reader_uint(reader, UINT64_MAX);
@@ -107,9 +106,8 @@
 	event->leaving = (uint8_t)reader_uint(reader, 1);
 }
 
-void
-codec_read_attempt_events(struct reader *reader,
-    struct msg_attempt_events *events)
+static void
+read_attempt_events(struct reader *reader, struct msg_attempt_events *events)
 {
 	struct attempt_event *items;
 
@@ -120,8 +118,8 @@
 		read_attempt_event(reader, &items[i]);
 }
 
-void
-codec_read_running_attempts(struct reader *reader,
+static void
+read_running_attempts(struct reader *reader,
     struct msg_running_attempts *attempts)
 {
 	struct running_attempt *items;
@@ -157,9 +155,8 @@
 	record->cleared = reader_uint(reader, 1) != 0;
 }
 
-void
-codec_read_crash_records(struct reader *reader,
-    struct msg_crash_records *records)
+static void
+read_crash_records(struct reader *reader, struct msg_crash_records *records)
 {
 	struct crash_record *items;
 
@@ -181,9 +178,8 @@
 	limit->age_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
 }
 
-void
-codec_read_endpoint_limits(struct reader *reader,
-    struct msg_endpoint_limits *limits)
+static void
+read_endpoint_limits(struct reader *reader, struct msg_endpoint_limits *limits)
 {
 	struct reported_limit *items;
 
@@ -193,3 +189,34 @@
 	for (uint32_t i = 0; i < limits->count; i++)
 		read_reported_limit(reader, &items[i]);
 }
+
+void
+codec_read_dispatch(struct reader *reader, struct msg *msg)
+{
+	switch (msg->type) {
+	case MSG_REPORT:
+		read_report(reader, &msg->u.report);
+		break;
+	case MSG_CRASH_RECORDS:
+		read_crash_records(reader, &msg->u.crash_records);
+		break;
+	case MSG_ENDPOINT_LIMITS:
+		read_endpoint_limits(reader, &msg->u.endpoint_limits);
+		break;
+	case MSG_PLACE_REQUEST:
+		read_place_request(reader, &msg->u.place_request);
+		break;
+	case MSG_PLACEMENT:
+		read_placement(reader, &msg->u.placement);
+		break;
+	case MSG_ATTEMPT_EVENTS:
+		read_attempt_events(reader, &msg->u.attempt_events);
+		break;
+	case MSG_RUNNING_ATTEMPTS:
+		read_running_attempts(reader, &msg->u.running_attempts);
+		break;
+	default:
+		reader->failed = true;
+		break;
+	}
+}
--- a/common/codec_dispatch_encode.c
+++ b/common/codec_dispatch_encode.c
@@ -5,8 +5,8 @@
 #include "common/codec_format.h"
 #include "common/codec_writer.h"
 
-void
-codec_write_report(GByteArray *out, const struct msg_report *report)
+static void
+write_report(GByteArray *out, const struct msg_report *report)
 {
 	writer_uint(out, report->stamp_ms);
 	writer_uint(out, report->echo_ms);
@@ -24,9 +24,8 @@
 	}
 }
 
-void
-codec_write_place_request(GByteArray *out,
-    const struct msg_place_request *request)
+static void
+write_place_request(GByteArray *out, const struct msg_place_request *request)
 {
 	writer_uint(out, request->attempt_id);
 	writer_uint(out, request->pool_id);
@@ -48,8 +47,8 @@
 	writer_uint(out, request->asked_before);
 }
 
-void
-codec_write_placement(GByteArray *out, const struct msg_placement *placement)
+static void
+write_placement(GByteArray *out, const struct msg_placement *placement)
 {
 	writer_uint(out, placement->attempt_id);
 	writer_uint(out, placement->endpoint_id);
@@ -72,9 +71,8 @@
 	writer_uint(out, placement->over_share);
 }
 
-void
-codec_write_attempt_events(GByteArray *out,
-    const struct msg_attempt_events *events)
+static void
+write_attempt_events(GByteArray *out, const struct msg_attempt_events *events)
 {
 	writer_token(out, mpack_pack_array(events->count));
 	for (uint32_t i = 0; i < events->count; i++) {
@@ -91,8 +89,8 @@
 	}
 }
 
-void
-codec_write_running_attempts(GByteArray *out,
+static void
+write_running_attempts(GByteArray *out,
     const struct msg_running_attempts *attempts)
 {
 	writer_token(out, mpack_pack_array(attempts->count));
@@ -120,18 +118,16 @@
 	writer_uint(out, record->cleared);
 }
 
-void
-codec_write_crash_records(GByteArray *out,
-    const struct msg_crash_records *records)
+static void
+write_crash_records(GByteArray *out, const struct msg_crash_records *records)
 {
 	writer_token(out, mpack_pack_array(records->count));
 	for (uint32_t i = 0; i < records->count; i++)
 		write_crash_record(out, &records->items[i]);
 }
 
-void
-codec_write_endpoint_limits(GByteArray *out,
-    const struct msg_endpoint_limits *limits)
+static void
+write_endpoint_limits(GByteArray *out, const struct msg_endpoint_limits *limits)
 {
 	writer_token(out, mpack_pack_array(limits->count));
 	for (uint32_t i = 0; i < limits->count; i++) {
@@ -141,3 +137,33 @@
 		writer_uint(out, limits->items[i].age_ms);
 	}
 }
+
+void
+codec_write_dispatch(GByteArray *out, const struct msg *msg)
+{
+	switch (msg->type) {
+	case MSG_REPORT:
+		write_report(out, &msg->u.report);
+		break;
+	case MSG_CRASH_RECORDS:
+		write_crash_records(out, &msg->u.crash_records);
+		break;
+	case MSG_ENDPOINT_LIMITS:
+		write_endpoint_limits(out, &msg->u.endpoint_limits);
+		break;
+	case MSG_PLACE_REQUEST:
+		write_place_request(out, &msg->u.place_request);
+		break;
+	case MSG_PLACEMENT:
+		write_placement(out, &msg->u.placement);
+		break;
+	case MSG_ATTEMPT_EVENTS:
+		write_attempt_events(out, &msg->u.attempt_events);
+		break;
+	case MSG_RUNNING_ATTEMPTS:
+		write_running_attempts(out, &msg->u.running_attempts);
+		break;
+	default:
+		break;
+	}
+}
--- a/common/codec_encode.c
+++ b/common/codec_encode.c
@@ -214,28 +214,8 @@
 		writer_text(out, msg->u.tables_data.text,
 		    msg->u.tables_data.text_bytes);
 		break;
-	case MSG_REPORT:
-		codec_write_report(out, &msg->u.report);
-		break;
-	case MSG_CRASH_RECORDS:
-		codec_write_crash_records(out, &msg->u.crash_records);
-		break;
-	case MSG_ENDPOINT_LIMITS:
-		codec_write_endpoint_limits(out, &msg->u.endpoint_limits);
-		break;
-	case MSG_PLACE_REQUEST:
-		codec_write_place_request(out, &msg->u.place_request);
-		break;
-	case MSG_PLACEMENT:
-		codec_write_placement(out, &msg->u.placement);
-		break;
-	case MSG_ATTEMPT_EVENTS:
-		codec_write_attempt_events(out, &msg->u.attempt_events);
-		break;
-	case MSG_RUNNING_ATTEMPTS:
-		codec_write_running_attempts(out, &msg->u.running_attempts);
-		break;
-	case MSG_TYPE_COUNT:
+	default:
+		codec_write_dispatch(out, msg);
 		break;
 	}
 }
--- a/include/common/codec_dispatch.h
+++ b/include/common/codec_dispatch.h
@@ -11,31 +11,10 @@
 #include "common/codec_reader.h"
 #include "core/msg.h"
 
-void codec_write_report(GByteArray *out, const struct msg_report *report);
-void codec_read_report(struct reader *reader, struct msg_report *report);
-void codec_write_crash_records(GByteArray *out,
-    const struct msg_crash_records *records);
-void codec_read_crash_records(struct reader *reader,
-    struct msg_crash_records *records);
-void codec_write_endpoint_limits(GByteArray *out,
-    const struct msg_endpoint_limits *limits);
-void codec_read_endpoint_limits(struct reader *reader,
-    struct msg_endpoint_limits *limits);
-void codec_write_place_request(GByteArray *out,
-    const struct msg_place_request *request);
-void codec_read_place_request(struct reader *reader,
-    struct msg_place_request *request);
-void codec_write_placement(GByteArray *out,
-    const struct msg_placement *placement);
-void codec_read_placement(struct reader *reader,
-    struct msg_placement *placement);
-void codec_write_attempt_events(GByteArray *out,
-    const struct msg_attempt_events *events);
-void codec_read_attempt_events(struct reader *reader,
-    struct msg_attempt_events *events);
-void codec_write_running_attempts(GByteArray *out,
-    const struct msg_running_attempts *attempts);
-void codec_read_running_attempts(struct reader *reader,
-    struct msg_running_attempts *attempts);
+/** Writes the body of a message of dispatch. */
+void codec_write_dispatch(GByteArray *out, const struct msg *msg);
+
+/** Reads the body of a message of dispatch; any other type is an error. */
+void codec_read_dispatch(struct reader *reader, struct msg *msg);
 
 #endif
