Count what accounts ask for also while limits turn it away

Cause: a request that no endpoint takes was refused before it was counted as asked. So what was asked seemed to equal what was served, the capacity seemed to suffice, no account seemed over its share, and whoever asked more often got more.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -282,8 +282,6 @@
 		ADMISSION_LIMIT_TARGET_PERCENT / 100;
 	uint64_t admission_limit_ms;
 
-	if (!request->asked_before)
-		account->asked_tokens += tokens_to_charge(request);
 	share_permille = dispatch_share_permille(dispatch, account);
 	forecast->share_permille = (uint32_t)MIN(share_permille, UINT32_MAX);
 	share_permille = share_permille *
@@ -365,6 +363,11 @@
 	dispatch_sum_remote_shares(dispatch);
 	decision->forecast.peers_age_ms = dispatch_peers_age_ms(dispatch,
 	    now_ms);
+	/* counted also if no endpoint takes the request: shares are those of
+	 * what is asked */
+	if (pool != NULL && pool->engine && !request->asked_before)
+		dispatch_get_account(dispatch, request->account_id)
+		    ->asked_tokens += tokens_to_charge(request);
 	dispatch_check_suspects(dispatch, request, now_ms, &verdict);
 	if (verdict.refuse) {
 		refuse_until(dispatch, REFUSE_CRASH_SUSPECT,
--- a/tests/unit/test_endpoint_limit.cc
+++ b/tests/unit/test_endpoint_limit.cc
@@ -102,6 +102,31 @@
 	EXPECT_LE(most_requests(fleet, from_ms), allowed_requests(PER_1000_S));
 }
 
+/* Limits, not backlogs, turn requests away here. */
+TEST(EndpointLimit, AnAccountWithFewerRequestsGetsItsShareOfLimitedEngines)
+{
+	for (size_t daemons_count : { 1u, 7u, 76u }) {
+		CrashFleet fleet(daemons_count, 4);
+		size_t started[2] = { 0, 0 };
+
+		fleet.run_for(500);
+		set_limits(fleet, 3000);
+		run_flood(fleet, STABLE_WINDOW_MS);
+		for (int i = 0; i < 300; i++, fleet.step())
+			for (size_t k = 0; k < 10; k++) {
+				dispatch_request request = fleet.make_request(
+				    20 + k);
+				size_t account = k == i % 10u;
+				request.account_id = 11 + account;
+				started[account] += fleet
+							.send(k % daemons_count,
+							    request)
+							.start;
+			}
+		EXPECT_GE(2 * started[1], started[0]) << daemons_count;
+	}
+}
+
 TEST(EndpointLimit, EndsWhenTheEndpointNamesItNoLonger)
 {
 	for (size_t daemons_count : { 1u, 7u, 76u }) {
