--- a/tests/e2e/test_gateway_notices.cc
+++ b/tests/e2e/test_gateway_notices.cc
@@ -1,7 +1,5 @@
 #include "gateway_fixture.h"
 
-#include <regex>
-
 using namespace e2e;
 
 namespace
@@ -98,8 +96,8 @@
 	    count_and_respond(&first_request_count, "again"));
 	std::string entry = endpoint_entry_json("app",
 	    first_endpoint.address());
-	harness.store.put("servers", "e1",
-	    std::regex_replace(entry, std::regex("\"born\":5"), "\"born\":6"));
+	entry.replace(entry.find("\"born\":5"), 8, "\"born\":6");
+	harness.store.put("servers", "e1", entry);
 	EXPECT_TRUE(eventually(
 	    [&] { return harness.send("GET", "/safe/").status == 200; }));
 }
--- a/tests/unit/test_deploy_template.cc
+++ b/tests/unit/test_deploy_template.cc
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <fstream>
 #include <map>
-#include <regex>
 #include <sstream>
 #include <string>
 
@@ -15,6 +15,36 @@
 
 using values = std::map<std::string, std::string>;
 
+std::string
+value_of(const values &fields, const std::string &name)
+{
+	auto field = fields.find(name);
+
+	return field == fields.end() ? "" : field->second;
+}
+
+/* Renders the first section of a text. @return false if there is none */
+bool
+render_section(const values &fields, std::string *text)
+{
+	size_t start = text->find("{{#"), name_end = text->find("}}", start);
+
+	if (start == std::string::npos)
+		return false;
+	std::string name = text->substr(start + 3, name_end - start - 3);
+	std::string close = "{{/" + name + "}}";
+	size_t end = text->find(close, start);
+	std::string inner = text->substr(name_end + 2, end - name_end - 2);
+	if (fields.count(name) == 0)
+		inner.clear();
+	for (const char *mark : { "{{.}}", "{{,}}" })
+		for (size_t at; (at = inner.find(mark)) != std::string::npos;)
+			inner.replace(at, strlen(mark),
+			    mark[2] == '.' ? value_of(fields, name) : "");
+	text->replace(start, end + close.size() - start, inner);
+	return true;
+}
+
 /* Renders the template with single values; lists have one item each. */
 std::string
 render(const values &fields)
@@ -22,27 +52,16 @@
 	std::ifstream file(std::string(SOURCE_ROOT) + "/deploy/daemon.toml");
 	std::stringstream buffer;
 	std::string text;
-	std::smatch match;
+	size_t start;
 
 	buffer << file.rdbuf();
 	text = buffer.str();
-	while (std::regex_search(text, match,
-	    std::regex("\\{\\{#([a-z_.]+)\\}\\}([^]*?)\\{\\{/\\1\\}\\}"))) {
-		auto field = fields.find(match[1]);
-		std::string inner = field == fields.end() ? "" : match[2].str();
-		inner = std::regex_replace(inner, std::regex("\\{\\{,\\}\\}"),
-		    "");
-		if (field != fields.end())
-			inner = std::regex_replace(inner,
-			    std::regex("\\{\\{\\.\\}\\}"), field->second);
-		text = match.prefix().str() + inner + match.suffix().str();
-	}
-	while (std::regex_search(text, match,
-	    std::regex("\\{\\{([a-z_.0-9]+)\\}\\}"))) {
-		auto field = fields.find(match[1]);
-		text = match.prefix().str() +
-		    (field == fields.end() ? "" : field->second) +
-		    match.suffix().str();
+	while (render_section(fields, &text))
+		continue;
+	while ((start = text.find("{{")) != std::string::npos) {
+		size_t end = text.find("}}", start);
+		std::string name = text.substr(start + 2, end - start - 2);
+		text.replace(start, end + 2 - start, value_of(fields, name));
 	}
 	return text;
 }
