--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -179,6 +179,46 @@
 	    calls_before + 2 * 3);
 }
 
+/* The watchers may be cut off from the store while this daemon is not. */
+TEST_F(Feed, ADaemonWhosePeersConfirmNothingReadsTheStoreInTime)
+{
+	dispatch_freshness freshness = { 3, feed_clock_ms() };
+	uint32_t calls_before = store.call_count("servers");
+	auto unconfirmed = [&] {
+		feed_offer_freshness(&feed, RESOURCE_CONFIGURATION, &freshness);
+	};
+
+	EXPECT_TRUE(eventually(
+	    [&] {
+		    unconfirmed();
+		    return store.call_count("servers") > calls_before;
+	    },
+	    4000));
+	store.put("servers", "e2", endpoint_entry_json("app", "127.0.0.1:2"));
+	/* the greatest age of the list, and some time for the call */
+	EXPECT_TRUE(eventually(
+	    [&] {
+		    unconfirmed();
+		    return has_endpoint("e2");
+	    },
+	    1500 + 400));
+}
+
+/* A stale list may be from before the history that is gone. */
+TEST_F(Feed, TheListAfterACompactionIsTheNewest)
+{
+	set_watching(true);
+	EXPECT_TRUE(
+	    eventually([&] { return store.call_count("servers") > 2; }));
+	store.serve_stale(true);
+	store.put("servers", "e2", endpoint_entry_json("app", "127.0.0.1:2"));
+	uint32_t stale_before = store.stale_call_count();
+	store.compact();
+	offer_version(RESOURCE_ENDPOINTS, store.revision());
+	EXPECT_TRUE(eventually([&] { return has_endpoint("e2"); }, 2000));
+	EXPECT_EQ(store.stale_call_count(), stale_before);
+}
+
 TEST_F(Feed, RetriesWithoutAllowStaleWhenAStaleResponseIsTooOld)
 {
 	store.serve_stale(true);
