Refuse a hub's placement at an endpoint that is gone here

Cause, from the logs (--log all): all daemons but two saw at 25.71 to 25.73 s that i-571a0a8dfc is gone; the store turned edge-uy-sur-mvd-1 and -cnl-2 away from 24.5 s on, they saw it at 34 s. The hub of that pool was one of these and went on placing requests there. A daemon takes a placement at an endpoint that it does not know, as the hub may have discovered it first, and did not tell that from one that is gone.

A daemon remembers endpoints that were removed, with their process, leaves such a one out and asks the hub again, which takes its placement back.

Test: unit-hubs, NothingIsSentToAnEndpointThatIsGoneThoughItsHubDoesNotKnow, failed before.

--- a/core/delegation.c
+++ b/core/delegation.c
@@ -312,6 +312,9 @@
 	    g_hash_table_lookup(delegation->dispatch->endpoints,
 		&placement->endpoint_id);
 
+	if (dispatch_is_gone(delegation->dispatch, placement->endpoint_id,
+		placement->process_start_ms))
+		return false;
 	/* the hub may have discovered it first, or its next process */
 	if (endpoint == NULL ||
 	    endpoint->info.process_start_ms < placement->process_start_ms)
@@ -325,6 +328,21 @@
 	return false;
 }
 
+/* Lets the same hub be asked again, for another endpoint. The hub takes its
+ * placement back when it sees that the endpoint is left out.
+ * @return false if too many endpoints are left out */
+static bool
+leave_out(struct delegation_question *question, uint64_t endpoint_id)
+{
+	struct dispatch_request *request = &question->request;
+
+	if (request->tried_count == TRIED_MAX_COUNT)
+		return false;
+	request->tried_ids[request->tried_count++] = endpoint_id;
+	question->hubs_count--;
+	return true;
+}
+
 static void
 use_placement(struct delegation *delegation,
     struct delegation_question *question, const struct msg *msg,
@@ -339,8 +357,9 @@
 		finish_question(question, effects);
 		return;
 	}
-	delegation_release(delegation, hub_id, question->attempt_id, now_ms,
-	    effects);
+	if (!leave_out(question, decision->endpoint_id))
+		delegation_release(delegation, hub_id, question->attempt_id,
+		    now_ms, effects);
 	decision->start = false;
 	decision->reason = REFUSE_NO_ENDPOINT;
 	decision->retry_after_ms = MIN(RETRY_AFTER_MS,
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -60,6 +60,8 @@
 	    NULL, endpoint_free);
 	dispatch->pools = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, dispatch_pool_free);
+	dispatch->gone = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    NULL, g_free);
 	dispatch->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 	    NULL, g_free);
 	dispatch->accounts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -87,6 +89,7 @@
 void
 dispatch_finish(struct dispatch *dispatch)
 {
+	g_hash_table_destroy(dispatch->gone);
 	g_hash_table_destroy(dispatch->pools);
 	g_hash_table_destroy(dispatch->endpoints);
 	g_hash_table_destroy(dispatch->attempts);
@@ -149,6 +152,7 @@
 	dispatch->assignment_due |= !endpoint->listed ||
 	    endpoint->info.pool_id != info->pool_id ||
 	    endpoint->info.leaving != info->leaving;
+	g_hash_table_remove(dispatch->gone, &endpoint_id);
 	endpoint->info = *info;
 	endpoint->listed = true;
 	endpoint->warm_at_ms = now_ms + info->warmup_remaining_ms;
@@ -164,6 +168,7 @@
 	if (endpoint == NULL)
 		return;
 	dispatch->assignment_due = true;
+	dispatch_record_gone(dispatch, endpoint);
 	if (endpoint->load.running_count == 0)
 		g_hash_table_remove(dispatch->endpoints, &endpoint_id);
 	else
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -7,6 +7,7 @@
  * doubled with each further failure. */
 #define UNREACHED_MIN_MS 500u
 #define UNREACHED_MAX_MS 4000u
+#define GONE_MAX_COUNT 1024u
 
 bool
 dispatch_record_statement(struct dispatch *dispatch, uint64_t endpoint_id,
@@ -75,3 +76,43 @@
 	    UNREACHED_MIN_MS, UNREACHED_MAX_MS);
 	endpoint->unreached_until_ms = now_ms + endpoint->unreached_ms;
 }
+
+static void
+forget_oldest(GHashTable *gone)
+{
+	const struct dispatch_gone *oldest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gone);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dispatch_gone *item = value;
+		if (oldest == NULL || item->order < oldest->order)
+			oldest = item;
+	}
+	g_hash_table_remove(gone, &oldest->endpoint_id);
+}
+
+void
+dispatch_record_gone(struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint)
+{
+	struct dispatch_gone *item = g_new0(struct dispatch_gone, 1);
+
+	if (g_hash_table_size(dispatch->gone) >= GONE_MAX_COUNT)
+		forget_oldest(dispatch->gone);
+	item->endpoint_id = endpoint->endpoint_id;
+	item->process_start_ms = endpoint->info.process_start_ms;
+	item->order = dispatch->seq_next++;
+	g_hash_table_replace(dispatch->gone, &item->endpoint_id, item);
+}
+
+bool
+dispatch_is_gone(const struct dispatch *dispatch, uint64_t endpoint_id,
+    uint64_t process_start_ms)
+{
+	const struct dispatch_gone *item = g_hash_table_lookup(dispatch->gone,
+	    &endpoint_id);
+
+	return item != NULL && process_start_ms <= item->process_start_ms;
+}
--- a/core/dispatch_serve.c
+++ b/core/dispatch_serve.c
@@ -57,6 +57,25 @@
 	placement->limit_per_1000_s = endpoint->limit.per_1000_s;
 }
 
+/* Ends an earlier placement of the same attempt whose endpoint the request leaves
+ * out now. @return false if the message is a copy of an earlier one */
+static bool
+take_back(struct dispatch *dispatch, const struct dispatch_request *request,
+    const struct dispatch_origin *origin, uint64_t now_ms)
+{
+	const struct dispatch_attempt *attempt =
+	    g_hash_table_lookup(dispatch->attempts, &origin->attempt_id);
+
+	if (attempt == NULL)
+		return true;
+	if (attempt->node_id != origin->node_id ||
+	    !dispatch_was_tried(request, attempt->endpoint_id))
+		return false;
+	dispatch_finish_attempt(dispatch, origin->attempt_id, OUTCOME_CANCELLED,
+	    UINT32_MAX, now_ms, NULL);
+	return true;
+}
+
 void
 dispatch_handle_place_request(struct dispatch *dispatch, const struct msg *msg,
     uint64_t now_ms, struct effects *effects)
@@ -71,10 +90,9 @@
 	struct dispatch_request request;
 	struct msg_placement *placement;
 
-	/* a message that the network delivered twice */
-	if (g_hash_table_contains(dispatch->attempts, &asked->attempt_id))
-		return;
 	read_request(asked, &request);
+	if (!take_back(dispatch, &request, &origin, now_ms))
+		return;
 	dispatch_place(dispatch, &request, &origin, now_ms, &decision);
 	placement = &effects_send(effects, msg->from_node_id, MSG_PLACEMENT)
 			 ->u.placement;
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -190,6 +190,8 @@
 	struct dispatch_config config;
 	const struct config_snapshot *configuration; /**< owned by the caller */
 	GHashTable *endpoints; /**< endpoint_id to struct dispatch_endpoint */
+	/** Removed endpoints: endpoint_id to struct dispatch_gone. */
+	GHashTable *gone;
 	GHashTable *pools; /**< pool_id to struct dispatch_pool */
 	GHashTable *attempts; /**< seq to struct dispatch_attempt */
 	GHashTable *accounts; /**< account_id to struct dispatch_account */
@@ -294,6 +296,10 @@
 bool dispatch_may_send_to(const struct dispatch *dispatch,
     const struct dispatch_endpoint *endpoint, uint64_t now_ms);
 
+/** @return whether a process of an endpoint was removed from discovery here */
+bool dispatch_is_gone(const struct dispatch *dispatch, uint64_t endpoint_id,
+    uint64_t process_start_ms);
+
 /** Records whether this daemon could connect to an endpoint. */
 void dispatch_record_reached(struct dispatch *dispatch, uint64_t endpoint_id,
     bool reached, uint64_t now_ms);
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -50,6 +50,17 @@
 	uint32_t accounts_count;
 };
 
+/** An endpoint that discovery no longer lists. */
+struct dispatch_gone {
+	uint64_t endpoint_id;
+	uint64_t process_start_ms;
+	uint64_t order; /**< the lowest is forgotten first */
+};
+
+/** Remembers that an endpoint is gone. */
+void dispatch_record_gone(struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint);
+
 /** Endpoints of a pool that one hub decides on. */
 struct dispatch_group {
 	uint64_t hub_id;
--- a/tests/unit/test_hubs.cc
+++ b/tests/unit/test_hubs.cc
@@ -161,6 +161,7 @@
 		dispatch_init(core.get(), &config);
 		dispatch_set_configuration(core.get(), configuration);
 		g_strlcpy(info.name, "s1", sizeof(info.name));
+		g_strlcpy(info.address, "127.0.0.1:1", sizeof(info.address));
 		info.pool_id = hash_name("service");
 		info.slots = 1000;
 		dispatch_put_endpoint(core.get(), &info, now_ms);
@@ -364,6 +365,31 @@
 	}
 }
 
+/* The hub may be cut off from the store. */
+TEST(Hubs, NothingIsSentToAnEndpointThatIsGoneThoughItsHubDoesNotKnow)
+{
+	Fleet fleet(10, 6);
+	dispatch_endpoint_info info = {};
+
+	g_strlcpy(info.name, "s2", sizeof(info.name));
+	g_strlcpy(info.address, "127.0.0.1:2", sizeof(info.address));
+	info.pool_id = hash_name("service");
+	info.slots = 1000;
+	for (auto &core : fleet.cores)
+		dispatch_put_endpoint(core.get(), &info, fleet.now_ms);
+	fleet.run_for(500);
+	size_t hub = fleet.hub_of_endpoint(0), other = hub == 0 ? 1 : 0;
+	dispatch_remove_endpoint(fleet.cores[other].get(), "s1");
+	for (int i = 0; i < 20; i++) {
+		uint64_t attempt_id = fleet.submit_request(other);
+		dispatch_decision decision = {};
+		ASSERT_TRUE(delegation_take(fleet.delegations[other].get(),
+		    attempt_id, &decision));
+		EXPECT_TRUE(decision.start);
+		EXPECT_STREQ(decision.name, "s2");
+	}
+}
+
 TEST(Hubs, EndpointsOfASmallPoolShareAHubAndThoseOfALargeOneAreSpread)
 {
 	for (size_t endpoints_count : { 3u, 20u, 140u, 600u }) {
