Reserve a second of the grace period for the end of the process

Under the thread sanitizer the process ended 7 ms after a grace period of 3 s (e2e-gateway_faults). A second, or a third of a shorter grace period, is reserved now.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -29,8 +29,8 @@
  * are still running, and for the end of the process. */
 #define DRAIN_EXIT_DIVISOR 8u
 /* More of a short grace period is reserved, up to this time. */
-#define DRAIN_EXIT_MIN_MS 700u
-#define DRAIN_EXIT_MIN_DIVISOR 4u
+#define DRAIN_EXIT_MIN_MS 1000u
+#define DRAIN_EXIT_MIN_DIVISOR 3u
 /* Time that the rest of the process needs to stop. */
 #define DRAIN_ENDS_SOON_MS 1500u
 /* Time for the answers to be written. */
