Stop the reflectors before the end of a drain

Cause: a call to the store that waits notices only after up to a second that the reflector stops, so the process ended 14 ms after a grace period of 3 s (asan, e2e-gateway_faults; by its log the last second was the wait for the endpoints' watch).

--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -129,7 +129,10 @@
  * has a newer version */
 bool reflector_relies_on_peers(const struct reflector *reflector);
 
-/** Stops the reflectors. */
+/** Makes the reflectors stop, which takes up to a second, and returns at once. */
+void feed_stop(struct feed *feed);
+
+/** Stops the reflectors and waits for them. */
 void feed_finish(struct feed *feed);
 
 #endif
