Remove what the hubs left behind: one log line of notices, one reader of numbers, an unused list

Cause: a reading of the whole change. Ruled out: the parameters of on_timer and CURLINFO_REQUEST_SIZE, long by libcurl. Behaviour is the same, but that a number out of range is told without its unit.

--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -120,15 +120,14 @@
 	    failing_permille, "for_ms", eject_ms, NULL);
 }
 
-static void
-log_statement(const struct control *control, const struct effect *effect)
+void
+control_log_notice(const char *endpoint, bool leaving, uint32_t pause_ms)
 {
-	char pause_ms[TEXT_BYTES];
+	char pause[TEXT_BYTES];
 
-	g_snprintf(pause_ms, TEXT_BYTES, "%u", effect->pause_ms);
-	log_event(LOG_LEVEL_WARN, "endpoint_notice", "name",
-	    endpoint_name(control, effect->endpoint_id), "leaving",
-	    effect->leaving ? "yes" : "no", "pause_ms", pause_ms, NULL);
+	g_snprintf(pause, TEXT_BYTES, "%u", pause_ms);
+	log_event(LOG_LEVEL_WARN, "endpoint_notice", "name", endpoint,
+	    "leaving", leaving ? "yes" : "no", "pause_ms", pause, NULL);
 }
 
 static void
@@ -180,7 +179,9 @@
 			log_health(control, &effect);
 			break;
 		case EFFECT_STATEMENT:
-			log_statement(control, &effect);
+			control_log_notice(endpoint_name(control,
+					       effect.endpoint_id),
+			    effect.leaving, effect.pause_ms);
 			break;
 		case EFFECT_DECIDED:
 			gw_dispatch_on_decided(control, effect.seq);
--- a/bamboorudderd/gateway_mailbox.c
+++ b/bamboorudderd/gateway_mailbox.c
@@ -202,18 +202,13 @@
 run_statement(struct control *control, struct control_task *task)
 {
 	struct statement_args *args = task->context;
-	char pause_ms[TEXT_BYTES];
 
 	if (delegation_record_statement(&control->delegation, args->seq,
 		&args->statement, clk_monotonic_ms(&control->clk),
 		&control->effects)) {
 		metric_add(METRIC_ENDPOINT_NOTICES, 1);
-		g_snprintf(pause_ms, TEXT_BYTES, "%u",
+		control_log_notice(args->endpoint, args->statement.leaving,
 		    args->statement.pause_ms);
-		log_event(LOG_LEVEL_WARN, "endpoint_notice", "name",
-		    args->endpoint, "leaving",
-		    args->statement.leaving ? "yes" : "no", "pause_ms",
-		    pause_ms, NULL);
 	}
 	g_free(args);
 }
--- a/bamboorudderd/settings.c
+++ b/bamboorudderd/settings.c
@@ -252,23 +252,6 @@
 	}
 }
 
-/* Stores a fraction without its decimal places. */
-static void
-read_rounded(struct read_context *context, const struct settings_key *key,
-    const struct toml_value *value, uint32_t *out)
-{
-	if ((value->type != TOML_INTEGER && value->type != TOML_FLOAT) ||
-	    value->in_array)
-		findings_add_line(context->findings, context->path, value->line,
-		    value->column, "%s must be a number", key->name);
-	else if (!(value->floating >= key->min && value->floating <= key->max))
-		findings_add_line(context->findings, context->path, value->line,
-		    value->column, "%s is %g, allowed is %u to %u %s",
-		    key->name, value->floating, key->min, key->max, key->unit);
-	else
-		*out = (uint32_t)value->floating;
-}
-
 static void
 read_integer(struct read_context *context, const struct settings_key *key,
     const struct toml_value *value, uint32_t *out)
@@ -285,23 +268,24 @@
 		*out = (uint32_t)value->integer;
 }
 
+/* Stores a number in units of 1 / scale, without further decimal places. */
 static void
-read_decimal(struct read_context *context, const struct settings_key *key,
-    const struct toml_value *value, uint32_t *out)
+read_number(struct read_context *context, const struct settings_key *key,
+    const struct toml_value *value, double scale, uint32_t *out)
 {
-	double milli = value->floating * MILLI_PER_UNIT;
+	double number = value->floating * scale;
 
 	if ((value->type != TOML_INTEGER && value->type != TOML_FLOAT) ||
 	    value->in_array)
 		findings_add_line(context->findings, context->path, value->line,
 		    value->column, "%s must be a number", key->name);
-	else if (!(milli >= key->min && milli <= key->max))
+	else if (!(number >= key->min && number <= key->max))
 		findings_add_line(context->findings, context->path, value->line,
-		    value->column, "%s is %g, allowed is %g to %g", key->name,
-		    value->floating, key->min / MILLI_PER_UNIT,
-		    key->max / MILLI_PER_UNIT);
+		    value->column, "%s is %g, allowed is %.9g to %.9g",
+		    key->name, value->floating, key->min / scale,
+		    key->max / scale);
 	else
-		*out = (uint32_t)milli;
+		*out = (uint32_t)number;
 }
 
 static void
@@ -352,9 +336,10 @@
 		else if (keys[i].type == SETTINGS_UINT32)
 			read_integer(context, &keys[i], value, target);
 		else if (keys[i].type == SETTINGS_ROUNDED)
-			read_rounded(context, &keys[i], value, target);
+			read_number(context, &keys[i], value, 1, target);
 		else if (keys[i].type == SETTINGS_DECIMAL)
-			read_decimal(context, &keys[i], value, target);
+			read_number(context, &keys[i], value, MILLI_PER_UNIT,
+			    target);
 		else if (keys[i].type == SETTINGS_BOOL)
 			read_boolean(context, &keys[i], value, target);
 		else
--- a/core/delegation.c
+++ b/core/delegation.c
@@ -186,7 +186,7 @@
 	asked->response_tokens = request->response_tokens;
 	asked->latency_target_ms = request->latency_target_ms;
 	asked->remaining_ms = request->remaining_ms;
-	asked->asked_before = question->hubs_count > 0;
+	asked->asked_before = request->asked_before;
 }
 
 /* Asks the next hub. @return false if there is none */
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -74,7 +74,6 @@
 	endpoint_notices_init(&dispatch->notices);
 	dispatch->losses = g_array_new(FALSE, FALSE,
 	    sizeof(struct dispatch_loss));
-	dispatch->live_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->hub_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	dispatch->hub_candidates = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -99,7 +98,6 @@
 	crash_suspects_finish(&dispatch->crash_suspects);
 	endpoint_notices_finish(&dispatch->notices);
 	g_array_free(dispatch->losses, TRUE);
-	g_array_free(dispatch->live_ids, TRUE);
 	g_array_free(dispatch->hubs, TRUE);
 	g_array_free(dispatch->hub_candidates, TRUE);
 	g_array_free(dispatch->hub_ids, TRUE);
--- a/core/dispatch_peers.c
+++ b/core/dispatch_peers.c
@@ -106,9 +106,6 @@
 	dispatch->live_count = (uint32_t)count;
 	dispatch->daemons_peak_count = MAX(dispatch->daemons_peak_count,
 	    (uint32_t)count);
-	g_array_set_size(dispatch->live_ids, 0);
-	for (size_t i = 0; i < count; i++)
-		g_array_append_val(dispatch->live_ids, daemons[i].node_id);
 }
 
 void
--- a/include/bamboorudderd/control_private.h
+++ b/include/bamboorudderd/control_private.h
@@ -44,6 +44,9 @@
 /** Handles an encoded message of a peer; a peer_message_fn. */
 void control_on_message(void *control, const void *bytes, size_t length_bytes);
 
+/** Logs that an endpoint has said that it leaves or wants a pause. */
+void control_log_notice(const char *endpoint, bool leaving, uint32_t pause_ms);
+
 /** Creates owners for the pools that this node owns now and frees the
  * others. */
 void control_update_owners(struct control *control, uint64_t now_ms);
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -199,7 +199,6 @@
 	GArray *hubs; /**< node_ids of the other hubs */
 	GArray *hub_ids; /**< node_ids of all hubs */
 	bool assignment_due; /**< endpoints have to be assigned to hubs again */
-	GArray *live_ids; /**< node_ids of the live daemons */
 	uint64_t limits_refresh_due_ms;
 	/** node_ids of hubs, the preferred one first; empty on a hub. */
 	GArray *hub_candidates;
--- a/tests/e2e/fleet.cc
+++ b/tests/e2e/fleet.cc
@@ -430,14 +430,14 @@
 }
 
 bool
-Fleet::sees_live(size_t index, long live_count) const
+Fleet::sees_live(size_t index, int64_t live_count) const
 {
 	return eventually(
 	    [&] { return metric(index, "members_live") == live_count; });
 }
 
 bool
-Fleet::all_see_live(long live_count) const
+Fleet::all_see_live(int64_t live_count) const
 {
 	bool all_agree = true;
 
--- a/tests/e2e/fleet.h
+++ b/tests/e2e/fleet.h
@@ -110,9 +110,9 @@
 	 * none */
 	long metric(size_t index, const std::string &name) const;
 	/** Waits until a daemon sees that many live ones. */
-	bool sees_live(size_t index, long live_count) const;
+	bool sees_live(size_t index, int64_t live_count) const;
 	/** Waits until all daemons see that many live ones. */
-	bool all_see_live(long live_count) const;
+	bool all_see_live(int64_t live_count) const;
 	std::string platform_url(const std::string &path) const;
 	/** Starts or restarts the platform with an empty store. */
 	void start_platform();
