Split the fleets of two unit tests from their tests; one script of a leaving endpoint

Ruled out: one base for the fleets of test_hubs and crash_fleet.h. Their run_effects() is alike, but what each delivers differs, so a shared base would need a hook for every step.

Change: engine_model.h holds the model engines, hubs_fleet.h the fleet of hubs, respond_leaving() the script. One test counts the leaving endpoint's requests now and does not read the count.

--- a/tests/e2e/test_gateway_notices.cc
+++ b/tests/e2e/test_gateway_notices.cc
@@ -21,6 +21,17 @@
 		"\r\n");
 }
 
+/** Counts requests, and says that the endpoint leaves. */
+ScriptedEndpoint::Script
+respond_leaving(std::atomic<int> *count)
+{
+	return [count](Connection &connection, const std::string &request) {
+		(*count)++;
+		connection.send_text(response_text(request, "first", "200 OK",
+		    "Server-Leaving: 1\r\n"));
+	};
+}
+
 class GatewayNotices : public Gateway
 {
       protected:
@@ -54,12 +65,7 @@
 
 TEST_F(GatewayNotices, AnEndpointThatSaysItLeavesGetsNoMoreRequests)
 {
-	first_endpoint.set_script(
-	    [this](Connection &connection, const std::string &request) {
-		    first_request_count++;
-		    connection.send_text(response_text(request, "first",
-			"200 OK", "Server-Leaving: 1\r\n"));
-	    });
+	first_endpoint.set_script(respond_leaving(&first_request_count));
 	start();
 	EXPECT_EQ(harness.send("GET", "/safe/").status, 200);
 	add_second();
@@ -71,12 +77,7 @@
 
 TEST_F(GatewayNotices, AnEndpointThatLeavesAloneIsNotAskedAgainAtAll)
 {
-	first_endpoint.set_script(
-	    [this](Connection &connection, const std::string &request) {
-		    first_request_count++;
-		    connection.send_text(response_text(request, "first",
-			"200 OK", "Server-Leaving: 1\r\n"));
-	    });
+	first_endpoint.set_script(respond_leaving(&first_request_count));
 	start();
 	EXPECT_EQ(harness.send("GET", "/safe/").status, 200);
 	EXPECT_EQ(harness.send("GET", "/safe/").status, 503);
@@ -85,11 +86,7 @@
 
 TEST_F(GatewayNotices, ANewProcessBehindTheNameOfALeavingEndpointIsUsed)
 {
-	first_endpoint.set_script(
-	    [](Connection &connection, const std::string &request) {
-		    connection.send_text(response_text(request, "first",
-			"200 OK", "Server-Leaving: 1\r\n"));
-	    });
+	first_endpoint.set_script(respond_leaving(&first_request_count));
 	start();
 	EXPECT_EQ(harness.send("GET", "/safe/").status, 200);
 	first_endpoint.set_script(
--- a/tests/unit/engine_fleet.h
+++ b/tests/unit/engine_fleet.h
@@ -3,9 +3,7 @@
  * Simulation of daemons before a pool of model engines, on a virtual clock.
  *
  * The daemons run the real cores and exchange their messages, encoded, with a
- * delay. An engine batches: it prefills prompts in chunks, in the order of
- * arrival, and generates a token for each running request in each step. It keeps
- * prompt segments in what memory is left.
+ * delay.
  */
 #ifndef TESTS_UNIT_ENGINE_FLEET_H
 #define TESTS_UNIT_ENGINE_FLEET_H
@@ -24,6 +22,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "engine_model.h"
+
 extern "C" {
 #include "common/codec.h"
 #include "core/delegation.h"
@@ -34,141 +34,7 @@
 namespace engine_fleet
 {
 
-using time_us = uint64_t;
-
-constexpr time_us MS = 1000, SECOND = 1000 * MS;
-/** Between two instances, and between an instance and an endpoint. */
-constexpr time_us HOP = 1 * MS;
-/** Time that a daemon takes to handle a message. */
-constexpr time_us HANDLING = 1 * MS;
-constexpr time_us TICK_PERIOD = 50 * MS;
-/** After this, a shared segment that is read again is not counted. */
-constexpr time_us REREAD_WINDOW = 10 * SECOND;
-
-struct kind {
-	double per_s;
-	uint32_t aim_ms;
-	uint32_t deadline_ms;
-	uint32_t group_tokens, groups_count;
-	uint32_t subject_tokens, subjects_count;
-	double own_tokens, own_spread;
-	uint32_t own_max_tokens;
-	double response_tokens, response_spread;
-	double worth, late_worth;
-};
-
-struct shape {
-	size_t daemons_count, high_cpu_count, engines_count, domains_count;
-	size_t accounts_count, callers_count;
-	/** Daemons at which the callers of an account enter; 0: any. */
-	size_t entries_per_account;
-	/** The first accounts, which ask for half of all. */
-	size_t large_accounts_count;
-	uint32_t slots, queue_count, chunk_tokens;
-	uint64_t kv_tokens;
-	double step_ms, step_ms_per_slot, prefill_tokens_per_ms, first_ms;
-	std::vector<kind> kinds;
-	double duration_s, warmup_s, load;
-};
-
-struct result {
-	uint64_t asked = 0, in_aim = 0, late = 0, rejected = 0, lost = 0;
-	uint64_t full_count = 0; /**< rejections by engines */
-	uint64_t read_tokens = 0, reread_tokens = 0;
-	double earned = 0, owed = 0;
-	std::vector<double> errors; /**< of the forecast, over the aim */
-	std::vector<uint64_t> engine_tokens;
-	uint64_t control_bytes = 0, most_control_bytes = 0;
-	std::map<size_t, std::pair<uint64_t, uint64_t>> by_kind;
-	std::vector<uint64_t> account_asked, account_got;
-
-	double share(uint64_t count) const
-	{
-		return asked == 0 ? 0 : (double)count / (double)asked;
-	}
-
-	double worth() const
-	{
-		return owed == 0 ? 0 : earned / owed;
-	}
-
-	double median_error() const
-	{
-		std::vector<double> sorted = errors;
-
-		if (sorted.empty())
-			return 0;
-		std::sort(sorted.begin(), sorted.end());
-		return sorted[sorted.size() / 2];
-	}
-
-	double busiest_over_mean() const
-	{
-		uint64_t most = 0, sum = 0;
-
-		for (uint64_t tokens : engine_tokens) {
-			most = std::max(most, tokens);
-			sum += tokens;
-		}
-		return sum == 0
-		    ? 0
-		    : (double)most * (double)engine_tokens.size() / (double)sum;
-	}
-};
-
-struct call {
-	size_t kind, account, caller, daemon;
-	time_us asked_us; /**< by the caller's first attempt */
-	time_us started_us;
-	uint64_t attempt_id;
-	dispatch_request request;
-	dispatch_decision decision;
-	uint32_t response_tokens;
-	uint32_t tries;
-	/* at the engine */
-	uint64_t unread_tokens, held_tokens;
-	uint32_t made_tokens;
-	bool begun;
-};
-
-using call_ptr = std::shared_ptr<call>;
-
-class Simulation;
-
-class Engine
-{
-      public:
-	Engine(Simulation &owner, size_t index) : sim(owner), id(index)
-	{
-	}
-
-	void arrive(const call_ptr &item);
-
-      private:
-	struct segment {
-		uint32_t tokens;
-		std::list<uint64_t>::iterator position;
-	};
-
-	void begin_step();
-	void end_step(const std::vector<call_ptr> &read);
-	void admit();
-	uint64_t lookup(const call_ptr &item);
-	void keep(uint64_t segment_id, uint32_t tokens);
-	void evict();
-
-	Simulation &sim;
-	size_t id;
-	std::deque<call_ptr> waiting;
-	std::vector<call_ptr> running;
-	std::deque<call_ptr> unread; /* admitted, prompt not read */
-	std::list<uint64_t> by_use; /* oldest first */
-	std::unordered_map<uint64_t, segment> kept;
-	uint64_t kept_tokens = 0, held_tokens = 0;
-	bool stepping = false;
-};
-
-class Simulation
+class Simulation : public EngineHost
 {
       public:
 	explicit Simulation(const shape &config, uint64_t seed = 1)
@@ -181,7 +47,8 @@
 		pool.kv_capacity_tokens = conf.kv_tokens;
 		g_array_append_val(configuration->pools, pool);
 		for (size_t i = 0; i < conf.engines_count; i++)
-			engines.push_back(std::make_unique<Engine>(*this, i));
+			engines.push_back(
+			    std::make_unique<Engine>(*this, conf, i));
 		for (size_t i = 0; i < conf.daemons_count; i++)
 			make_daemon(i);
 		set_daemons();
@@ -192,7 +59,7 @@
 		place_callers();
 	}
 
-	~Simulation()
+	~Simulation() override
 	{
 		effects_finish(&effects);
 		for (auto &item : delegations)
@@ -228,7 +95,12 @@
 		return out;
 	}
 
-	void at(time_us at_us, std::function<void()> run_event)
+	time_us now() const override
+	{
+		return now_us;
+	}
+
+	void at(time_us at_us, std::function<void()> run_event) override
 	{
 		events.push({ at_us, sequence++, std::move(run_event) });
 	}
@@ -240,7 +112,7 @@
 	}
 
 	/** An engine began to respond. */
-	void begin(const call_ptr &item)
+	void begin(const call_ptr &item) override
 	{
 		at(now_us + HOP, [this, item] {
 			const kind &type = conf.kinds[item->kind];
@@ -268,7 +140,7 @@
 		});
 	}
 
-	void complete(const call_ptr &item)
+	void complete(const call_ptr &item) override
 	{
 		at(now_us + HOP, [this, item] {
 			delegation_end_attempt(delegations[item->daemon].get(),
@@ -278,7 +150,7 @@
 		});
 	}
 
-	void reject_at_engine(const call_ptr &item)
+	void reject_at_engine(const call_ptr &item) override
 	{
 		at(now_us + HOP, [this, item] {
 			delegation_end_attempt(delegations[item->daemon].get(),
@@ -291,7 +163,7 @@
 	}
 
 	void count_read(uint64_t segment_id, uint32_t tokens, bool shared,
-	    size_t engine)
+	    size_t engine) override
 	{
 		out.read_tokens += tokens;
 		out.engine_tokens[engine] += tokens;
@@ -304,7 +176,7 @@
 			out.reread_tokens += tokens;
 	}
 
-	void count_use(uint64_t segment_id)
+	void count_use(uint64_t segment_id) override
 	{
 		last_use[segment_id] = now_us;
 	}
@@ -616,141 +488,6 @@
 	result out;
 };
 
-inline void
-Engine::arrive(const call_ptr &item)
-{
-	if (waiting.size() >= sim.conf.queue_count) {
-		sim.reject_at_engine(item);
-		return;
-	}
-	waiting.push_back(item);
-	if (!stepping)
-		begin_step();
-}
-
-inline void
-Engine::keep(uint64_t segment_id, uint32_t tokens)
-{
-	auto found = kept.find(segment_id);
-
-	if (found != kept.end()) {
-		by_use.splice(by_use.end(), by_use, found->second.position);
-		return;
-	}
-	by_use.push_back(segment_id);
-	kept[segment_id] = { tokens, std::prev(by_use.end()) };
-	kept_tokens += tokens;
-	evict();
-}
-
-inline void
-Engine::evict()
-{
-	while (
-	    !by_use.empty() && kept_tokens + held_tokens > sim.conf.kv_tokens) {
-		auto oldest = kept.find(by_use.front());
-		kept_tokens -= oldest->second.tokens;
-		kept.erase(oldest);
-		by_use.pop_front();
-	}
-}
-
-/* @return tokens of the prompt that have to be read */
-inline uint64_t
-Engine::lookup(const call_ptr &item)
-{
-	const dispatch_request &request = item->request;
-	uint64_t unread_tokens = 0;
-	bool found = true;
-
-	for (uint32_t i = 0; i < request.segments_count; i++) {
-		const prompt_segment &part = request.segments[i];
-		found = found && kept.count(part.segment_id) > 0;
-		if (!found) {
-			unread_tokens += part.tokens;
-			sim.count_read(part.segment_id, part.tokens,
-			    i + 1 < request.segments_count, id);
-		}
-	}
-	for (uint32_t i = 0; i + 1 < request.segments_count; i++) {
-		sim.count_use(request.segments[i].segment_id);
-		keep(request.segments[i].segment_id,
-		    request.segments[i].tokens);
-	}
-	return unread_tokens;
-}
-
-inline void
-Engine::admit()
-{
-	while (!waiting.empty() &&
-	    running.size() + unread.size() < sim.conf.slots) {
-		call_ptr item = waiting.front();
-		uint64_t needed = item->request.segments[2].tokens +
-		    item->response_tokens;
-		if (held_tokens + needed > sim.conf.kv_tokens &&
-		    held_tokens > 0)
-			return;
-		waiting.pop_front();
-		item->held_tokens = needed;
-		held_tokens += needed;
-		item->unread_tokens = lookup(item);
-		evict();
-		unread.push_back(item);
-	}
-}
-
-inline void
-Engine::begin_step()
-{
-	uint64_t budget = sim.conf.chunk_tokens, read_tokens = 0;
-	std::vector<call_ptr> read;
-	double step_ms;
-
-	admit();
-	while (!unread.empty() && budget > 0) {
-		call_ptr item = unread.front();
-		uint64_t tokens = std::min(budget, item->unread_tokens);
-		item->unread_tokens -= tokens;
-		budget -= tokens;
-		read_tokens += tokens;
-		if (item->unread_tokens > 0)
-			break;
-		read.push_back(item);
-		unread.pop_front();
-	}
-	stepping = !running.empty() || read_tokens > 0 || !read.empty();
-	if (!stepping)
-		return;
-	step_ms = sim.conf.step_ms +
-	    sim.conf.step_ms_per_slot * (double)running.size() +
-	    (double)read_tokens / sim.conf.prefill_tokens_per_ms;
-	sim.at(sim.now_us + (time_us)(step_ms * (double)MS),
-	    [this, read] { end_step(read); });
-}
-
-inline void
-Engine::end_step(const std::vector<call_ptr> &read)
-{
-	std::vector<call_ptr> left;
-
-	for (const call_ptr &item : running)
-		if (++item->made_tokens < item->response_tokens)
-			left.push_back(item);
-		else {
-			held_tokens -= item->held_tokens;
-			sim.complete(item);
-		}
-	running = std::move(left);
-	for (const call_ptr &item : read) {
-		call_ptr begun = item;
-		sim.at(sim.now_us + (time_us)(sim.conf.first_ms * (double)MS),
-		    [this, begun] { sim.begin(begun); });
-		running.push_back(item);
-	}
-	begin_step();
-}
-
 } // namespace engine_fleet
 
 #endif
--- /dev/null
+++ b/tests/unit/hubs_fleet.h
@@ -0,0 +1,242 @@
+/**
+ * @file
+ * Daemons before one endpoint, under a virtual clock.
+ */
+#ifndef TESTS_UNIT_HUBS_FLEET_H
+#define TESTS_UNIT_HUBS_FLEET_H
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "core/delegation.h"
+#include "core/dispatch.h"
+#include "core/dispatch_private.h"
+#include "core/hash.h"
+}
+
+namespace hubs_tests
+{
+
+constexpr uint64_t FIRST_ID = 100;
+
+/** Daemons that exchange messages over a network without delay. */
+class Fleet
+{
+      public:
+	Fleet(size_t count, size_t high_cpu_count)
+	{
+		for (size_t i = 0; i < count; i++) {
+			dispatch_daemon daemon = { FIRST_ID + i, i % 3,
+				i < high_cpu_count };
+			daemons.push_back(daemon);
+			running.push_back(true);
+		}
+		configuration = config_snapshot_new();
+		config_pool pool = {};
+		pool.pool_id = hash_name("service");
+		g_array_append_val(configuration->pools, pool);
+		effects_init(&effects);
+		for (size_t i = 0; i < count; i++) {
+			cores.push_back(make_core(i));
+			delegations.push_back(std::make_unique<delegation>());
+			delegation_init(delegations.back().get(),
+			    cores.back().get(), i);
+		}
+		update_daemons();
+	}
+
+	~Fleet()
+	{
+		effects_finish(&effects);
+		for (auto &item : delegations)
+			delegation_finish(item.get());
+		for (auto &core : cores)
+			dispatch_finish(core.get());
+		config_snapshot_unref(configuration);
+	}
+
+	Fleet(const Fleet &) = delete;
+	Fleet &operator=(const Fleet &) = delete;
+
+	void update_daemons()
+	{
+		std::vector<dispatch_daemon> live;
+
+		for (size_t i = 0; i < daemons.size(); i++)
+			if (running[i])
+				live.push_back(daemons[i]);
+		for (size_t i = 0; i < daemons.size(); i++)
+			if (running[i])
+				dispatch_set_daemons(cores[i].get(),
+				    live.data(), live.size());
+	}
+
+	/** @return the id of a new attempt, whose decision was not taken yet */
+	uint64_t submit_request(size_t i)
+	{
+		dispatch_request request = {};
+
+		request.pool_id = hash_name("service");
+		request.request_hash = ++last_hash;
+		request.remaining_ms = 1000;
+		uint64_t attempt_id = delegation_submit(delegations[i].get(),
+		    &request, now_ms, &effects);
+		run_effects(i);
+		return attempt_id;
+	}
+
+	/** @return the id of a new attempt that was placed */
+	uint64_t start_request(size_t i)
+	{
+		uint64_t attempt_id = submit_request(i);
+		dispatch_decision decision = {};
+
+		EXPECT_TRUE(delegation_take(delegations[i].get(), attempt_id,
+		    &decision));
+		EXPECT_TRUE(decision.start);
+		return attempt_id;
+	}
+
+	void end_request(size_t i, uint64_t attempt_id)
+	{
+		delegation_end_attempt(delegations[i].get(), attempt_id,
+		    OUTCOME_COMPLETE, now_ms, &effects);
+		run_effects(i);
+	}
+
+	/** Index of the hub of the endpoint, as daemon i knows it. */
+	size_t hub_of_endpoint(size_t i)
+	{
+		dispatch_assign_endpoints(cores[i].get());
+		return (size_t)(endpoint(i)->hub_id - FIRST_ID);
+	}
+
+	void run_for(uint64_t duration_ms)
+	{
+		for (uint64_t end_ms = now_ms + duration_ms; now_ms < end_ms;
+		     now_ms += 50)
+			for (size_t i = 0; i < cores.size(); i++)
+				if (running[i])
+					tick(i);
+	}
+
+	/** Running requests of all daemons, as the hub of the endpoint knows
+	 * them. */
+	uint32_t known_running_count(size_t i)
+	{
+		return endpoint(hub_of_endpoint(i))->load.running_count;
+	}
+
+	dispatch_endpoint *endpoint(size_t i)
+	{
+		uint64_t endpoint_id = hash_name("s1");
+
+		return static_cast<dispatch_endpoint *>(
+		    g_hash_table_lookup(cores[i]->endpoints, &endpoint_id));
+	}
+
+	std::vector<dispatch_daemon> daemons;
+	std::vector<bool> running;
+	std::vector<std::unique_ptr<struct dispatch>> cores;
+	std::vector<std::unique_ptr<delegation>> delegations;
+	bool loses_events = false;
+	uint64_t last_hash = 0;
+	std::vector<dispatch_freshness> freshness[RESOURCE_KIND_COUNT] = {
+		std::vector<dispatch_freshness>(400),
+		std::vector<dispatch_freshness>(400)
+	};
+	std::vector<uint64_t> sent_counts = std::vector<uint64_t>(400);
+	uint64_t now_ms = 50000;
+
+      private:
+	std::unique_ptr<struct dispatch> make_core(size_t i)
+	{
+		auto core = std::make_unique<struct dispatch>();
+		dispatch_config config = {};
+		dispatch_endpoint_info info = {};
+
+		config.node_id = daemons[i].node_id;
+		config.domain_id = daemons[i].domain_id;
+		config.report_period_ms = 100;
+		config.retry_window_ms = 10000;
+		dispatch_init(core.get(), &config);
+		dispatch_set_configuration(core.get(), configuration);
+		g_strlcpy(info.name, "s1", sizeof(info.name));
+		g_strlcpy(info.address, "127.0.0.1:1", sizeof(info.address));
+		info.pool_id = hash_name("service");
+		info.slots = 1000;
+		dispatch_put_endpoint(core.get(), &info, now_ms);
+		return core;
+	}
+
+	void tick(size_t i)
+	{
+		/* daemon i stamps its reports with a clock that is i * 100 s
+		 * ahead of the clock of daemon 0 */
+		dispatch_tick(cores[i].get(), now_ms, now_ms + i * 100000,
+		    &effects);
+		delegation_tick(delegations[i].get(), now_ms, &effects);
+		run_effects(i);
+	}
+
+	/** Delivers the messages among the effects, and those that follow. */
+	void run_effects(size_t i)
+	{
+		struct effects own = effects;
+
+		effects_init(&effects);
+		for (size_t at = 0; at < own.count; at++)
+			if (own.items[at].type == EFFECT_SEND)
+				deliver(i, own.items[at]);
+		effects_finish(&own);
+	}
+
+	void deliver(size_t from, effect &effect)
+	{
+		size_t to = (size_t)(effect.to_node_id - FIRST_ID);
+		dispatch_freshness reported[RESOURCE_KIND_COUNT];
+
+		sent_counts[from]++;
+		if (!running[to] || !running[from])
+			return;
+		effect.msg.from_node_id = FIRST_ID + from;
+		if (effect.msg.type == MSG_PLACE_REQUEST)
+			dispatch_handle_place_request(cores[to].get(),
+			    &effect.msg, now_ms, &effects);
+		else if (effect.msg.type == MSG_PLACEMENT)
+			delegation_handle_placement(delegations[to].get(),
+			    &effect.msg, now_ms, &effects);
+		else if (effect.msg.type == MSG_ATTEMPT_EVENTS && !loses_events)
+			dispatch_handle_attempt_events(cores[to].get(),
+			    &effect.msg, now_ms, &effects);
+		else if (effect.msg.type == MSG_RUNNING_ATTEMPTS)
+			dispatch_handle_running_attempts(cores[to].get(),
+			    &effect.msg, now_ms);
+		run_effects(to);
+		if (effect.msg.type != MSG_REPORT)
+			return;
+		dispatch_handle_report(cores[to].get(), &effect.msg, now_ms,
+		    reported);
+		for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++) {
+			dispatch_freshness &best = freshness[kind][to];
+			if (reported[kind].version == 0 ||
+			    reported[kind].as_of_ms < best.as_of_ms)
+				continue;
+			best = reported[kind];
+			dispatch_set_freshness(cores[to].get(),
+			    (resource_kind)kind, best.version, best.as_of_ms);
+		}
+	}
+
+	struct config_snapshot *configuration;
+	struct effects effects;
+};
+
+} // namespace hubs_tests
+
+#endif
