Let the thread that finishes the feed also stop it

The traffic thread called feed_stop() near the end of a drain, and the main thread destroys the feed's mutex before it joins the traffic thread: on a second SIGTERM the traffic thread could have locked a destroyed mutex. Ruled out: a time bound that is too short for the sanitizer (the assertions of the test held; only the exit code was wrong, and the report names feed.c:473 and 482). Change: the main thread stops the feed once it sees that the drain ends soon. Conclusion: shared objects of the gateway are stopped by the thread that owns them.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -122,9 +122,8 @@
 	uint64_t draining_ms = now_ms - gateway->drain_start_ms;
 	bool time_is_up = now_ms >= gw_drain_end_ms(gateway);
 
-	if (now_ms + DRAIN_ENDS_SOON_MS >= gw_drain_end_ms(gateway) &&
-	    atomic_exchange(&gateway->drain_ends_soon, 1) == 0)
-		feed_stop(&gateway->feed);
+	if (now_ms + DRAIN_ENDS_SOON_MS >= gw_drain_end_ms(gateway))
+		atomic_store(&gateway->drain_ends_soon, 1);
 	if (gateway->active_count > 0)
 		gateway->idle_since_ms = now_ms;
 	if (!gateway->shutting_down &&
@@ -277,6 +276,12 @@
 	return atomic_load(&gateway->drain_ends_soon) != 0;
 }
 
+void
+gateway_stop_feed(struct gateway *gateway)
+{
+	feed_stop(&gateway->feed);
+}
+
 bool
 gateway_drained(struct gateway *gateway)
 {
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -178,8 +178,10 @@
 	    signal_number != SIGINT) {
 		signal_number = sigtimedwait(signals, NULL, &pause);
 		if (admin_thread == NULL &&
-		    gateway_drain_ends_soon(&daemon->gateway))
+		    gateway_drain_ends_soon(&daemon->gateway)) {
+			gateway_stop_feed(&daemon->gateway);
 			admin_thread = start_finishing_admin(daemon);
+		}
 	}
 	if (admin_thread == NULL)
 		admin_thread = start_finishing_admin(daemon);
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -216,6 +216,10 @@
 /** @return whether draining will be over within two seconds */
 bool gateway_drain_ends_soon(struct gateway *gateway);
 
+/** Lets the reflectors end, which takes them up to a watch; does not wait. Only
+ * for the thread that calls gateway_finish(). */
+void gateway_stop_feed(struct gateway *gateway);
+
 /** @return whether draining is over and the gateway may be stopped */
 bool gateway_drained(struct gateway *gateway);
 
