Count attempts that did not run neither as served nor as asked twice

Cause: a hub counted an attempt as served to its account when it placed it, and never took that back: a request that an engine rejected, that could not be sent or whose placement came too late used up its account's share, once for each try. The tokens asked for were counted again for each retry and for a hub that was asked again after a refused placement (leave_out() takes the hub from the list of those asked, and with it the mark that the tokens were counted). Change: an attempt remembers what it counted; a new outcome, OUTCOME_UNUSED, says that a placement was not sent. Cancelled attempts stay counted, since they may have used the engine.

--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -81,7 +81,7 @@
 		gw_transfer_start(request);
 		return;
 	}
-	gw_dispatch_done(request, OUTCOME_CANCELLED);
+	gw_dispatch_done(request, OUTCOME_UNUSED);
 	if (request->may_have_run)
 		gw_request_respond_error(request, 502, "no_answer", 0);
 	else
@@ -101,7 +101,7 @@
 	if (request->server_done || request->state == GW_STATE_ENDED ||
 	    request->disconnected) {
 		if (request->decision.start)
-			gw_dispatch_done(request, OUTCOME_CANCELLED);
+			gw_dispatch_done(request, OUTCOME_UNUSED);
 		gw_request_release(request);
 	} else if (request->decision.start)
 		start_attempt(request);
--- a/core/delegation.c
+++ b/core/delegation.c
@@ -359,7 +359,7 @@
 	}
 	if (!leave_out(question, decision->endpoint_id))
 		delegation_release(delegation, hub_id, question->attempt_id,
-		    now_ms, effects);
+		    OUTCOME_UNUSED, now_ms, effects);
 	decision->start = false;
 	decision->reason = REFUSE_NO_ENDPOINT;
 	decision->retry_after_ms = MIN(RETRY_AFTER_MS,
@@ -384,7 +384,8 @@
 		/* too late: the request was decided otherwise */
 		if (placement->start)
 			delegation_release(delegation, hub_id,
-			    placement->attempt_id, now_ms, effects);
+			    placement->attempt_id, OUTCOME_UNUSED, now_ms,
+			    effects);
 		return;
 	}
 	read_placement(placement, &question->decision);
@@ -453,7 +454,7 @@
 		give_up_hub(delegation, hub_id, now_ms);
 		/* frees what the hub may have kept for the attempt */
 		delegation_release(delegation, hub_id, question->attempt_id,
-		    now_ms, effects);
+		    OUTCOME_UNUSED, now_ms, effects);
 		if (!ask_next_hub(delegation, question, now_ms, effects))
 			decide_here(delegation, question, false, now_ms,
 			    effects);
--- a/core/delegation_attempts.c
+++ b/core/delegation_attempts.c
@@ -24,12 +24,13 @@
 
 void
 delegation_release(struct delegation *delegation, uint64_t hub_id,
-    uint64_t attempt_id, uint64_t now_ms, struct effects *effects)
+    uint64_t attempt_id, enum dispatch_outcome outcome, uint64_t now_ms,
+    struct effects *effects)
 {
 	const struct attempt_event event = {
 		.attempt_id = attempt_id,
 		.kind = ATTEMPT_ENDED,
-		.outcome = OUTCOME_CANCELLED,
+		.outcome = (uint8_t)outcome,
 		.taken_ms = UINT32_MAX,
 	};
 
@@ -130,7 +131,7 @@
 
 	if (attempt == NULL)
 		return;
-	if (outcome != OUTCOME_CANCELLED)
+	if (outcome != OUTCOME_CANCELLED && outcome != OUTCOME_UNUSED)
 		dispatch_record_reached(delegation->dispatch,
 		    attempt->endpoint_id, outcome != OUTCOME_UNREACHED, now_ms);
 	event.taken_ms = measure_ms(delegation, attempt, now_ms);
@@ -173,7 +174,7 @@
 		if (endpoint == NULL || endpoint->hub_id == attempt->hub_id)
 			continue;
 		delegation_release(delegation, attempt->hub_id,
-		    attempt->attempt_id, now_ms, effects);
+		    attempt->attempt_id, OUTCOME_CANCELLED, now_ms, effects);
 		attempt->hub_id = endpoint->hub_id;
 		moved = true;
 	}
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -217,15 +217,6 @@
 	dispatch->refusals_count++;
 }
 
-/* Tokens charged to an account for a request: a generated token costs as much
- * as two prompt tokens. */
-static uint64_t
-tokens_to_charge(const struct dispatch_request *request)
-{
-	return (uint64_t)request->prompt_tokens +
-	    2 * (uint64_t)request->response_tokens;
-}
-
 /* Part of the admission limit for an account that uses so much of its fair
  * share. */
 static uint64_t
@@ -313,7 +304,6 @@
 			admission_limit_ms);
 		return;
 	}
-	account->served_tokens += tokens_to_charge(request);
 	dispatch_start_attempt(dispatch, request, origin, best, true,
 	    trial_segment_id, now_ms, decision);
 }
@@ -368,9 +358,10 @@
 	    now_ms);
 	/* counted also if no endpoint takes the request: shares are those of
 	 * what is asked */
-	if (pool != NULL && pool->engine && !request->asked_before)
+	if (pool != NULL && pool->engine && !request->asked_before &&
+	    request->tried_count == 0)
 		dispatch_get_account(dispatch, request->account_id)
-		    ->asked_tokens += tokens_to_charge(request);
+		    ->asked_tokens += dispatch_request_tokens(request);
 	dispatch_check_suspects(dispatch, request, now_ms, &verdict);
 	if (verdict.refuse) {
 		refuse_until(dispatch, REFUSE_CRASH_SUSPECT,
--- a/core/dispatch_attempt.c
+++ b/core/dispatch_attempt.c
@@ -51,6 +51,7 @@
 		attempt->forecast_ms = (uint32_t)(candidate->backlog_ms +
 		    candidate->prefill_ms);
 		dispatch_cache_record(endpoint, request, now_ms);
+		dispatch_count_served(dispatch, request, attempt);
 	}
 	attempt->segments_count = dispatch_segment_ids(request,
 	    attempt->segment_ids);
@@ -164,6 +165,13 @@
 		endpoint->load.prefill_tokens -= attempt->prefill_tokens;
 }
 
+static bool
+did_not_run(enum dispatch_outcome outcome)
+{
+	return outcome == OUTCOME_REFUSED || outcome == OUTCOME_MOVED ||
+	    outcome == OUTCOME_UNREACHED || outcome == OUTCOME_UNUSED;
+}
+
 static void
 update_endpoint(struct dispatch *dispatch, struct dispatch_endpoint *endpoint,
     const struct dispatch_attempt *attempt, enum dispatch_outcome outcome,
@@ -199,6 +207,8 @@
 	memset(health_update, 0, sizeof(*health_update));
 	if (attempt == NULL)
 		return;
+	if (did_not_run(outcome))
+		dispatch_take_back_served(dispatch, attempt, now_ms);
 	if (outcome == OUTCOME_COMPLETE && !attempt->first_token_arrived)
 		record_begin(dispatch, attempt, now_ms);
 	endpoint = g_hash_table_lookup(dispatch->endpoints,
--- a/core/dispatch_health.c
+++ b/core/dispatch_health.c
@@ -48,7 +48,8 @@
 	    outcome == OUTCOME_UNREACHED || outcome == OUTCOME_BROKEN ||
 	    outcome == OUTCOME_MOVED;
 
-	if (outcome == OUTCOME_CANCELLED || outcome == OUTCOME_REFUSED) {
+	if (outcome == OUTCOME_CANCELLED || outcome == OUTCOME_REFUSED ||
+	    outcome == OUTCOME_UNUSED) {
 		endpoint->probing = false;
 		return HEALTH_UNCHANGED;
 	}
--- a/core/dispatch_serve.c
+++ b/core/dispatch_serve.c
@@ -71,7 +71,7 @@
 	if (attempt->node_id != origin->node_id ||
 	    !dispatch_was_tried(request, attempt->endpoint_id))
 		return false;
-	dispatch_finish_attempt(dispatch, origin->attempt_id, OUTCOME_CANCELLED,
+	dispatch_finish_attempt(dispatch, origin->attempt_id, OUTCOME_UNUSED,
 	    UINT32_MAX, now_ms, NULL);
 	return true;
 }
@@ -156,7 +156,7 @@
 		break;
 	case ATTEMPT_ENDED:
 		dispatch_finish_attempt(dispatch, event->attempt_id,
-		    (enum dispatch_outcome)MIN(event->outcome, OUTCOME_BROKEN),
+		    (enum dispatch_outcome)MIN(event->outcome, OUTCOME_UNUSED),
 		    event->taken_ms, now_ms, &update);
 		report_health(endpoint_id, &update, effects);
 		break;
--- a/core/dispatch_share.c
+++ b/core/dispatch_share.c
@@ -22,6 +22,47 @@
 	return account;
 }
 
+/* A generated token costs as much as two prompt tokens. */
+uint64_t
+dispatch_request_tokens(const struct dispatch_request *request)
+{
+	return (uint64_t)request->prompt_tokens +
+	    2 * (uint64_t)request->response_tokens;
+}
+
+static uint64_t
+decay(uint64_t tokens)
+{
+	return tokens * DECAY_PERMILLE / 1000;
+}
+
+void
+dispatch_count_served(struct dispatch *dispatch,
+    const struct dispatch_request *request, struct dispatch_attempt *attempt)
+{
+	attempt->account_id = request->account_id;
+	attempt->served_tokens = dispatch_request_tokens(request);
+	dispatch_get_account(dispatch, request->account_id)->served_tokens +=
+	    attempt->served_tokens;
+}
+
+void
+dispatch_take_back_served(struct dispatch *dispatch,
+    const struct dispatch_attempt *attempt, uint64_t now_ms)
+{
+	uint64_t tokens = attempt->served_tokens;
+	struct dispatch_account *account;
+
+	if (tokens == 0)
+		return;
+	/* as much as the account's counter still has of them */
+	for (uint64_t at_ms = attempt->started_ms + DECAY_PERIOD_MS;
+	     at_ms <= now_ms && tokens > 0; at_ms += DECAY_PERIOD_MS)
+		tokens = decay(tokens);
+	account = dispatch_get_account(dispatch, attempt->account_id);
+	account->served_tokens -= MIN(account->served_tokens, tokens);
+}
+
 static uint64_t
 asked_total(const struct dispatch_account *account)
 {
@@ -104,10 +145,8 @@
 		g_hash_table_iter_init(&iter, dispatch->accounts);
 		while (g_hash_table_iter_next(&iter, NULL, &value)) {
 			struct dispatch_account *account = value;
-			account->asked_tokens = account->asked_tokens *
-			    DECAY_PERMILLE / 1000;
-			account->served_tokens = account->served_tokens *
-			    DECAY_PERMILLE / 1000;
+			account->asked_tokens = decay(account->asked_tokens);
+			account->served_tokens = decay(account->served_tokens);
 		}
 		dispatch->decay_due_ms += DECAY_PERIOD_MS;
 		if (now_ms - dispatch->decay_due_ms > 2 * DECAY_WINDOW_MS &&
--- a/include/core/delegation_private.h
+++ b/include/core/delegation_private.h
@@ -19,7 +19,8 @@
 
 /** Tells a hub that an attempt which it may have placed does not run. */
 void delegation_release(struct delegation *delegation, uint64_t hub_id,
-    uint64_t attempt_id, uint64_t now_ms, struct effects *effects);
+    uint64_t attempt_id, enum dispatch_outcome outcome, uint64_t now_ms,
+    struct effects *effects);
 
 /** Sends the events of attempts to the hubs and, when it is due, the list of all
  * running attempts. */
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -103,7 +103,8 @@
 	OUTCOME_UNREACHED, /**< the request was not sent */
 	/** The connection ended without a whole response: the endpoint may have
 	 * crashed. */
-	OUTCOME_BROKEN
+	OUTCOME_BROKEN,
+	OUTCOME_UNUSED /**< placed but not sent; tells nothing, either */
 };
 
 /** Change in an endpoint's health after an attempt. */
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -21,6 +21,8 @@
 	uint32_t forecast_ms; /**< until the end of its prefill */
 	bool engine;
 	bool first_token_arrived;
+	uint64_t account_id;
+	uint64_t served_tokens; /**< counted as served to the account */
 	/** Segments of the prompt; the last one is the request's own. */
 	uint64_t segment_ids[PROMPT_SEGMENTS_MAX_COUNT];
 	uint32_t segments_count;
@@ -185,6 +187,17 @@
 void dispatch_fill_accounts(const struct dispatch *dispatch,
     struct msg_report *report);
 
+/** @return the tokens that a request counts for its account */
+uint64_t dispatch_request_tokens(const struct dispatch_request *request);
+
+/** Counts an attempt as served to the request's account. */
+void dispatch_count_served(struct dispatch *dispatch,
+    const struct dispatch_request *request, struct dispatch_attempt *attempt);
+
+/** Counts an attempt as not served after all, since it did not run. */
+void dispatch_take_back_served(struct dispatch *dispatch,
+    const struct dispatch_attempt *attempt, uint64_t now_ms);
+
 /** Decays the accounts' counters and computes the fair share. */
 void dispatch_update_shares(struct dispatch *dispatch, uint64_t now_ms);
 
--- a/tests/unit/hubs_fleet.h
+++ b/tests/unit/hubs_fleet.h
@@ -23,12 +23,14 @@
 {
 
 constexpr uint64_t FIRST_ID = 100;
+constexpr uint64_t ACCOUNT_ID = 1;
+constexpr uint32_t PROMPT_TOKENS = 500;
 
 /** Daemons that exchange messages over a network without delay. */
 class Fleet
 {
       public:
-	Fleet(size_t count, size_t high_cpu_count)
+	Fleet(size_t count, size_t high_cpu_count, bool engines = false)
 	{
 		for (size_t i = 0; i < count; i++) {
 			dispatch_daemon daemon = { FIRST_ID + i, i % 3,
@@ -39,6 +41,8 @@
 		configuration = config_snapshot_new();
 		config_pool pool = {};
 		pool.pool_id = hash_name("service");
+		pool.engine = engines;
+		pool.kv_capacity_tokens = 100000;
 		g_array_append_val(configuration->pools, pool);
 		effects_init(&effects);
 		for (size_t i = 0; i < count; i++) {
@@ -76,6 +80,19 @@
 				    live.data(), live.size());
 	}
 
+	/** Lets all daemons discover another endpoint, s2. */
+	void add_second_endpoint()
+	{
+		for (auto &core : cores)
+			put_endpoint(core.get(), "s2", "127.0.0.1:2");
+	}
+
+	/** @return the counters of all requests, at daemon i */
+	dispatch_account *account(size_t i)
+	{
+		return dispatch_get_account(cores[i].get(), ACCOUNT_ID);
+	}
+
 	/** @return the id of a new attempt, whose decision was not taken yet */
 	uint64_t submit_request(size_t i)
 	{
@@ -83,6 +100,9 @@
 
 		request.pool_id = hash_name("service");
 		request.request_hash = ++last_hash;
+		request.account_id = ACCOUNT_ID;
+		request.prompt_tokens = PROMPT_TOKENS;
+		request.latency_target_ms = 400;
 		request.remaining_ms = 1000;
 		uint64_t attempt_id = delegation_submit(delegations[i].get(),
 		    &request, now_ms, &effects);
@@ -158,7 +178,6 @@
 	{
 		auto core = std::make_unique<struct dispatch>();
 		dispatch_config config = {};
-		dispatch_endpoint_info info = {};
 
 		config.node_id = daemons[i].node_id;
 		config.domain_id = daemons[i].domain_id;
@@ -166,12 +185,20 @@
 		config.retry_window_ms = 10000;
 		dispatch_init(core.get(), &config);
 		dispatch_set_configuration(core.get(), configuration);
-		g_strlcpy(info.name, "s1", sizeof(info.name));
-		g_strlcpy(info.address, "127.0.0.1:1", sizeof(info.address));
+		put_endpoint(core.get(), "s1", "127.0.0.1:1");
+		return core;
+	}
+
+	void put_endpoint(struct dispatch *core, const char *name,
+	    const char *address)
+	{
+		dispatch_endpoint_info info = {};
+
+		g_strlcpy(info.name, name, sizeof(info.name));
+		g_strlcpy(info.address, address, sizeof(info.address));
 		info.pool_id = hash_name("service");
 		info.slots = 1000;
-		dispatch_put_endpoint(core.get(), &info, now_ms);
-		return core;
+		dispatch_put_endpoint(core, &info, now_ms);
 	}
 
 	void tick(size_t i)
--- a/tests/unit/test_admission.cc
+++ b/tests/unit/test_admission.cc
@@ -139,6 +139,28 @@
 	EXPECT_FALSE(decide(make_request(2000)).forecast.over_share);
 }
 
+/* Tokens of an account that were placed and not run do not count for it. */
+TEST_F(Admission, AttemptsThatNeverBeganAreNotCountedAsServed)
+{
+	add_endpoint("e1");
+	add_endpoint("e2");
+	for (dispatch_outcome outcome :
+	    { OUTCOME_REFUSED, OUTCOME_UNREACHED, OUTCOME_UNUSED }) {
+		dispatch_decision decision = decide(make_request(2000));
+		ASSERT_TRUE(decision.start);
+		EXPECT_EQ(account_of(1)->served_tokens, 2200u);
+		tick_for(200);
+		dispatch_end_attempt(&dispatch, decision.seq, outcome, now_ms,
+		    nullptr);
+		EXPECT_LE(account_of(1)->served_tokens, 5u) << outcome;
+	}
+	dispatch_decision decision = decide(make_request(2000));
+	dispatch_record_first_token(&dispatch, decision.seq, now_ms);
+	dispatch_end_attempt(&dispatch, decision.seq, OUTCOME_BROKEN, now_ms,
+	    nullptr);
+	EXPECT_GE(account_of(1)->served_tokens, 2200u);
+}
+
 TEST_F(Admission, SharesDoNotLimitWhileBacklogIsSmall)
 {
 	for (const char *name :
--- a/tests/unit/test_hubs.cc
+++ b/tests/unit/test_hubs.cc
@@ -120,13 +120,8 @@
 TEST(Hubs, AnEndpointThatThisDaemonCannotReachIsLeftOut)
 {
 	Fleet fleet(10, 6);
-	dispatch_endpoint_info info = {};
 
-	g_strlcpy(info.name, "s2", sizeof(info.name));
-	info.pool_id = hash_name("service");
-	info.slots = 1000;
-	for (auto &core : fleet.cores)
-		dispatch_put_endpoint(core.get(), &info, fleet.now_ms);
+	fleet.add_second_endpoint();
 	fleet.run_for(500);
 	dispatch_record_reached(fleet.cores[9].get(), hash_name("s1"), false,
 	    fleet.now_ms);
@@ -145,14 +140,8 @@
 TEST(Hubs, NothingIsSentToAnEndpointThatIsGoneThoughItsHubDoesNotKnow)
 {
 	Fleet fleet(10, 6);
-	dispatch_endpoint_info info = {};
 
-	g_strlcpy(info.name, "s2", sizeof(info.name));
-	g_strlcpy(info.address, "127.0.0.1:2", sizeof(info.address));
-	info.pool_id = hash_name("service");
-	info.slots = 1000;
-	for (auto &core : fleet.cores)
-		dispatch_put_endpoint(core.get(), &info, fleet.now_ms);
+	fleet.add_second_endpoint();
 	fleet.run_for(500);
 	size_t hub = fleet.hub_of_endpoint(0), other = hub == 0 ? 1 : 0;
 	dispatch_remove_endpoint(fleet.cores[other].get(), "s1");
@@ -166,6 +155,21 @@
 	}
 }
 
+TEST(Hubs, ARequestThatAHubIsAskedAgainForIsCountedOnceForItsAccount)
+{
+	Fleet fleet(10, 6, true);
+
+	fleet.add_second_endpoint();
+	fleet.run_for(500);
+	size_t hub = fleet.hub_of_endpoint(0), other = hub == 0 ? 1 : 0;
+	dispatch_remove_endpoint(fleet.cores[other].get(), "s1");
+	for (uint32_t i = 1; i <= 4; i++) {
+		fleet.submit_request(other);
+		EXPECT_EQ(fleet.account(hub)->asked_tokens, i * PROMPT_TOKENS);
+		EXPECT_EQ(fleet.account(hub)->served_tokens, i * PROMPT_TOKENS);
+	}
+}
+
 TEST(Hubs, EndpointsOfASmallPoolShareAHubAndThoseOfALargeOneAreSpread)
 {
 	for (size_t endpoints_count : { 3u, 20u, 140u, 600u }) {
