--- a/tests/e2e/gateway_harness.h
+++ b/tests/e2e/gateway_harness.h
@@ -145,6 +145,8 @@
 
 	/** Maximum number of objects in a page of a list. */
 	std::atomic<size_t> page_size{ 500 };
+	/** A watch began at an earlier revision than one before it. */
+	std::atomic<bool> watched_backwards{ false };
 
       private:
 	struct Event {
@@ -191,13 +193,17 @@
 		std::string from = parameter(query, "watch");
 
 		call_counts_[kind]++;
+		if (!from.empty() &&
+		    std::stoull(from) < last_watched_revisions_[kind])
+			watched_backwards = true;
+		if (!from.empty())
+			last_watched_revisions_[kind] = std::stoull(from);
+		bool allows_stale = !parameter(query, "allow_stale").empty();
+		stale_call_count_ += allows_stale;
 		if (failure_status_ != 0)
 			return failure_status_;
-		if (!parameter(query, "allow_stale").empty()) {
-			stale_call_count_++;
-			if (stale_)
-				return respond_stale(kind, from, body);
-		}
+		if (allows_stale && stale_)
+			return respond_stale(kind, from, body);
 		if (!from.empty())
 			return watch(lock, kind, std::stoull(from),
 			    (uint32_t)std::stoul(parameter(query, "wait_ms")),
@@ -211,8 +217,10 @@
 	    std::string *body)
 	{
 		if (!from.empty())
-			*body = "{\"events\":[],\"at\":" +
-			    std::to_string(stale_revision_) + "}";
+			*body = "{\"events\":[" +
+			    events_between(kind, std::stoull(from),
+				stale_revision_) +
+			    "],\"at\":" + std::to_string(stale_revision_) + "}";
 		else
 			list(stale_objects_[kind], "", stale_revision_, body);
 		return 200;
@@ -239,20 +247,29 @@
 		    ",\"at\":" + std::to_string(revision) + "}";
 	}
 
+	/** Events after a revision, up to another one. */
+	std::string events_between(const std::string &kind, uint64_t from,
+	    uint64_t to)
+	{
+		std::string events;
+
+		for (const auto &event : events_)
+			if (event.revision > from && event.revision <= to &&
+			    event.kind == kind)
+				events += std::string(
+					      events.empty() ? "" : ",") +
+				    "{\"deleted\":" +
+				    (event.deleted ? "true" : "false") +
+				    ",\"object\":" + event.object + "}";
+		return events;
+	}
+
 	int watch(std::unique_lock<std::mutex> &lock, const std::string &kind,
 	    uint64_t from, uint32_t wait_ms, std::string *body)
 	{
 		std::string events;
 		auto find = [&] {
-			events.clear();
-			for (const auto &event : events_)
-				if (event.revision > from && event.kind == kind)
-					events += std::string(events.empty()
-							  ? ""
-							  : ",") +
-					    "{\"deleted\":" +
-					    (event.deleted ? "true" : "false") +
-					    ",\"object\":" + event.object + "}";
+			events = events_between(kind, from, UINT64_MAX);
 			return stopping_ || failure_status_ != 0 ||
 			    from < compacted_revision_ || !events.empty();
 		};
@@ -275,6 +292,7 @@
 	std::map<std::string, std::map<std::string, std::string>> objects_;
 	std::map<std::string, uint32_t> call_counts_;
 	uint32_t stale_call_count_ = 0;
+	std::map<std::string, uint64_t> last_watched_revisions_;
 	bool stale_ = false;
 	std::map<std::string, std::map<std::string, std::string>>
 	    stale_objects_;
--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -232,6 +232,22 @@
 		1000));
 }
 
+/* Stale responses may come from different copies of the store. */
+TEST_F(Feed, AStaleResponseFromBeforeTheListIsDropped)
+{
+	store.put("servers", "e2", endpoint_entry_json("app", "127.0.0.1:2"));
+	store.serve_stale(true);
+	for (const char *name : { "e3", "e4" }) {
+		store.put("servers", name,
+		    endpoint_entry_json("app", "127.0.0.1:3"));
+		EXPECT_TRUE(eventually([&] {
+			offer_version(RESOURCE_ENDPOINTS, store.revision());
+			return has_endpoint(name);
+		}));
+	}
+	EXPECT_FALSE(store.watched_backwards);
+}
+
 TEST_F(Feed, CallsTheStoreWhenNoPeerConfirmsFreshness)
 {
 	store.put("servers", "e2", endpoint_entry_json("app", "127.0.0.1:2"));
