One network of deciding daemons for the unit tests

run_effects() and deliver() stood twice, in crash_fleet.h and hubs_fleet.h. The base class also carries crash records and limits in the tests of hubs.

--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -9,22 +9,15 @@
 #include <gtest/gtest.h>
 
 #include <list>
-#include <memory>
 #include <set>
 #include <string>
-#include <vector>
 
-extern "C" {
-#include "core/delegation.h"
-#include "core/dispatch.h"
-#include "core/dispatch_private.h"
-#include "core/hash.h"
-}
+#include "dispatch_network.h"
 
 namespace crash_tests
 {
 
-constexpr uint64_t FIRST_ID = 100;
+using dispatch_network::FIRST_ID;
 constexpr uint64_t STEP_MS = 50;
 /** Time from the start of an attempt to its first token. */
 constexpr uint64_t FIRST_TOKEN_MS = 200;
@@ -53,7 +46,7 @@
 	std::vector<uint64_t> requests_ms; /**< times of requests sent to it */
 };
 
-class CrashFleet
+class CrashFleet : public dispatch_network::Network
 {
       public:
 	CrashFleet(size_t daemons_count, size_t engines_count)
@@ -63,7 +56,6 @@
 		pool.pool_id = hash_name("engines");
 		pool.engine = true;
 		g_array_append_val(configuration->pools, pool);
-		effects_init(&effects);
 		for (size_t i = 0; i < engines_count; i++)
 			engines.push_back(
 			    { "e" + std::to_string(i), now_ms, 0, 0, {} });
@@ -77,19 +69,11 @@
 			start_daemon(i);
 	}
 
-	~CrashFleet()
+	~CrashFleet() override
 	{
-		effects_finish(&effects);
-		for (auto &item : delegations)
-			delegation_finish(item.get());
-		for (auto &core : cores)
-			dispatch_finish(core.get());
 		config_snapshot_unref(configuration);
 	}
 
-	CrashFleet(const CrashFleet &) = delete;
-	CrashFleet &operator=(const CrashFleet &) = delete;
-
 	/** Starts a daemon, or restarts it without what it knew. */
 	void start_daemon(size_t i)
 	{
@@ -236,14 +220,11 @@
 
 	std::vector<dispatch_daemon> daemons;
 	std::vector<bool> cut_off; /**< exchanges no messages */
-	std::vector<std::unique_ptr<struct dispatch>> cores;
-	std::vector<std::unique_ptr<delegation>> delegations;
 	std::vector<engine> engines;
 	std::list<attempt> attempts;
 	std::set<uint64_t> deadly_segments;
 	std::vector<uint64_t> crashes_ms;
 	std::vector<uint64_t> deadly_sent_ms;
-	uint64_t now_ms = 50000;
 
       private:
 	void put_engine(size_t i, const engine &item)
@@ -329,53 +310,12 @@
 		run_effects(i);
 	}
 
-	/** Delivers the messages among the effects, and those that follow. */
-	void run_effects(size_t i)
-	{
-		struct effects own = effects;
-
-		effects_init(&effects);
-		for (size_t at = 0; at < own.count; at++)
-			if (own.items[at].type == EFFECT_SEND)
-				deliver(i, own.items[at]);
-		effects_finish(&own);
-	}
-
-	void deliver(size_t from, effect &effect)
+	bool carries(size_t from, size_t to, const msg &) override
 	{
-		size_t to = (size_t)(effect.to_node_id - FIRST_ID);
-		dispatch_freshness reported[RESOURCE_KIND_COUNT];
-		struct dispatch *core = cores[to].get();
-
-		if (cut_off[from] || cut_off[to])
-			return;
-		effect.msg.from_node_id = FIRST_ID + from;
-		if (effect.msg.type == MSG_REPORT)
-			dispatch_handle_report(core, &effect.msg, now_ms,
-			    reported);
-		else if (effect.msg.type == MSG_CRASH_RECORDS)
-			dispatch_handle_crash_records(core, &effect.msg,
-			    now_ms);
-		else if (effect.msg.type == MSG_ENDPOINT_LIMITS)
-			dispatch_handle_endpoint_limits(core, &effect.msg,
-			    now_ms);
-		else if (effect.msg.type == MSG_PLACE_REQUEST)
-			dispatch_handle_place_request(core, &effect.msg, now_ms,
-			    &effects);
-		else if (effect.msg.type == MSG_PLACEMENT)
-			delegation_handle_placement(delegations[to].get(),
-			    &effect.msg, now_ms, &effects);
-		else if (effect.msg.type == MSG_ATTEMPT_EVENTS)
-			dispatch_handle_attempt_events(core, &effect.msg,
-			    now_ms, &effects);
-		else if (effect.msg.type == MSG_RUNNING_ATTEMPTS)
-			dispatch_handle_running_attempts(core, &effect.msg,
-			    now_ms);
-		run_effects(to);
+		return !cut_off[from] && !cut_off[to];
 	}
 
 	struct config_snapshot *configuration;
-	struct effects effects;
 	uint64_t last_own_segment = 100000;
 	uint64_t last_process_id = 0;
 };
--- a/tests/unit/hubs_fleet.h
+++ b/tests/unit/hubs_fleet.h
@@ -8,26 +8,19 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
-#include <memory>
 #include <string>
-#include <vector>
 
-extern "C" {
-#include "core/delegation.h"
-#include "core/dispatch.h"
-#include "core/dispatch_private.h"
-#include "core/hash.h"
-}
+#include "dispatch_network.h"
 
 namespace hubs_tests
 {
 
-constexpr uint64_t FIRST_ID = 100;
+using dispatch_network::FIRST_ID;
 constexpr uint64_t ACCOUNT_ID = 1;
 constexpr uint32_t PROMPT_TOKENS = 500;
 
 /** Daemons that exchange messages over a network without delay. */
-class Fleet
+class Fleet : public dispatch_network::Network
 {
       public:
 	Fleet(size_t count, size_t high_cpu_count, bool engines = false)
@@ -44,7 +37,6 @@
 		pool.engine = engines;
 		pool.kv_capacity_tokens = 100000;
 		g_array_append_val(configuration->pools, pool);
-		effects_init(&effects);
 		for (size_t i = 0; i < count; i++) {
 			cores.push_back(make_core(i));
 			delegations.push_back(std::make_unique<delegation>());
@@ -54,19 +46,11 @@
 		update_daemons();
 	}
 
-	~Fleet()
+	~Fleet() override
 	{
-		effects_finish(&effects);
-		for (auto &item : delegations)
-			delegation_finish(item.get());
-		for (auto &core : cores)
-			dispatch_finish(core.get());
 		config_snapshot_unref(configuration);
 	}
 
-	Fleet(const Fleet &) = delete;
-	Fleet &operator=(const Fleet &) = delete;
-
 	void update_daemons()
 	{
 		std::vector<dispatch_daemon> live;
@@ -162,8 +146,6 @@
 
 	std::vector<dispatch_daemon> daemons;
 	std::vector<bool> running;
-	std::vector<std::unique_ptr<struct dispatch>> cores;
-	std::vector<std::unique_ptr<delegation>> delegations;
 	bool loses_events = false;
 	uint64_t last_hash = 0;
 	std::vector<dispatch_freshness> freshness[RESOURCE_KIND_COUNT] = {
@@ -171,7 +153,6 @@
 		std::vector<dispatch_freshness>(400)
 	};
 	std::vector<uint64_t> sent_counts = std::vector<uint64_t>(400);
-	uint64_t now_ms = 50000;
 
       private:
 	std::unique_ptr<struct dispatch> make_core(size_t i)
@@ -211,44 +192,15 @@
 		run_effects(i);
 	}
 
-	/** Delivers the messages among the effects, and those that follow. */
-	void run_effects(size_t i)
+	bool carries(size_t from, size_t to, const msg &msg) override
 	{
-		struct effects own = effects;
-
-		effects_init(&effects);
-		for (size_t at = 0; at < own.count; at++)
-			if (own.items[at].type == EFFECT_SEND)
-				deliver(i, own.items[at]);
-		effects_finish(&own);
+		sent_counts[from]++;
+		return running[to] && running[from] &&
+		    (msg.type != MSG_ATTEMPT_EVENTS || !loses_events);
 	}
 
-	void deliver(size_t from, effect &effect)
+	void on_report(size_t to, const dispatch_freshness *reported) override
 	{
-		size_t to = (size_t)(effect.to_node_id - FIRST_ID);
-		dispatch_freshness reported[RESOURCE_KIND_COUNT];
-
-		sent_counts[from]++;
-		if (!running[to] || !running[from])
-			return;
-		effect.msg.from_node_id = FIRST_ID + from;
-		if (effect.msg.type == MSG_PLACE_REQUEST)
-			dispatch_handle_place_request(cores[to].get(),
-			    &effect.msg, now_ms, &effects);
-		else if (effect.msg.type == MSG_PLACEMENT)
-			delegation_handle_placement(delegations[to].get(),
-			    &effect.msg, now_ms, &effects);
-		else if (effect.msg.type == MSG_ATTEMPT_EVENTS && !loses_events)
-			dispatch_handle_attempt_events(cores[to].get(),
-			    &effect.msg, now_ms, &effects);
-		else if (effect.msg.type == MSG_RUNNING_ATTEMPTS)
-			dispatch_handle_running_attempts(cores[to].get(),
-			    &effect.msg, now_ms);
-		run_effects(to);
-		if (effect.msg.type != MSG_REPORT)
-			return;
-		dispatch_handle_report(cores[to].get(), &effect.msg, now_ms,
-		    reported);
 		for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++) {
 			dispatch_freshness &best = freshness[kind][to];
 			if (reported[kind].version == 0 ||
@@ -261,7 +213,6 @@
 	}
 
 	struct config_snapshot *configuration;
-	struct effects effects;
 };
 
 } // namespace hubs_tests
