Spread the calls of daemons whose copies nobody confirms

Change: the waits of watches differ by up to 0.4 of them, and the age at which a daemon that decides on nothing reads the store itself by up to 0.6 of it (3.2 s of 5 s for keys, 2.4 s for lists), so that the first readers confirm the rest. Measured: LateFeed.ADaemonLeavesTheFirstCallsToOthers is new (the behaviour did not exist).

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -228,6 +228,7 @@
 			.freshness_max_ms = age_ms * LIST_POLL_PERCENT / 100,
 		},
 		.timeout_ms = settings->platform_timeout_ms,
+		.spread_permille = control->dispatch.config.node_id % 1000,
 	};
 
 	memset(gateway, 0, sizeof(*gateway));
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -43,6 +43,9 @@
 	const char *url; /**< of the store */
 	struct feed_timing timings[RESOURCE_KIND_COUNT];
 	uint32_t timeout_ms; /**< of a call, in addition to its wait */
+	/** From 0 to 999, different for each daemon, so that in a large fleet
+	 * the calls of the daemons are spread. */
+	uint32_t spread_permille;
 };
 
 struct feed;
--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -72,7 +72,7 @@
 class Feed : public ::testing::Test
 {
       protected:
-	Feed() : url(store.url())
+	explicit Feed(uint32_t spread_permille = 0) : url(store.url())
 	{
 		feed_config config = {};
 
@@ -84,6 +84,7 @@
 		config.timings[RESOURCE_CONFIGURATION] = { 300, 2000 };
 		config.timings[RESOURCE_ENDPOINTS] = { 300, 1500 };
 		config.timeout_ms = 1000;
+		config.spread_permille = spread_permille;
 		feed_init(&feed, &config, &ops, &sink);
 		EXPECT_TRUE(eventually(
 		    [&] { return sink.synced && sink.version == 3; }));
@@ -97,9 +98,9 @@
 		feed_finish(&feed);
 	}
 
-	void set_watching(bool watching)
+	void set_watching(bool watching, size_t daemons_count = 3)
 	{
-		const feed_role role = { watching, false, 3 };
+		const feed_role role = { watching, false, daemons_count };
 
 		feed_set_role(&feed, &role);
 	}
@@ -248,6 +249,32 @@
 	EXPECT_FALSE(store.watched_backwards);
 }
 
+/** Feed of the daemon of a fleet that calls the store last. */
+class LateFeed : public Feed
+{
+      protected:
+	LateFeed() : Feed(999)
+	{
+	}
+};
+
+/* Otherwise all daemons of a fleet call the store in the same moment. */
+TEST_F(LateFeed, ADaemonLeavesTheFirstCallsToOthers)
+{
+	auto calls = [&] {
+		return store.call_count("servers") + store.call_count("config");
+	};
+
+	set_watching(false, 100);
+	offer_versions_for(200);
+	uint32_t calls_before = calls();
+	/* 1500 ms and 2000 ms, and 0.6 of them */
+	std::this_thread::sleep_for(std::chrono::milliseconds(2200));
+	EXPECT_EQ(calls(), calls_before);
+	std::this_thread::sleep_for(std::chrono::milliseconds(1400));
+	EXPECT_GE(calls(), calls_before + 2);
+}
+
 TEST_F(Feed, CallsTheStoreWhenNoPeerConfirmsFreshness)
 {
 	store.put("servers", "e2", endpoint_entry_json("app", "127.0.0.1:2"));
