Keep the spread of reads of lists below the greatest age

Cause: the spread of 0.6 let a daemon that decides on nothing keep a list for 2.4 s of an age of 2 s, should it have to decide without a hub. Seen in reading the change. Change: lists are read after 0.75 to 0.9 of their greatest age, the configuration after 0.4 to 0.64 of its own; both parts are given with the timings.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -16,11 +16,13 @@
 #define FRESHNESS_PERCENT 40u
 /* The same time if no limit on the use of revoked keys is set. */
 #define FRESHNESS_MAX_MS 1500u
+#define FRESHNESS_SPREAD_PERCENT 24u
 /* Shares of the maximum age of the list of endpoints: how long a watch waits,
  * and after how long without confirmation a daemon that does not watch reads
  * the list from the store. */
 #define LIST_WATCH_PERCENT 50u
 #define LIST_POLL_PERCENT 75u
+#define LIST_SPREAD_PERCENT 15u
 /* The platform sends new connections until two readiness probes have failed. */
 #define DRAIN_ACCEPT_MS 2600u
 /* Time without requests after which the process may exit. */
@@ -222,10 +224,14 @@
 			.freshness_max_ms = settings->revoke_ms == 0
 			    ? FRESHNESS_MAX_MS
 			    : settings->revoke_ms * FRESHNESS_PERCENT / 100,
+			.freshness_spread_ms = settings->revoke_ms *
+			    FRESHNESS_SPREAD_PERCENT / 100,
 		},
 		.timings[RESOURCE_ENDPOINTS] = {
 			.watch_wait_ms = age_ms * LIST_WATCH_PERCENT / 100,
 			.freshness_max_ms = age_ms * LIST_POLL_PERCENT / 100,
+			.freshness_spread_ms = age_ms * LIST_SPREAD_PERCENT /
+			    100,
 		},
 		.timeout_ms = settings->platform_timeout_ms,
 		.spread_permille = control->dispatch.config.node_id % 1000,
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -37,6 +37,9 @@
 struct feed_timing {
 	uint32_t watch_wait_ms; /**< longest wait of a watch call */
 	uint32_t freshness_max_ms; /**< age at which the store is asked again */
+	/** The same is this much later at most for daemons of a large fleet that
+	 * decide on no endpoints. */
+	uint32_t freshness_spread_ms;
 };
 
 struct feed_config {
--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -81,8 +81,8 @@
 		store.put("servers", "e1",
 		    endpoint_entry_json("app", "127.0.0.1:1"));
 		config.url = url.c_str();
-		config.timings[RESOURCE_CONFIGURATION] = { 300, 2000 };
-		config.timings[RESOURCE_ENDPOINTS] = { 300, 1500 };
+		config.timings[RESOURCE_CONFIGURATION] = { 300, 2000, 1200 };
+		config.timings[RESOURCE_ENDPOINTS] = { 300, 1500, 900 };
 		config.timeout_ms = 1000;
 		config.spread_permille = spread_permille;
 		feed_init(&feed, &config, &ops, &sink);
@@ -268,7 +268,7 @@
 	set_watching(false, 100);
 	offer_versions_for(200);
 	uint32_t calls_before = calls();
-	/* 1500 ms and 2000 ms, and 0.6 of them */
+	/* 1500 ms and 2000 ms, and 900 ms and 1200 ms more */
 	std::this_thread::sleep_for(std::chrono::milliseconds(2200));
 	EXPECT_EQ(calls(), calls_before);
 	std::this_thread::sleep_for(std::chrono::milliseconds(1400));
@@ -365,8 +365,8 @@
 		feed_config config = {};
 
 		config.url = url.c_str();
-		config.timings[RESOURCE_CONFIGURATION] = { 300, 2000 };
-		config.timings[RESOURCE_ENDPOINTS] = { 300, 1500 };
+		config.timings[RESOURCE_CONFIGURATION] = { 300, 2000, 0 };
+		config.timings[RESOURCE_ENDPOINTS] = { 300, 1500, 0 };
 		config.timeout_ms = 1000;
 		feed_init(&other, &config, &ops, &other_sink);
 		EXPECT_TRUE(eventually([&] {
