Remove a way to decide that only tests took since hubs decide

dispatch_decide(), dispatch_record_first_token() and dispatch_end_attempt() had no caller outside the tests once delegation took over, and measure_ms() stood twice. The tests of dispatch now run requests by delegation, as the daemon does, or by the functions that a hub calls; their assertions stay. With the check for a busy daemon taken out of delegation, EnginesAreNotSlowForTheLagOfABusyDaemon fails: before, it tested the copy that did not run. Attempts are created in one place; the counter that is left orders the endpoints that are gone, and is named so. Found by reading the whole change.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -80,7 +80,6 @@
 	g_array_append_val(dispatch->hub_ids, config->node_id);
 	dispatch->is_hub = true;
 	dispatch->daemons_peak_count = 1;
-	dispatch->seq_next = 1;
 	dispatch->mean_duration_ms = DURATION_INITIAL_MS;
 	dispatch->fair_share_tokens = UINT64_MAX;
 }
@@ -388,17 +387,3 @@
 		dispatch_start_attempt(dispatch, request, origin, &best, false,
 		    verdict.trial_segment_id, now_ms, decision);
 }
-
-void
-dispatch_decide(struct dispatch *dispatch,
-    const struct dispatch_request *request, uint64_t now_ms,
-    struct dispatch_decision *decision)
-{
-	const struct dispatch_origin origin = {
-		.node_id = dispatch->config.node_id,
-	};
-
-	memset(decision, 0, sizeof(*decision));
-	if (dispatch_check_budget(dispatch, request, now_ms, decision))
-		dispatch_place(dispatch, request, &origin, now_ms, decision);
-}
--- a/core/dispatch_attempt.c
+++ b/core/dispatch_attempt.c
@@ -15,6 +15,21 @@
 #define SLOWNESS_MIN_PERMILLE 500u
 #define SLOWNESS_MAX_PERMILLE 8000u
 
+static struct dispatch_attempt *
+new_attempt(const struct dispatch_endpoint *endpoint, uint64_t seq,
+    uint64_t node_id, uint64_t now_ms)
+{
+	struct dispatch_attempt *attempt = g_new0(struct dispatch_attempt, 1);
+
+	attempt->seq = seq;
+	attempt->node_id = node_id;
+	attempt->confirmed_ms = now_ms;
+	attempt->endpoint_id = endpoint->endpoint_id;
+	attempt->process_start_ms = endpoint->info.process_start_ms;
+	attempt->started_ms = now_ms;
+	return attempt;
+}
+
 static void
 add_attempt(struct dispatch *dispatch, struct dispatch_endpoint *endpoint,
     struct dispatch_attempt *attempt)
@@ -34,15 +49,9 @@
     struct dispatch_decision *decision)
 {
 	struct dispatch_endpoint *endpoint = candidate->endpoint;
-	struct dispatch_attempt *attempt = g_new0(struct dispatch_attempt, 1);
+	struct dispatch_attempt *attempt = new_attempt(endpoint,
+	    origin->attempt_id, origin->node_id, now_ms);
 
-	attempt->seq = origin->attempt_id == 0 ? dispatch->seq_next++
-					       : origin->attempt_id;
-	attempt->node_id = origin->node_id;
-	attempt->confirmed_ms = now_ms;
-	attempt->endpoint_id = endpoint->endpoint_id;
-	attempt->process_start_ms = endpoint->info.process_start_ms;
-	attempt->started_ms = now_ms;
 	attempt->engine = engine;
 	if (engine) {
 		attempt->prefill_tokens = candidate->uncached_tokens;
@@ -111,17 +120,6 @@
 	    attempt->segment_ids, attempt->segments_count, now_ms);
 }
 
-/* @return time since the start of an attempt, UINT32_MAX if this daemon notices
- * responses late */
-static uint32_t
-measure_ms(const struct dispatch *dispatch,
-    const struct dispatch_attempt *attempt, uint64_t now_ms)
-{
-	return attempt == NULL || dispatch->daemon_busy
-	    ? UINT32_MAX
-	    : (uint32_t)(now_ms - attempt->started_ms);
-}
-
 void
 dispatch_begin_attempt(struct dispatch *dispatch, uint64_t seq,
     uint32_t taken_ms, uint64_t now_ms)
@@ -144,17 +142,6 @@
 		update_speed(endpoint, attempt, taken_ms);
 }
 
-void
-dispatch_record_first_token(struct dispatch *dispatch, uint64_t seq,
-    uint64_t now_ms)
-{
-	const struct dispatch_attempt *attempt =
-	    g_hash_table_lookup(dispatch->attempts, &seq);
-
-	dispatch_begin_attempt(dispatch, seq,
-	    measure_ms(dispatch, attempt, now_ms), now_ms);
-}
-
 static void
 release(struct dispatch_endpoint *endpoint,
     const struct dispatch_attempt *attempt)
@@ -224,18 +211,6 @@
 	g_hash_table_remove(dispatch->attempts, &seq);
 }
 
-void
-dispatch_end_attempt(struct dispatch *dispatch, uint64_t seq,
-    enum dispatch_outcome outcome, uint64_t now_ms,
-    struct dispatch_health_update *health_update)
-{
-	const struct dispatch_attempt *attempt =
-	    g_hash_table_lookup(dispatch->attempts, &seq);
-
-	dispatch_finish_attempt(dispatch, seq, outcome,
-	    measure_ms(dispatch, attempt, now_ms), now_ms, health_update);
-}
-
 void
 dispatch_adopt_attempt(struct dispatch *dispatch, uint64_t node_id,
     const struct running_attempt *running, uint64_t now_ms)
@@ -246,13 +221,7 @@
 
 	if (endpoint == NULL)
 		return;
-	attempt = g_new0(struct dispatch_attempt, 1);
-	attempt->seq = running->attempt_id;
-	attempt->node_id = node_id;
-	attempt->endpoint_id = running->endpoint_id;
-	attempt->process_start_ms = endpoint->info.process_start_ms;
-	attempt->started_ms = now_ms;
-	attempt->confirmed_ms = now_ms;
+	attempt = new_attempt(endpoint, running->attempt_id, node_id, now_ms);
 	attempt->prefill_tokens = running->prefill_tokens;
 	attempt->kv_tokens = running->kv_tokens;
 	attempt->first_token_arrived = running->prefill_tokens == 0;
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -103,7 +103,7 @@
 		forget_oldest(dispatch->gone);
 	item->endpoint_id = endpoint->endpoint_id;
 	item->process_start_ms = endpoint->info.process_start_ms;
-	item->order = dispatch->seq_next++;
+	item->order = dispatch->gone_order_next++;
 	g_hash_table_replace(dispatch->gone, &item->endpoint_id, item);
 }
 
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -57,7 +57,7 @@
 /** Whose attempt a decision is about. */
 struct dispatch_origin {
 	uint64_t node_id; /**< daemon that sends the request */
-	uint64_t attempt_id; /**< 0: to be chosen */
+	uint64_t attempt_id;
 	/** Choose among the endpoints that are assigned to this hub, if any. */
 	bool own_endpoints;
 };
@@ -212,7 +212,7 @@
 	uint32_t hub_index; /**< in hub_candidates */
 	struct dispatch_freshness freshness[RESOURCE_KIND_COUNT];
 	uint32_t daemons_peak_count; /**< most daemons ever live at once */
-	uint64_t seq_next;
+	uint64_t gone_order_next; /**< counts the endpoints that are gone */
 	uint64_t report_due_ms;
 	uint64_t accounts_due_ms; /**< next report of accounts to other hubs */
 	uint64_t decay_due_ms;
@@ -259,11 +259,6 @@
 void dispatch_set_freshness(struct dispatch *dispatch, enum resource_kind kind,
     uint64_t version, uint64_t as_of_ms);
 
-/** Decides on a request that this daemon sends itself, with its retry budget. */
-void dispatch_decide(struct dispatch *dispatch,
-    const struct dispatch_request *request, uint64_t now_ms,
-    struct dispatch_decision *decision);
-
 /**
  * Takes a request, or a retry, from this daemon's part of the retry budget.
  * @return false if the request is refused, as the decision then tells
@@ -325,10 +320,6 @@
  * While it does, times that it measures tell nothing about the engines. */
 void dispatch_set_daemon_busy(struct dispatch *dispatch, bool busy);
 
-/** Records that the first token of an attempt's response arrived. */
-void dispatch_record_first_token(struct dispatch *dispatch, uint64_t seq,
-    uint64_t now_ms);
-
 /** Handles a daemon's question where to send a request. */
 void dispatch_handle_place_request(struct dispatch *dispatch,
     const struct msg *msg, uint64_t now_ms, struct effects *effects);
@@ -366,14 +357,6 @@
 void dispatch_handle_endpoint_limits(struct dispatch *dispatch,
     const struct msg *msg, uint64_t now_ms);
 
-/**
- * Ends an attempt and updates the health of its endpoint.
- * @param health_update receives the result, may be NULL
- */
-void dispatch_end_attempt(struct dispatch *dispatch, uint64_t seq,
-    enum dispatch_outcome outcome, uint64_t now_ms,
-    struct dispatch_health_update *health_update);
-
 /**
  * Handles a peer's report.
  * @param freshness receives what the report confirms for each resource kind;
--- a/tests/unit/dispatch_fixture.h
+++ b/tests/unit/dispatch_fixture.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 extern "C" {
+#include "core/delegation.h"
 #include "core/dispatch.h"
 #include "core/dispatch_private.h"
 #include "core/hash.h"
@@ -38,6 +39,7 @@
 		config.retry_slack_milli = 8000;
 		config.retry_window_ms = 10000;
 		dispatch_init(&dispatch, &config);
+		delegation_init(&delegation, &dispatch, 1);
 		effects_init(&effects);
 		configuration = config_snapshot_new();
 		add_pool("engines", true);
@@ -48,6 +50,7 @@
 	~Dispatch() override
 	{
 		effects_finish(&effects);
+		delegation_finish(&delegation);
 		dispatch_finish(&dispatch);
 		config_snapshot_unref(configuration);
 	}
@@ -96,12 +99,39 @@
 
 	dispatch_decision decide(const dispatch_request &request)
 	{
-		dispatch_decision decision;
-
-		dispatch_decide(&dispatch, &request, now_ms, &decision);
+		const dispatch_origin origin = { NODE, ++last_attempt_id,
+			false };
+		dispatch_decision decision = {};
+
+		if (dispatch_check_budget(&dispatch, &request, now_ms,
+			&decision))
+			dispatch_place(&dispatch, &request, &origin, now_ms,
+			    &decision);
 		return decision;
 	}
 
+	/** @return time since the start of an attempt */
+	uint32_t taken_ms(uint64_t seq)
+	{
+		const auto *attempt = static_cast<const dispatch_attempt *>(
+		    g_hash_table_lookup(dispatch.attempts, &seq));
+
+		return attempt == nullptr
+		    ? UINT32_MAX
+		    : (uint32_t)(now_ms - attempt->started_ms);
+	}
+
+	void begin(uint64_t seq)
+	{
+		dispatch_begin_attempt(&dispatch, seq, taken_ms(seq), now_ms);
+	}
+
+	void end(uint64_t seq, dispatch_outcome outcome)
+	{
+		dispatch_finish_attempt(&dispatch, seq, outcome, taken_ms(seq),
+		    now_ms, nullptr);
+	}
+
 	dispatch_request make_service_request()
 	{
 		dispatch_request request = make_request(0, 0);
@@ -125,8 +155,7 @@
 			dispatch_decision decision = decide(retry);
 			if (!decision.start)
 				break;
-			dispatch_end_attempt(&dispatch, decision.seq,
-			    OUTCOME_COMPLETE, now_ms, nullptr);
+			end(decision.seq, OUTCOME_COMPLETE);
 			count++;
 		}
 		return count;
@@ -148,19 +177,26 @@
 	}
 
 	/**
-	 * Runs one request with the given outcome.
+	 * Runs one request with the given outcome, as a daemon that is its own
+	 * hub does.
 	 * @param first_token_ms time to its first token
 	 */
 	void run(dispatch_outcome outcome, const dispatch_request &request,
 	    uint64_t first_token_ms = 0)
 	{
-		dispatch_decision decision = decide(request);
+		dispatch_decision decision;
+		uint64_t attempt_id = delegation_submit(&delegation, &request,
+		    now_ms, &effects);
 
+		ASSERT_TRUE(
+		    delegation_take(&delegation, attempt_id, &decision));
 		ASSERT_TRUE(decision.start);
 		now_ms += first_token_ms;
-		dispatch_record_first_token(&dispatch, decision.seq, now_ms);
-		dispatch_end_attempt(&dispatch, decision.seq, outcome, now_ms,
-		    nullptr);
+		delegation_record_first_token(&delegation, attempt_id, now_ms,
+		    &effects);
+		delegation_end_attempt(&delegation, attempt_id, outcome, now_ms,
+		    &effects);
+		effects_clear(&effects);
 	}
 
 	void tick_for(uint64_t duration_ms)
@@ -186,8 +222,7 @@
 		msg msg = {};
 
 		for (const running_attempt &ended : attempts)
-			dispatch_end_attempt(&dispatch, ended.attempt_id,
-			    OUTCOME_CANCELLED, now_ms, nullptr);
+			end(ended.attempt_id, OUTCOME_CANCELLED);
 		attempts.clear();
 		for (uint32_t i = 0; i < running_count; i++)
 			attempts.push_back(
@@ -215,6 +250,7 @@
 	}
 
 	struct dispatch dispatch;
+	struct delegation delegation;
 	struct effects effects;
 	struct config_snapshot *configuration;
 	uint64_t now_ms = 1000000;
--- a/tests/unit/test_admission.cc
+++ b/tests/unit/test_admission.cc
@@ -79,16 +79,13 @@
 	};
 	std::deque<Item> queue;
 
-	void prefill(struct dispatch *dispatch, uint64_t tokens,
-	    uint64_t now_ms)
+	/** @param done called with the seq of each request that is complete */
+	template <typename Done> void prefill(uint64_t tokens, Done done)
 	{
 		while (!queue.empty() &&
 		    tokens >= queue.front().remaining_tokens) {
 			tokens -= queue.front().remaining_tokens;
-			dispatch_record_first_token(dispatch, queue.front().seq,
-			    now_ms);
-			dispatch_end_attempt(dispatch, queue.front().seq,
-			    OUTCOME_COMPLETE, now_ms, nullptr);
+			done(queue.front().seq);
 			queue.pop_front();
 		}
 		if (!queue.empty())
@@ -105,6 +102,10 @@
 	} accounts[] = { { 16, 500 }, { 2, 2600 }, { 1, 100 } };
 	uint64_t asked[3] = { 0 }, served[3] = { 0 };
 	SerialPrefillEngine engine;
+	auto complete = [&](uint64_t seq) {
+		begin(seq);
+		end(seq, OUTCOME_COMPLETE);
+	};
 
 	add_endpoint("e1", "engines", 64);
 	for (int step = 0; step < 400; step++) {
@@ -123,7 +124,7 @@
 				if (step >= 200)
 					served[i] += tokens;
 			}
-		engine.prefill(&dispatch, 2500, now_ms);
+		engine.prefill(2500, complete);
 		tick_for(50);
 	}
 	EXPECT_GT(served[0], served[1] / 2);
@@ -138,6 +139,10 @@
 	const int lost_step = 100, end_step = lost_step + 120;
 	uint64_t served[4] = { 0 };
 	SerialPrefillEngine engine;
+	auto complete = [&](uint64_t seq) {
+		begin(seq);
+		end(seq, OUTCOME_COMPLETE);
+	};
 
 	add_endpoint("e1", "engines", 64);
 	for (int step = 0; step < end_step; step++) {
@@ -151,8 +156,7 @@
 				if (step >= lost_step)
 					served[i] += 200;
 			}
-		engine.prefill(&dispatch, step < lost_step ? 3000 : 600,
-		    now_ms);
+		engine.prefill(step < lost_step ? 3000 : 600, complete);
 		tick_for(50);
 	}
 	for (int i = 1; i < 4; i++) {
@@ -180,14 +184,12 @@
 		ASSERT_TRUE(decision.start);
 		EXPECT_EQ(account_of(1)->served_tokens, 2200u);
 		tick_for(200);
-		dispatch_end_attempt(&dispatch, decision.seq, outcome, now_ms,
-		    nullptr);
+		end(decision.seq, outcome);
 		EXPECT_LE(account_of(1)->served_tokens, 5u) << outcome;
 	}
 	dispatch_decision decision = decide(make_request(2000));
-	dispatch_record_first_token(&dispatch, decision.seq, now_ms);
-	dispatch_end_attempt(&dispatch, decision.seq, OUTCOME_BROKEN, now_ms,
-	    nullptr);
+	begin(decision.seq);
+	end(decision.seq, OUTCOME_BROKEN);
 	EXPECT_GE(account_of(1)->served_tokens, 2200u);
 }
 
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -60,7 +60,7 @@
 	first.segments[1] = { 12, 1000 };
 	first.segments_count = 2;
 	dispatch_decision decision = decide(first);
-	dispatch_record_first_token(&dispatch, decision.seq, now_ms);
+	begin(decision.seq);
 	second = first;
 	second.segments[1].segment_id = 13;
 	dispatch_decision second_decision = decide(second);
@@ -179,8 +179,7 @@
 	dispatch_decision decision = decide(make_request());
 	dispatch_remove_endpoint(&dispatch, "e1");
 	EXPECT_FALSE(decide(make_request()).start);
-	dispatch_end_attempt(&dispatch, decision.seq, OUTCOME_COMPLETE, now_ms,
-	    nullptr);
+	end(decision.seq, OUTCOME_COMPLETE);
 	EXPECT_EQ(g_hash_table_size(dispatch.endpoints), 0u);
 }
 
