One way to bound a hash table

The list of endpoints that are gone and the notices of endpoints each had a loop that finds and removes the oldest entry. Both call bounded_table_make_room() with their rank now.

--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -1,3 +1,4 @@
+#include "core/bounded_table.h"
 #include "core/dispatch_private.h"
 
 /* Time until this daemon may have become the hub of an endpoint, or have reached
@@ -77,20 +78,10 @@
 	endpoint->unreached_until_ms = now_ms + endpoint->unreached_ms;
 }
 
-static void
-forget_oldest(GHashTable *gone)
+static uint64_t
+gone_order(gconstpointer gone)
 {
-	const struct dispatch_gone *oldest = NULL;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, gone);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct dispatch_gone *item = value;
-		if (oldest == NULL || item->order < oldest->order)
-			oldest = item;
-	}
-	g_hash_table_remove(gone, &oldest->endpoint_id);
+	return ((const struct dispatch_gone *)gone)->order;
 }
 
 void
@@ -99,8 +90,7 @@
 {
 	struct dispatch_gone *item = g_new0(struct dispatch_gone, 1);
 
-	if (g_hash_table_size(dispatch->gone) >= GONE_MAX_COUNT)
-		forget_oldest(dispatch->gone);
+	bounded_table_make_room(dispatch->gone, GONE_MAX_COUNT, gone_order);
 	item->endpoint_id = endpoint->endpoint_id;
 	item->process_start_ms = endpoint->info.process_start_ms;
 	item->order = dispatch->gone_order_next++;
--- a/core/endpoint_notice.c
+++ b/core/endpoint_notice.c
@@ -1,5 +1,7 @@
 #include "core/endpoint_notice.h"
 
+#include "core/bounded_table.h"
+
 #define NOTICES_MAX_COUNT 4096u
 
 void
@@ -29,20 +31,10 @@
 	    : NULL;
 }
 
-static void
-remove_oldest(struct endpoint_notices *notices)
+static uint64_t
+heard_ms(gconstpointer notice)
 {
-	const struct endpoint_notice *oldest = NULL;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, notices->notices);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct endpoint_notice *notice = value;
-		if (oldest == NULL || notice->heard_ms < oldest->heard_ms)
-			oldest = notice;
-	}
-	g_hash_table_remove(notices->notices, &oldest->endpoint_id);
+	return ((const struct endpoint_notice *)notice)->heard_ms;
 }
 
 static struct endpoint_notice *
@@ -53,8 +45,7 @@
 
 	if (notice != NULL)
 		return notice;
-	if (g_hash_table_size(notices->notices) >= NOTICES_MAX_COUNT)
-		remove_oldest(notices);
+	bounded_table_make_room(notices->notices, NOTICES_MAX_COUNT, heard_ms);
 	notice = g_new0(struct endpoint_notice, 1);
 	notice->endpoint_id = endpoint_id;
 	g_hash_table_insert(notices->notices, &notice->endpoint_id, notice);
