--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -131,10 +131,6 @@
 /** @return whether the last call for the configuration failed */
 bool feed_is_failing(const struct feed *feed);
 
-/** @return whether other daemons watch the store for this one, and none of them
- * has a newer version */
-bool reflector_relies_on_peers(const struct reflector *reflector);
-
 /** Makes the reflectors stop, which takes up to a second, and returns at once. */
 void feed_stop(struct feed *feed);
 
