--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -30,6 +30,18 @@
 	}
 }
 
+const char *
+control_node_address(const struct control *control, uint64_t node_id)
+{
+	const struct members *members = &control->members;
+	const struct member *member;
+
+	if (node_id == members->config.self.node_id)
+		return members->config.self.address;
+	member = members_find(members, node_id);
+	return member == NULL ? "?" : member->address;
+}
+
 static void
 update_gauges(struct control *control)
 {
--- a/bamboorudderd/dump.c
+++ b/bamboorudderd/dump.c
@@ -1,6 +1,6 @@
 #include "bamboorudderd/dump.h"
 
-#include "bamboorudderd/control.h"
+#include "bamboorudderd/control_private.h"
 #include "core/owner.h"
 
 static const char *
@@ -178,13 +178,8 @@
 static const char *
 owner_address(struct control *control, uint64_t pool_id)
 {
-	uint64_t node_id = entry_pool_owner_id(&control->entry, pool_id);
-	const struct member *member;
-
-	if (node_id == control->members.config.self.node_id)
-		return control->members.config.self.address;
-	member = members_find(&control->members, node_id);
-	return member == NULL ? "?" : member->address;
+	return control_node_address(control,
+	    entry_pool_owner_id(&control->entry, pool_id));
 }
 
 /* Dumps all pools and the address of the owner of each. */
--- a/bamboorudderd/gateway_mailbox.c
+++ b/bamboorudderd/gateway_mailbox.c
@@ -54,6 +54,7 @@
 	struct gw_request *request;
 	struct dispatch_request dispatch;
 	struct dispatch_decision decision;
+	char hub_address[ADDRESS_MAX_BYTES];
 };
 
 static uint32_t *
@@ -85,6 +86,8 @@
 	(void)gateway;
 	(*undecided_count(args->request))--;
 	args->request->decision = args->decision;
+	memcpy(args->request->hub_address, args->hub_address,
+	    ADDRESS_MAX_BYTES);
 	gw_request_on_decision(args->request);
 	g_free(args);
 }
@@ -98,6 +101,10 @@
 	if (args == NULL ||
 	    !delegation_take(&control->delegation, attempt_id, &args->decision))
 		return;
+	if (args->decision.hub_id != 0)
+		g_strlcpy(args->hub_address,
+		    control_node_address(control, args->decision.hub_id),
+		    ADDRESS_MAX_BYTES);
 	g_hash_table_steal(control->undecided, &attempt_id);
 	if (control->gateway != NULL)
 		gw_mailbox_post(control->gateway, apply_decision, args);
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -59,6 +59,15 @@
 	g_free(request);
 }
 
+static void
+format_age(uint32_t age_ms, char text[TEXT_BYTES])
+{
+	if (age_ms == UINT32_MAX)
+		g_strlcpy(text, "-", TEXT_BYTES);
+	else
+		g_snprintf(text, TEXT_BYTES, "%u", age_ms);
+}
+
 static void
 log_request(const struct gw_request *request)
 {
@@ -66,7 +75,9 @@
 	char backlog[TEXT_BYTES], prefill[TEXT_BYTES], limit[TEXT_BYTES];
 	char age[TEXT_BYTES], version[TEXT_BYTES], running[TEXT_BYTES];
 	char share[TEXT_BYTES], prompt_tokens[TEXT_BYTES];
-	const struct dispatch_forecast *forecast = &request->decision.forecast;
+	char hub_list[TEXT_BYTES], hub_list_age[TEXT_BYTES], list[TEXT_BYTES];
+	const struct dispatch_decision *decision = &request->decision;
+	const struct dispatch_forecast *forecast = &decision->forecast;
 
 	g_snprintf(status, TEXT_BYTES, "%u", request->status);
 	g_snprintf(duration, TEXT_BYTES, "%" G_GUINT64_FORMAT,
@@ -83,12 +94,18 @@
 	g_snprintf(share, TEXT_BYTES, "%u", forecast->share_permille);
 	g_snprintf(prompt_tokens, TEXT_BYTES, "%u",
 	    request->dispatch.prompt_tokens);
+	g_snprintf(hub_list, TEXT_BYTES, "%" G_GUINT64_FORMAT,
+	    decision->hub_list.version);
+	format_age(decision->hub_list.age_ms, hub_list_age);
+	g_snprintf(list, TEXT_BYTES, "%" G_GUINT64_FORMAT,
+	    decision->own_list.version);
 	log_event(LOG_LEVEL_INFO, "request", "id", request->head.request_id,
 	    "route", request->route == NULL ? "-" : request->route->name,
 	    "account", request->account == NULL ? "-" : request->account->name,
 	    "outcome", request->outcome, "status", status, "taken_ms", duration,
-	    "endpoint",
-	    request->decision.name[0] == '\0' ? "-" : request->decision.name,
+	    "endpoint", decision->name[0] == '\0' ? "-" : decision->name, "hub",
+	    request->hub_address[0] == '\0' ? "-" : request->hub_address,
+	    "hub_list", hub_list, "hub_list_age_ms", hub_list_age, "list", list,
 	    "attempts", attempts, "ahead_ms", backlog, "own_ms", prefill,
 	    "limit_ms", limit, "running", running, "over_share",
 	    forecast->over_share ? "1" : "0", "share_permille", share,
--- a/common/codec_dispatch_decode.c
+++ b/common/codec_dispatch_decode.c
@@ -12,6 +12,13 @@
 	account->served_tokens = (uint32_t)reader_uint(reader, UINT32_MAX);
 }
 
+static void
+read_freshness(struct reader *reader, struct reported_freshness *freshness)
+{
+	freshness->version = reader_uint(reader, UINT64_MAX);
+	freshness->age_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+}
+
 static void
 read_report(struct reader *reader, struct msg_report *report)
 {
@@ -19,12 +26,8 @@
 
 	report->stamp_ms = reader_uint(reader, UINT64_MAX);
 	report->echo_ms = reader_uint(reader, UINT64_MAX);
-	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++) {
-		report->freshness[kind].version = reader_uint(reader,
-		    UINT64_MAX);
-		report->freshness[kind].age_ms = (uint32_t)reader_uint(reader,
-		    UINT32_MAX);
-	}
+	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++)
+		read_freshness(reader, &report->freshness[kind]);
 	report->has_accounts = (uint8_t)reader_uint(reader, 1);
 	report->accounts_count = reader_count(reader, LOAD_ACCOUNTS_MAX_COUNT);
 	accounts = g_new0(struct load_account, report->accounts_count);
@@ -85,6 +88,7 @@
 	placement->running_count = (uint32_t)reader_uint(reader, UINT32_MAX);
 	placement->share_permille = (uint32_t)reader_uint(reader, UINT32_MAX);
 	placement->limit_per_1000_s = (uint32_t)reader_uint(reader, UINT32_MAX);
+	read_freshness(reader, &placement->list);
 	placement->start = (uint8_t)reader_uint(reader, 1);
 	placement->reason = (uint8_t)reader_uint(reader,
 	    REFUSE_REASON_COUNT - 1);
--- a/common/codec_dispatch_encode.c
+++ b/common/codec_dispatch_encode.c
@@ -5,15 +5,20 @@
 #include "common/codec_format.h"
 #include "common/codec_writer.h"
 
+static void
+write_freshness(GByteArray *out, const struct reported_freshness *freshness)
+{
+	writer_uint(out, freshness->version);
+	writer_uint(out, freshness->age_ms);
+}
+
 static void
 write_report(GByteArray *out, const struct msg_report *report)
 {
 	writer_uint(out, report->stamp_ms);
 	writer_uint(out, report->echo_ms);
-	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++) {
-		writer_uint(out, report->freshness[kind].version);
-		writer_uint(out, report->freshness[kind].age_ms);
-	}
+	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++)
+		write_freshness(out, &report->freshness[kind]);
 	writer_uint(out, report->has_accounts);
 	writer_token(out, mpack_pack_array(report->accounts_count));
 	for (uint32_t i = 0; i < report->accounts_count; i++) {
@@ -66,6 +71,7 @@
 	writer_uint(out, placement->running_count);
 	writer_uint(out, placement->share_permille);
 	writer_uint(out, placement->limit_per_1000_s);
+	write_freshness(out, &placement->list);
 	writer_uint(out, placement->start);
 	writer_uint(out, placement->reason);
 	writer_uint(out, placement->over_share);
--- a/core/delegation.c
+++ b/core/delegation.c
@@ -140,10 +140,13 @@
 }
 
 static void
-finish_question(struct delegation_question *question, struct effects *effects)
+finish_question(const struct dispatch *dispatch,
+    struct delegation_question *question, struct effects *effects)
 {
 	question->decided = true;
 	question->decision.seq = question->attempt_id;
+	question->decision.own_list = dispatch_report_freshness(dispatch,
+	    RESOURCE_ENDPOINTS);
 	effects_add(effects, EFFECT_DECIDED)->seq = question->attempt_id;
 }
 
@@ -160,10 +163,13 @@
 
 	dispatch_place(delegation->dispatch, &question->request, &origin,
 	    now_ms, &question->decision);
+	question->decision.hub_id = delegation_own_id(delegation);
+	question->decision.hub_list =
+	    dispatch_report_freshness(delegation->dispatch, RESOURCE_ENDPOINTS);
 	if (question->decision.start)
 		start_attempt(delegation, question,
 		    delegation_own_id(delegation), now_ms);
-	finish_question(question, effects);
+	finish_question(delegation->dispatch, question, effects);
 }
 
 static void
@@ -230,7 +236,7 @@
 		&question->decision) ||
 	    !dispatch_check_blocked(delegation->dispatch, request, now_ms,
 		&question->decision))
-		finish_question(question, effects);
+		finish_question(delegation->dispatch, question, effects);
 	else if (!ask_next_hub(delegation, question, now_ms, effects))
 		decide_here(delegation, question, false, now_ms, effects);
 	return question->attempt_id;
@@ -251,9 +257,9 @@
 }
 
 static void
-read_placement(const struct msg_placement *placement,
-    struct dispatch_decision *decision)
+read_placement(const struct msg *msg, struct dispatch_decision *decision)
 {
+	const struct msg_placement *placement = &msg->u.placement;
 	struct dispatch_forecast *forecast = &decision->forecast;
 
 	memset(decision, 0, sizeof(*decision));
@@ -263,6 +269,8 @@
 	memcpy(decision->name, placement->name, NAME_MAX_BYTES);
 	memcpy(decision->address, placement->address, ADDRESS_MAX_BYTES);
 	decision->process_start_ms = placement->process_start_ms;
+	decision->hub_id = msg->from_node_id;
+	decision->hub_list = placement->list;
 	decision->prefill_tokens = placement->prefill_tokens;
 	decision->kv_tokens = placement->kv_tokens;
 	decision->retry_after_ms = placement->retry_after_ms;
@@ -354,7 +362,7 @@
 	if (accepts_placement(delegation, &msg->u.placement, hub_id, now_ms,
 		effects)) {
 		start_attempt(delegation, question, hub_id, now_ms);
-		finish_question(question, effects);
+		finish_question(delegation->dispatch, question, effects);
 		return;
 	}
 	if (!leave_out(question, decision->endpoint_id))
@@ -365,7 +373,7 @@
 	decision->retry_after_ms = MIN(RETRY_AFTER_MS,
 	    question->request.remaining_ms / RETRY_AFTER_REMAINING_DIVISOR);
 	if (!ask_next_hub(delegation, question, now_ms, effects))
-		finish_question(question, effects);
+		finish_question(delegation->dispatch, question, effects);
 }
 
 void
@@ -388,12 +396,12 @@
 			    effects);
 		return;
 	}
-	read_placement(placement, &question->decision);
+	read_placement(msg, &question->decision);
 	if (question->decision.start)
 		use_placement(delegation, question, msg, now_ms, effects);
 	else if (!may_ask_again(question->decision.reason) ||
 	    !ask_next_hub(delegation, question, now_ms, effects))
-		finish_question(question, effects);
+		finish_question(delegation->dispatch, question, effects);
 }
 
 static void
--- a/core/dispatch_peers.c
+++ b/core/dispatch_peers.c
@@ -155,14 +155,18 @@
 		freshness->as_of_ms = echo_ms - reported->age_ms;
 }
 
-static void
-write_freshness(const struct dispatch_freshness *freshness, uint64_t stamp_ms,
-    struct reported_freshness *reported)
+struct reported_freshness
+dispatch_report_freshness(const struct dispatch *dispatch,
+    enum resource_kind kind)
 {
-	reported->version = freshness->version;
-	reported->age_ms = freshness->as_of_ms == 0
+	const struct dispatch_freshness *freshness = &dispatch->freshness[kind];
+	struct reported_freshness reported = { .version = freshness->version };
+
+	reported.age_ms = freshness->as_of_ms == 0
 	    ? UINT32_MAX
-	    : (uint32_t)MIN(stamp_ms - freshness->as_of_ms, UINT32_MAX - 1);
+	    : (uint32_t)MIN(dispatch->stamp_ms - freshness->as_of_ms,
+		  UINT32_MAX - 1);
+	return reported;
 }
 
 static struct dispatch_peer *
@@ -238,18 +242,18 @@
 
 static void
 send_report(struct dispatch *dispatch, uint64_t to_node_id, bool accounts,
-    uint64_t stamp_ms, struct effects *effects)
+    struct effects *effects)
 {
 	const struct dispatch_peer *peer = g_hash_table_lookup(dispatch->peers,
 	    &to_node_id);
 	struct msg_report *report =
 	    &effects_send(effects, to_node_id, MSG_REPORT)->u.report;
 
-	report->stamp_ms = stamp_ms;
+	report->stamp_ms = dispatch->stamp_ms;
 	report->echo_ms = peer == NULL ? 0 : peer->stamp_ms;
 	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++)
-		write_freshness(&dispatch->freshness[kind], stamp_ms,
-		    &report->freshness[kind]);
+		report->freshness[kind] = dispatch_report_freshness(dispatch,
+		    (enum resource_kind)kind);
 	if (accounts)
 		dispatch_fill_accounts(dispatch, report);
 }
@@ -280,7 +284,7 @@
 }
 
 static void
-report_as_hub(struct dispatch *dispatch, uint64_t now_ms, uint64_t stamp_ms,
+report_as_hub(struct dispatch *dispatch, uint64_t now_ms,
     struct effects *effects)
 {
 	bool accounts = now_ms >= dispatch->accounts_due_ms;
@@ -292,20 +296,19 @@
 	for (guint i = 0; i < dispatch->hubs->len; i++)
 		send_report(dispatch,
 		    g_array_index(dispatch->hubs, uint64_t, i), accounts,
-		    stamp_ms, effects);
+		    effects);
 	g_hash_table_iter_init(&iter, dispatch->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct dispatch_peer *peer = value;
 		if (!is_hub(dispatch, peer))
-			send_report(dispatch, peer->node_id, false, stamp_ms,
-			    effects);
+			send_report(dispatch, peer->node_id, false, effects);
 	}
 }
 
 /* Reports to the current hub, or to the next one if the current hub is
  * silent. */
 static void
-report_to_hub(struct dispatch *dispatch, uint64_t now_ms, uint64_t stamp_ms,
+report_to_hub(struct dispatch *dispatch, uint64_t now_ms,
     struct effects *effects)
 {
 	uint64_t hub_id = dispatch_hub_id(dispatch);
@@ -324,14 +327,14 @@
 		    dispatch->hub_candidates->len;
 		dispatch->hub_chosen_ms = now_ms;
 	}
-	send_report(dispatch, dispatch_hub_id(dispatch), false, stamp_ms,
-	    effects);
+	send_report(dispatch, dispatch_hub_id(dispatch), false, effects);
 }
 
 void
 dispatch_tick(struct dispatch *dispatch, uint64_t now_ms, uint64_t stamp_ms,
     struct effects *effects)
 {
+	dispatch->stamp_ms = stamp_ms;
 	if (g_hash_table_foreach_remove(dispatch->peers, peer_expired,
 		&now_ms) > 0)
 		dispatch->peers_changed = true;
@@ -344,7 +347,7 @@
 		return;
 	dispatch->report_due_ms = now_ms + dispatch->config.report_period_ms;
 	if (dispatch->is_hub)
-		report_as_hub(dispatch, now_ms, stamp_ms, effects);
+		report_as_hub(dispatch, now_ms, effects);
 	else
-		report_to_hub(dispatch, now_ms, stamp_ms, effects);
+		report_to_hub(dispatch, now_ms, effects);
 }
--- a/core/dispatch_serve.c
+++ b/core/dispatch_serve.c
@@ -97,6 +97,8 @@
 	placement = &effects_send(effects, msg->from_node_id, MSG_PLACEMENT)
 			 ->u.placement;
 	placement->attempt_id = asked->attempt_id;
+	placement->list = dispatch_report_freshness(dispatch,
+	    RESOURCE_ENDPOINTS);
 	write_placement(&decision, placement);
 	if (decision.start)
 		write_endpoint(dispatch, &decision, placement);
--- a/include/bamboorudderd/control_private.h
+++ b/include/bamboorudderd/control_private.h
@@ -44,6 +44,10 @@
 /** Handles an encoded message of a peer; a peer_message_fn. */
 void control_on_message(void *control, const void *bytes, size_t length_bytes);
 
+/** @return the address of a daemon of the fleet, "?" if it is unknown */
+const char *control_node_address(const struct control *control,
+    uint64_t node_id);
+
 /** Logs that an endpoint has said that it leaves or wants a pause. */
 void control_log_notice(const char *endpoint, bool leaving, uint32_t pause_ms);
 
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -101,6 +101,8 @@
 	/* of the attempts */
 	struct dispatch_request dispatch;
 	struct dispatch_decision decision;
+	/** Daemon that decided; "" if the request needed no hub. */
+	char hub_address[ADDRESS_MAX_BYTES];
 	uint64_t attempt_ms; /**< start of the current attempt */
 	uint32_t attempts_count; /**< ended, having reached an endpoint */
 	uint32_t unreached_count; /**< ended without reaching one */
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -89,6 +89,9 @@
 	char name[NAME_MAX_BYTES];
 	char address[ADDRESS_MAX_BYTES];
 	uint64_t process_start_ms; /**< of the endpoint's process */
+	uint64_t hub_id; /**< node_id of the daemon that decided */
+	struct reported_freshness hub_list; /**< its list of endpoints */
+	struct reported_freshness own_list; /**< this daemon's one */
 	struct dispatch_forecast forecast;
 };
 
@@ -211,6 +214,7 @@
 	uint64_t hub_chosen_ms; /**< when the current hub was chosen */
 	uint32_t hub_index; /**< in hub_candidates */
 	struct dispatch_freshness freshness[RESOURCE_KIND_COUNT];
+	uint64_t stamp_ms; /**< of the last tick, on the clock of freshness */
 	uint32_t daemons_peak_count; /**< most daemons ever live at once */
 	uint64_t gone_order_next; /**< counts the endpoints that are gone */
 	uint64_t report_due_ms;
@@ -259,6 +263,11 @@
 void dispatch_set_freshness(struct dispatch *dispatch, enum resource_kind kind,
     uint64_t version, uint64_t as_of_ms);
 
+/** @return how fresh this daemon's copy of a resource is */
+struct reported_freshness
+dispatch_report_freshness(const struct dispatch *dispatch,
+    enum resource_kind kind);
+
 /**
  * Takes a request, or a retry, from this daemon's part of the retry budget.
  * @return false if the request is refused, as the decision then tells
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -315,6 +315,7 @@
 	uint32_t running_count;
 	uint32_t share_permille;
 	uint32_t limit_per_1000_s; /**< of the endpoint; 0: none is known */
+	struct reported_freshness list; /**< the hub's list of endpoints */
 	uint8_t start;
 	uint8_t reason; /**< enum refuse_reason */
 	uint8_t over_share;
