Keep missing endpoints only after an outage of the store itself

Callers saw an endpoint that was gone answer requests of a daemon for up to 4.1 s after the store served that daemon again (DRAIN).

Cause: after any failed call, endpoints missing in the store were kept for 1.8 s, counted from this daemon's own next successful call. That serves entries that expire while the store is away. But where the store turns one daemon away and serves the rest, an entry that went is gone; and own success comes late: a watch that the store doesn't answer takes its whole wait and the timeout (1.6 s), the pause after it 0.8 s.

Fix: core/store_outage tells both apart by when the store served any daemon, as peers report it anyway: only a gap of 2 s with a failed call here is an outage, and the time counts from its end, whoever saw it first. A peer that is served ends the pause of the others; after a failed call a watch doesn't wait; the pause is 0.4 s at most for daemons that watch.

--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -15,6 +15,7 @@
 
 #include "core/config_snapshot.h"
 #include "core/dispatch.h"
+#include "core/store_outage.h"
 
 /** Receives what a feed learns. The functions are called on the threads of the
  * reflectors, on_freshness also on the thread that calls
@@ -54,7 +55,7 @@
 struct feed;
 
 /** List-then-watch client for one resource. Its own thread uses it; other
- * threads change its atomic fields only. */
+ * threads change its atomic fields and its outage only. */
 struct reflector {
 	struct feed *feed;
 	enum resource_kind resource_kind;
@@ -72,8 +73,7 @@
 	GHashTable *known_names; /**< names given to the sink */
 	/** Names of removed objects to the time when the sink is told. */
 	GHashTable *pending_removals;
-	/** First response after the last failed call, 0 if none failed. */
-	uint64_t recovered_ms;
+	struct store_outage outage; /**< guarded by the feed's mutex */
 	uint32_t backoff_ms;
 	_Atomic uint64_t version; /**< version given to the sink, 0: none */
 	_Atomic uint64_t peer_version; /**< newest version known to peers */
--- a/include/platform/schedule.h
+++ b/include/platform/schedule.h
@@ -28,7 +28,8 @@
  * brings the changes. */
 bool schedule_stale_list_suffices(const struct reflector *reflector);
 
-/** @return how long a watch waits for a change */
+/** @return how long a watch waits for a change; not at all after a failed call, so
+ * that the end of an outage shows at once */
 uint32_t schedule_watch_wait_ms(const struct reflector *reflector);
 
 /** In a large fleet, changes are batched: otherwise every daemon would call the
--- a/tests/e2e/gateway_harness.h
+++ b/tests/e2e/gateway_harness.h
@@ -32,6 +32,8 @@
 class FakeObjectStore
 {
       public:
+	static constexpr int SILENT = -1;
+
 	FakeObjectStore() : port_(free_port())
 	{
 		std::string port = "127.0.0.1:" + std::to_string(port_);
@@ -100,7 +102,8 @@
 		changed_.notify_all();
 	}
 
-	/** Makes all further calls fail with an HTTP status; 0 ends that. */
+	/** Makes all further calls fail with an HTTP status, or, with SILENT,
+	 * get no response; 0 ends that. */
 	void fail_with(int status)
 	{
 		std::lock_guard<std::mutex> lock(mutex_);
@@ -167,6 +170,8 @@
 		std::string body;
 		int status = store->respond(uri.substr(uri.rfind('/') + 1),
 		    query, &body);
+		if (status == SILENT)
+			status = store->stay_silent();
 
 		mg_printf(connection,
 		    "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
@@ -186,6 +191,16 @@
 		    : "";
 	}
 
+	/** Outlasts the timeout of the caller. */
+	int stay_silent()
+	{
+		std::unique_lock<std::mutex> lock(mutex_);
+
+		changed_.wait_for(lock, std::chrono::milliseconds(2000),
+		    [&] { return stopping_; });
+		return 503;
+	}
+
 	int respond(const std::string &kind, const std::string &query,
 	    std::string *body)
 	{
--- a/tests/e2e/test_feed.cc
+++ b/tests/e2e/test_feed.cc
@@ -378,6 +378,21 @@
 	EXPECT_TRUE(has_endpoint("e2"));
 }
 
+TEST_F(FeedAfterACut, AfterASilentCutAnEndpointThatLeftUnseenIsGoneInTouch)
+{
+	auto e1_is_gone = [&] {
+		offer_versions_of_peers();
+		return !has_endpoint("e1");
+	};
+
+	store.fail_with(FakeObjectStore::SILENT);
+	offer_versions_for(CUT_MS);
+	store.remove("servers", "e1");
+	end_cut();
+	EXPECT_TRUE(eventually(e1_is_gone, STABLE_WINDOW_MS));
+	EXPECT_TRUE(has_endpoint("e2"));
+}
+
 /* Without peers, each missing entry may be one that is written again. */
 TEST_F(FeedAfterACut, AMissingEndpointIsKeptForAWhileButGoneInTouch)
 {
