Send nothing where the newer list of this daemon has no endpoint

Cause: an endpoint that a hub names and that isn't listed here was taken for one that the hub discovered first. What tells both apart is remembered only since the daemon's start (dispatch->gone). A hub that is cut off from the store can name one that went before.

Fix: a placement names the revision of the endpoint's entry as the hub knows it. A list here that is as new or newer would have it, so the endpoint is gone. Else it is new and is used (AnEndpointThatOnlyItsHubHasDiscoveredYetIsUsed).

Test: NothingIsSentToAnEndpointThatWentBeforeTheDaemonStarted failed before (requests went to s1 and s2), passes now. Looked at for the same cause: reported limits and adopted attempts apply only to endpoints that are listed here; crash records name no endpoint; cached segments are kept by the daemon that sends.

--- a/common/codec_dispatch_decode.c
+++ b/common/codec_dispatch_decode.c
@@ -75,6 +75,7 @@
 	reader_text(reader, placement->name, sizeof(placement->name));
 	reader_text(reader, placement->address, sizeof(placement->address));
 	placement->process_start_ms = reader_uint(reader, UINT64_MAX);
+	placement->endpoint_revision = reader_uint(reader, UINT64_MAX);
 	placement->prefill_tokens = reader_uint(reader, UINT32_MAX);
 	placement->kv_tokens = reader_uint(reader, UINT32_MAX);
 	placement->retry_after_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
--- a/common/codec_dispatch_encode.c
+++ b/common/codec_dispatch_encode.c
@@ -60,6 +60,7 @@
 	writer_text(out, placement->name, strlen(placement->name));
 	writer_text(out, placement->address, strlen(placement->address));
 	writer_uint(out, placement->process_start_ms);
+	writer_uint(out, placement->endpoint_revision);
 	writer_uint(out, placement->prefill_tokens);
 	writer_uint(out, placement->kv_tokens);
 	writer_uint(out, placement->retry_after_ms);
--- a/core/delegation.c
+++ b/core/delegation.c
@@ -323,6 +323,11 @@
 	if (dispatch_is_gone(delegation->dispatch, placement->endpoint_id,
 		placement->process_start_ms))
 		return false;
+	/* it may have gone before this daemon started */
+	if (endpoint == NULL &&
+	    dispatch_list_covers(delegation->dispatch,
+		placement->endpoint_revision))
+		return false;
 	/* the hub may have discovered it first, or its next process */
 	if (endpoint == NULL ||
 	    endpoint->info.process_start_ms < placement->process_start_ms)
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -78,6 +78,13 @@
 	endpoint->unreached_until_ms = now_ms + endpoint->unreached_ms;
 }
 
+bool
+dispatch_list_covers(const struct dispatch *dispatch, uint64_t revision)
+{
+	return revision != 0 &&
+	    dispatch->freshness[RESOURCE_ENDPOINTS].version >= revision;
+}
+
 static uint64_t
 gone_order(gconstpointer gone)
 {
--- a/core/dispatch_serve.c
+++ b/core/dispatch_serve.c
@@ -54,6 +54,7 @@
 	memcpy(placement->name, decision->name, NAME_MAX_BYTES);
 	memcpy(placement->address, decision->address, ADDRESS_MAX_BYTES);
 	placement->process_start_ms = endpoint->info.process_start_ms;
+	placement->endpoint_revision = endpoint->info.revision;
 	placement->limit_per_1000_s = endpoint->limit.per_1000_s;
 }
 
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -32,6 +32,7 @@
 	uint64_t pool_id;
 	uint64_t domain_id; /**< hash of its failure domain */
 	uint64_t process_start_ms; /**< 0 if unknown */
+	uint64_t revision; /**< of the list of endpoints; 0 if unknown */
 	uint32_t slots;
 	uint32_t warmup_remaining_ms;
 	bool leaving; /**< takes no new requests */
@@ -300,6 +301,10 @@
 bool dispatch_may_send_to(const struct dispatch *dispatch,
     const struct dispatch_endpoint *endpoint, uint64_t now_ms);
 
+/** @return whether the list of endpoints here is not older than a revision at
+ * which an endpoint was listed */
+bool dispatch_list_covers(const struct dispatch *dispatch, uint64_t revision);
+
 /** @return whether a process of an endpoint was removed from discovery here */
 bool dispatch_is_gone(const struct dispatch *dispatch, uint64_t endpoint_id,
     uint64_t process_start_ms);
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -304,6 +304,8 @@
 	char name[NAME_MAX_BYTES];
 	char address[ADDRESS_MAX_BYTES];
 	uint64_t process_start_ms;
+	/** Of the list, at the last change of the endpoint; 0 if unknown. */
+	uint64_t endpoint_revision;
 	uint64_t prefill_tokens; /**< charged to the endpoint */
 	uint64_t kv_tokens; /**< charged to the endpoint */
 	uint32_t retry_after_ms;
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -60,9 +60,10 @@
 	struct feed *feed;
 	enum resource_kind resource_kind;
 	const char *object_kind; /**< kind of the objects in the store */
-	/** Applies an object; spec is NULL if it was removed or has none. */
+	/** Applies an object; spec is NULL if it was removed or has none.
+	 * @param revision of its last change */
 	void (*apply_object)(struct reflector *reflector, const char *name,
-	    const void *spec);
+	    uint64_t revision, const void *spec);
 	/** Called after the response to a list or a watch.
 	 * @param changed the response held objects */
 	void (*on_response)(struct reflector *reflector, bool changed);
--- a/tests/unit/hubs_fleet.h
+++ b/tests/unit/hubs_fleet.h
@@ -18,6 +18,8 @@
 using dispatch_network::FIRST_ID;
 constexpr uint64_t ACCOUNT_ID = 1;
 constexpr uint32_t PROMPT_TOKENS = 500;
+/** Of the list of endpoints, at the last change of s1 and s2. */
+constexpr uint64_t ENTRY_REVISION = 40;
 
 /** Daemons that exchange messages over a network without delay. */
 class Fleet : public dispatch_network::Network
@@ -71,6 +73,19 @@
 			put_endpoint(core.get(), "s2", "127.0.0.1:2");
 	}
 
+	/** Starts daemon i again, at a version of the list without s1. */
+	void restart_without_first_endpoint(size_t i, uint64_t list_version)
+	{
+		delegation_finish(delegations[i].get());
+		dispatch_finish(cores[i].get());
+		cores[i] = make_core(i, "s2", "127.0.0.1:2");
+		delegation_init(delegations[i].get(), cores[i].get(),
+		    daemons.size() + i);
+		dispatch_set_freshness(cores[i].get(), RESOURCE_ENDPOINTS,
+		    list_version, now_ms);
+		update_daemons();
+	}
+
 	/** @return the counters of all requests, at daemon i */
 	dispatch_account *account(size_t i)
 	{
@@ -155,7 +170,8 @@
 	std::vector<uint64_t> sent_counts = std::vector<uint64_t>(400);
 
       private:
-	std::unique_ptr<struct dispatch> make_core(size_t i)
+	std::unique_ptr<struct dispatch> make_core(size_t i,
+	    const char *name = "s1", const char *address = "127.0.0.1:1")
 	{
 		auto core = std::make_unique<struct dispatch>();
 		dispatch_config config = {};
@@ -166,7 +182,7 @@
 		config.retry_window_ms = 10000;
 		dispatch_init(core.get(), &config);
 		dispatch_set_configuration(core.get(), configuration);
-		put_endpoint(core.get(), "s1", "127.0.0.1:1");
+		put_endpoint(core.get(), name, address);
 		return core;
 	}
 
@@ -179,6 +195,7 @@
 		g_strlcpy(info.address, address, sizeof(info.address));
 		info.pool_id = hash_name("service");
 		info.slots = 1000;
+		info.revision = ENTRY_REVISION;
 		dispatch_put_endpoint(core, &info, now_ms);
 	}
 
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -92,7 +92,7 @@
 	message = {};
 	message.type = MSG_PLACEMENT;
 	message.u.placement = { UINT64_MAX, 2, "e1", "10.0.0.1:80", UINT64_MAX,
-		3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, { 14, 15 }, 1,
+		UINT64_MAX, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, { 14, 15 }, 1,
 		REFUSE_QUEUE_FULL, 1 };
 	round_trip(message, &decoded);
 	EXPECT_EQ(memcmp(&decoded.u.placement, &message.u.placement,
--- a/tests/unit/test_hubs.cc
+++ b/tests/unit/test_hubs.cc
@@ -1,6 +1,7 @@
 #include "hubs_fleet.h"
 
 #include <map>
+#include <set>
 
 using namespace hubs_tests;
 
@@ -136,6 +137,23 @@
 	}
 }
 
+/** Names of the endpoints that 20 requests at a daemon are sent to. */
+std::set<std::string>
+endpoints_used(Fleet &fleet, size_t daemon)
+{
+	std::set<std::string> names;
+
+	for (int i = 0; i < 20; i++) {
+		uint64_t attempt_id = fleet.submit_request(daemon);
+		dispatch_decision decision = {};
+		EXPECT_TRUE(delegation_take(fleet.delegations[daemon].get(),
+		    attempt_id, &decision));
+		EXPECT_TRUE(decision.start);
+		names.insert(decision.name);
+	}
+	return names;
+}
+
 /* The hub may be cut off from the store. */
 TEST(Hubs, NothingIsSentToAnEndpointThatIsGoneThoughItsHubDoesNotKnow)
 {
@@ -145,14 +163,29 @@
 	fleet.run_for(500);
 	size_t hub = fleet.hub_of_endpoint(0), other = hub == 0 ? 1 : 0;
 	dispatch_remove_endpoint(fleet.cores[other].get(), "s1");
-	for (int i = 0; i < 20; i++) {
-		uint64_t attempt_id = fleet.submit_request(other);
-		dispatch_decision decision = {};
-		ASSERT_TRUE(delegation_take(fleet.delegations[other].get(),
-		    attempt_id, &decision));
-		EXPECT_TRUE(decision.start);
-		EXPECT_STREQ(decision.name, "s2");
-	}
+	EXPECT_EQ(endpoints_used(fleet, other), std::set<std::string>{ "s2" });
+}
+
+TEST(Hubs, NothingIsSentToAnEndpointThatWentBeforeTheDaemonStarted)
+{
+	Fleet fleet(10, 6);
+
+	fleet.add_second_endpoint();
+	fleet.run_for(500);
+	size_t hub = fleet.hub_of_endpoint(0), other = hub == 0 ? 1 : 0;
+	fleet.restart_without_first_endpoint(other, ENTRY_REVISION + 1);
+	EXPECT_EQ(endpoints_used(fleet, other), std::set<std::string>{ "s2" });
+}
+
+TEST(Hubs, AnEndpointThatOnlyItsHubHasDiscoveredYetIsUsed)
+{
+	Fleet fleet(10, 6);
+
+	fleet.add_second_endpoint();
+	fleet.run_for(500);
+	size_t hub = fleet.hub_of_endpoint(0), other = hub == 0 ? 1 : 0;
+	fleet.restart_without_first_endpoint(other, ENTRY_REVISION - 1);
+	EXPECT_EQ(endpoints_used(fleet, other).count("s1"), 1u);
 }
 
 TEST(Hubs, ARequestThatAHubIsAskedAgainForIsCountedOnceForItsAccount)
