Never take back an endpoint's process that has said it leaves

Cause: the entry that comes last won, whatever it says. A heartbeat from before the notice that takes effect late, also one that writes a removed entry again, would make a leaving endpoint ready, at all daemons at once.

Fix: leaving holds for the process, known or gone, if its start is known; an entry with a lower revision than the known one changes nothing.

Tests: AProcessThatLeavesIsNotTakenBackByALateHeartbeat and AnEntryThatIsOlderThanTheKnownOneChangesNothing failed before, pass now.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -128,6 +128,34 @@
 	endpoint->probing = false;
 }
 
+/* A process that leaves doesn't come back. An entry that says so may be a
+ * heartbeat that took effect late. */
+static bool
+said_leaving_before(const struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint,
+    const struct dispatch_endpoint_info *info)
+{
+	uint64_t endpoint_id = hash_name(info->name);
+	const struct dispatch_gone *gone = g_hash_table_lookup(dispatch->gone,
+	    &endpoint_id);
+
+	if (info->process_start_ms == 0)
+		return false;
+	if (endpoint != NULL && endpoint->info.leaving &&
+	    endpoint->info.process_start_ms == info->process_start_ms)
+		return true;
+	return gone != NULL && gone->leaving &&
+	    gone->process_start_ms == info->process_start_ms;
+}
+
+static bool
+is_older(const struct dispatch_endpoint *endpoint,
+    const struct dispatch_endpoint_info *info)
+{
+	return endpoint != NULL && endpoint->listed && info->revision != 0 &&
+	    info->revision < endpoint->info.revision;
+}
+
 void
 dispatch_put_endpoint(struct dispatch *dispatch,
     const struct dispatch_endpoint_info *info, uint64_t now_ms)
@@ -135,7 +163,11 @@
 	uint64_t endpoint_id = hash_name(info->name);
 	struct dispatch_endpoint *endpoint =
 	    g_hash_table_lookup(dispatch->endpoints, &endpoint_id);
+	bool leaving = info->leaving ||
+	    said_leaving_before(dispatch, endpoint, info);
 
+	if (is_older(endpoint, info))
+		return;
 	if (endpoint == NULL) {
 		endpoint = g_new0(struct dispatch_endpoint, 1);
 		endpoint->endpoint_id = endpoint_id;
@@ -148,9 +180,10 @@
 		endpoint_reset(endpoint);
 	dispatch->assignment_due |= !endpoint->listed ||
 	    endpoint->info.pool_id != info->pool_id ||
-	    endpoint->info.leaving != info->leaving;
+	    endpoint->info.leaving != leaving;
 	g_hash_table_remove(dispatch->gone, &endpoint_id);
 	endpoint->info = *info;
+	endpoint->info.leaving = leaving;
 	endpoint->listed = true;
 	endpoint->warm_at_ms = now_ms + info->warmup_remaining_ms;
 }
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -100,6 +100,7 @@
 	bounded_table_make_room(dispatch->gone, GONE_MAX_COUNT, gone_order);
 	item->endpoint_id = endpoint->endpoint_id;
 	item->process_start_ms = endpoint->info.process_start_ms;
+	item->leaving = endpoint->info.leaving;
 	item->order = dispatch->gone_order_next++;
 	g_hash_table_replace(dispatch->gone, &item->endpoint_id, item);
 }
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -35,7 +35,9 @@
 	uint64_t revision; /**< of the list of endpoints; 0 if unknown */
 	uint32_t slots;
 	uint32_t warmup_remaining_ms;
-	bool leaving; /**< takes no new requests */
+	/** Takes no new requests. A process that leaves stays so, whatever a
+	 * later entry says. */
+	bool leaving;
 };
 
 /** First attempt or retry of a request. */
@@ -240,7 +242,7 @@
 void dispatch_set_configuration(struct dispatch *dispatch,
     const struct config_snapshot *configuration);
 
-/** Adds or updates an endpoint. */
+/** Adds or updates an endpoint, unless a later entry of it is known. */
 void dispatch_put_endpoint(struct dispatch *dispatch,
     const struct dispatch_endpoint_info *info, uint64_t now_ms);
 
--- a/tests/unit/dispatch_fixture.h
+++ b/tests/unit/dispatch_fixture.h
@@ -68,7 +68,8 @@
 
 	void add_endpoint(const char *name, const char *pool = "engines",
 	    uint32_t slots = 8, uint64_t process_start_ms = 1,
-	    bool leaving = false, const char *domain = "z1")
+	    bool leaving = false, const char *domain = "z1",
+	    uint64_t revision = 0)
 	{
 		dispatch_endpoint_info info = {};
 
@@ -79,6 +80,7 @@
 		info.slots = slots;
 		info.process_start_ms = process_start_ms;
 		info.leaving = leaving;
+		info.revision = revision;
 		dispatch_put_endpoint(&dispatch, &info, now_ms);
 	}
 
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -83,6 +83,28 @@
 	EXPECT_GT(decide(first).forecast.prefill_ms, 10u);
 }
 
+TEST_F(Dispatch, AProcessThatLeavesIsNotTakenBackByALateHeartbeat)
+{
+	add_endpoint("e1", "engines", 8, 5, true);
+	add_endpoint("e1", "engines", 8, 5, false);
+	EXPECT_FALSE(decide(make_request()).start);
+	dispatch_remove_endpoint(&dispatch, "e1");
+	add_endpoint("e1", "engines", 8, 5, false);
+	EXPECT_FALSE(decide(make_request()).start);
+	/* its next process is another */
+	add_endpoint("e1", "engines", 8, 6, false);
+	EXPECT_TRUE(decide(make_request()).start);
+}
+
+TEST_F(Dispatch, AnEntryThatIsOlderThanTheKnownOneChangesNothing)
+{
+	add_endpoint("e1", "engines", 8, 0, true, "z1", 7);
+	add_endpoint("e1", "engines", 8, 0, false, "z1", 6);
+	EXPECT_FALSE(decide(make_request()).start);
+	add_endpoint("e1", "engines", 8, 0, false, "z1", 8);
+	EXPECT_TRUE(decide(make_request()).start);
+}
+
 TEST_F(Dispatch, FirstTokenDelayOfShortPromptsDoesNotLowerPrefillSpeed)
 {
 	add_endpoint("e1");
