Let all unfinished responses share a part of the memory

What operators of similar systems saw, and what can happen here: endpoints that send bytes without end take the memory of the daemon, and with it the requests of all callers.

Cause: a response of up to 256 KB counted against nothing. 200 unfinished ones of 250 KB added 60,000 KB to a daemon; an instance has 88 MB and more, a busy one 300 requests in work. Bodies above 256 KB, heads, trailers and events were bounded already.

Fix: only the first 16 KB of a response are free; what is above shares a quarter of the instance's memory (listen.memory_mb, filled in by the template), at least 8 MB, so that large instances hold more for slow callers.

Test: ManyUnfinishedResponsesDoNotFillTheMemory failed before (60,000 KB, bound 32 MB), passes now. Looked at as well: the store's responses (4 MB a call) and messages of peers (2 MB each) are bounded; there are no liveness checks and no calls for cancelling, so nothing is read there.

--- a/bamboorudderd/gateway_transfer.c
+++ b/bamboorudderd/gateway_transfer.c
@@ -9,10 +9,12 @@
 
 #define EVENTS_PER_POLL 64
 #define RESPONSE_MAX_BYTES (8u * 1024u * 1024u)
-/* Responses above the first size share the second: an endpoint that sends
- * without end must not fill the memory of the smallest instances. */
-#define RESPONSE_SMALL_BYTES (256u * 1024u)
-#define RESPONSES_MAX_BYTES (8u * 1024u * 1024u)
+/* Responses above the first size share the rest: endpoints that send without end
+ * must not fill the memory of the instance, however many requests they have. */
+#define RESPONSE_SMALL_BYTES (16u * 1024u)
+#define RESPONSES_MIN_BYTES (8u * 1024u * 1024u)
+#define RESPONSES_MEMORY_DIVISOR 4u
+#define BYTES_PER_MB (1024u * 1024u)
 #define EVENT_MAX_BYTES (1024u * 1024u)
 /* Of all heads and trailers of an attempt. */
 #define RESPONSE_HEADS_MAX_BYTES (64u * 1024u)
@@ -270,6 +272,17 @@
 	return request->endpoint_body->len + request->response_bytes->len;
 }
 
+/* @return what the responses of all requests may have in memory together */
+static uint64_t
+responses_max_bytes(const struct gateway *gateway)
+{
+	uint64_t memory_bytes = (uint64_t)gateway->settings->memory_mb *
+	    BYTES_PER_MB;
+
+	return MAX(memory_bytes / RESPONSES_MEMORY_DIVISOR,
+	    RESPONSES_MIN_BYTES);
+}
+
 static bool
 may_grow_by(const struct gw_request *request, size_t length)
 {
@@ -283,7 +296,7 @@
 		total_bytes += unsent_bytes(other);
 	}
 	return own_bytes <= RESPONSE_MAX_BYTES &&
-	    total_bytes <= RESPONSES_MAX_BYTES;
+	    total_bytes <= responses_max_bytes(request->gateway);
 }
 
 static size_t
--- a/bamboorudderd/settings.c
+++ b/bamboorudderd/settings.c
@@ -65,6 +65,7 @@
 	    validate_optional_address),
 	INTEGER("listen.connections_max", connections_max_count, "connections",
 	    16, 65536, 1000),
+	ROUNDED("listen.memory_mb", memory_mb, "MB", 0, 16777216, 64),
 	ROUNDED("listen.stream_delay_ms", stream_delay_ms, "ms", 1, 600000,
 	    120),
 	STRING("admin.address", admin_address, NULL, validate_address),
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -23,6 +23,7 @@
 	char listen_address[SETTINGS_STRING_MAX_BYTES];
 	char readiness_address[SETTINGS_STRING_MAX_BYTES];
 	uint32_t connections_max_count;
+	uint32_t memory_mb; /**< of the instance */
 	uint32_t stream_delay_ms;
 	char admin_address[SETTINGS_STRING_MAX_BYTES];
 	char peer_address[SETTINGS_STRING_MAX_BYTES];
--- a/tests/e2e/test_gateway_endless.cc
+++ b/tests/e2e/test_gateway_endless.cc
@@ -55,8 +55,7 @@
 	    "Transfer-Encoding: chunked\r\n\r\n";
 }
 
-class GatewayEndless : public Gateway,
-		       public ::testing::WithParamInterface<EndlessResponse>
+class GatewayMemory : public Gateway
 {
       protected:
 	uint64_t memory_peak_kb()
@@ -71,11 +70,11 @@
 		return 0;
 	}
 
-	Response send_endless(const std::string &id) const
+	Response send_once(const std::string &path, const std::string &id) const
 	{
 		return send_request("POST",
 		    "http://127.0.0.1:" + std::to_string(harness.listen_port) +
-			GetParam().path,
+			path,
 		    "b",
 		    { "Host: a.example", "X-Bamboorudder-Request-Id: " + id,
 			"X-Bamboorudder-Deadline-Ms: 8000" },
@@ -83,13 +82,14 @@
 	}
 
 	/** Sends a request again while the daemon sheds it: a busy one may. */
-	Response send_until_started(uint32_t number) const
+	Response send_until_started(const std::string &path,
+	    uint32_t number) const
 	{
 		std::string id = "endless" + std::to_string(number) + "-";
 		Response response;
 
 		for (uint32_t i = 0; i < TRIES_MAX_COUNT; i++) {
-			response = send_endless(id + std::to_string(i));
+			response = send_once(path, id + std::to_string(i));
 			if (response.status != 503)
 				break;
 			std::this_thread::sleep_for(
@@ -99,6 +99,11 @@
 	}
 };
 
+class GatewayEndless : public GatewayMemory,
+		       public ::testing::WithParamInterface<EndlessResponse>
+{
+};
+
 TEST_P(GatewayEndless, BytesThatNeverEndNeitherFillMemoryNorHoldUpOthers)
 {
 	auto closed_count = std::make_shared<std::atomic<uint32_t>>(0);
@@ -122,7 +127,8 @@
 	uint64_t before_kb = memory_peak_kb();
 	for (uint32_t i = 0; i < CALLERS_COUNT; i++)
 		callers.emplace_back([&, i] {
-			Response response = send_until_started(i);
+			Response response = send_until_started(GetParam().path,
+			    i);
 			EXPECT_FALSE(
 			    response.status == 200 && response.complete);
 		});
@@ -138,6 +144,39 @@
 	EXPECT_TRUE(SANITIZED || added_kb < MEMORY_MAX_KB) << added_kb;
 }
 
+/* Each sends less than a response may have, and none ends. */
+TEST_F(GatewayMemory, ManyUnfinishedResponsesDoNotFillTheMemory)
+{
+	constexpr uint32_t UNFINISHED_COUNT = 200;
+	const std::string most_of_a_body(250 * 1024, 'g');
+	std::vector<std::thread> callers;
+
+	first_endpoint.set_script([most_of_a_body](Connection &connection,
+				      const std::string &request) {
+		if (request.find("/safe/") != std::string::npos) {
+			connection.send_text(response_text(request, "whole"));
+			return;
+		}
+		connection.send_text(
+		    own_head(request) + http_chunk(most_of_a_body));
+		connection.read_request(); /* until it is closed */
+	});
+	start();
+	ASSERT_EQ(harness.send("GET", "/safe/").status, 200);
+	uint64_t before_kb = memory_peak_kb();
+	for (uint32_t i = 0; i < UNFINISHED_COUNT; i++)
+		callers.emplace_back([&, i] {
+			Response response = send_until_started("/once/", i);
+			EXPECT_FALSE(
+			    response.status == 200 && response.complete);
+		});
+	for (auto &caller : callers)
+		caller.join();
+	uint64_t added_kb = memory_peak_kb() - before_kb;
+	EXPECT_TRUE(SANITIZED || added_kb < MEMORY_MAX_KB) << added_kb;
+	EXPECT_EQ(harness.send("GET", "/safe/").status, 200);
+}
+
 INSTANTIATE_TEST_SUITE_P(All, GatewayEndless,
     ::testing::Values(EndlessResponse{ "HeaderLines", "/once/", status_line,
 			  repeat("X-A: 1\r\n", 1000) },
--- a/tests/unit/test_deploy_template.cc
+++ b/tests/unit/test_deploy_template.cc
@@ -81,9 +81,10 @@
 	};
 }
 
-const char *const NUMBERS[] = { "limits.cpu_quota", "bounds.iteration_ms",
-	"bounds.drain_ms", "bounds.revoke_ms", "bounds.retry_budget_ratio",
-	"bounds.retry_window_s", "bounds.retry_slack", "bounds.grace_s" };
+const char *const NUMBERS[] = { "limits.cpu_quota", "limits.memory_mb",
+	"bounds.iteration_ms", "bounds.drain_ms", "bounds.revoke_ms",
+	"bounds.retry_budget_ratio", "bounds.retry_window_s",
+	"bounds.retry_slack", "bounds.grace_s" };
 
 values
 fields_with(const std::string &number)
@@ -125,6 +126,7 @@
 	EXPECT_EQ(settings.retry_slack_milli, 33157u);
 	EXPECT_EQ(settings.endpoints_age_ms, 33u);
 	EXPECT_EQ(settings.stream_delay_ms, 33u);
+	EXPECT_EQ(settings.memory_mb, 33u);
 	EXPECT_EQ(settings.revoke_ms, 33u);
 	EXPECT_EQ(settings.shutdown_grace_ms, 33157u);
 }
