--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -128,7 +128,7 @@
 	endpoint->probing = false;
 }
 
-/* A process that leaves doesn't come back. An entry that says so may be a
+/* A process that leaves stays so. An entry in which it is ready again is a
  * heartbeat that took effect late. */
 static bool
 said_leaving_before(const struct dispatch *dispatch,
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -92,7 +92,7 @@
 	char name[NAME_MAX_BYTES];
 	char address[ADDRESS_MAX_BYTES];
 	uint64_t process_start_ms; /**< of the endpoint's process */
-	uint64_t hub_id; /**< node_id of the daemon that decided */
+	uint64_t hub_id; /**< daemon that decided; 0: no hub was needed */
 	struct reported_freshness hub_list; /**< its list of endpoints */
 	struct reported_freshness own_list; /**< this daemon's one */
 	struct dispatch_forecast forecast;
