--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -180,7 +180,9 @@
         self.changed = threading.Condition()
         self.revision = 100
         self.objects = {}  # (kind, name) -> object
-        self.events = []  # (revision, kind, object, deleted)
+        self.events = []  # (revision, kind, object, deleted, moment)
+        self.retention_s = 20
+        self.dropped = 0  # the last revision that is gone from the history
         self.page = 500
         self.stale_page = None  # hook: (kind, page index) -> objects, at
         super().__init__()
@@ -194,7 +196,8 @@
                                  "deletion_pending": False},
                     "spec": spec, "status": None}
             self.objects[kind, name] = item
-            self.events.append((self.revision, kind, item, False))
+            self.events.append((self.revision, kind, item, False,
+                                time.monotonic()))
             self.changed.notify_all()
             return time.monotonic()
 
@@ -202,7 +205,8 @@
         with self.changed:
             self.revision += 1
             item = self.objects.pop((kind, name))
-            self.events.append((self.revision, kind, item, True))
+            self.events.append((self.revision, kind, item, True,
+                                time.monotonic()))
             self.changed.notify_all()
             return time.monotonic()
 
@@ -223,25 +227,58 @@
         since = int(query["watch"])
         until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         while True:
+            while self.events and self.events[0][4] < time.monotonic() - \
+                    self.retention_s:
+                self.dropped = self.events.pop(0)[0]
+            if since < self.dropped:
+                return None
             found = [{"object": o, "deleted": d}
-                     for r, k, o, d in self.events if k == kind and r > since]
+                     for r, k, o, d, _ in self.events
+                     if k == kind and r > since]
             left = until - time.monotonic()
             if found or left <= 0:
                 return {"events": found, "at": self.revision}
             self.changed.wait(left)
 
+    def answer(self, head):
+        """@return (status line, body)"""
+        url = urllib.parse.urlsplit(head.first.split(" ")[1])
+        query = dict(urllib.parse.parse_qsl(url.query))
+        kind = url.path.split("/")[2]
+        with self.changed:
+            answer = (self.watch(kind, query) if "watch" in query
+                      else self.list_page(kind, query))
+        if answer is None:
+            return b"410 Gone", b"{}"
+        return b"200 OK", json.dumps(answer).encode()
+
+    def serve(self, sock):
+        reader = Reader(sock)
+        while (head := reader.head()) is not None:
+            reader.body(head)
+            status, body = self.answer(head)
+            sock.sendall(b"HTTP/1.1 " + status +
+                         b"\r\nContent-Type: application/json"
+                         b"\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+
+class StoreDoor(Server):
+    """Another address of the store, which can turn its callers away."""
+
+    def __init__(self, store):
+        self.store = store
+        self.away = False
+        super().__init__()
+
     def serve(self, sock):
         reader = Reader(sock)
         while (head := reader.head()) is not None:
             reader.body(head)
-            url = urllib.parse.urlsplit(head.first.split(" ")[1])
-            query = dict(urllib.parse.parse_qsl(url.query))
-            kind = url.path.split("/")[2]
-            with self.changed:
-                answer = (self.watch(kind, query) if "watch" in query
-                          else self.list_page(kind, query))
-            body = json.dumps(answer).encode()
-            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: application/json"
+            status, body = self.store.answer(head)
+            if self.away:
+                status, body = b"503 Service Unavailable", b"{}"
+            sock.sendall(b"HTTP/1.1 " + status +
+                         b"\r\nContent-Type: application/json"
                          b"\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
 
