Keep the rate of cold endpoints over the whole fleet

Cause: nothing paced a cold endpoint; its cost was doubled and that was all.

Change: the hub of an endpoint keeps the pool's rate in a token bucket, which the limits that endpoints name use, too. Cold is what the list says, and an endpoint that failed and was silent for 300 ms, until some seconds after its next response.

--- a/bamboorudderd/control.c
+++ b/bamboorudderd/control.c
@@ -199,6 +199,8 @@
 		.retry_permille = settings->retry_ratio_milli,
 		.retry_slack_milli = settings->retry_slack_milli,
 		.retry_window_ms = settings->retry_window_ms,
+		.cold_overshoot_milli = settings->cold_overshoot_milli,
+		.cold_slack_milli = settings->cold_slack_milli,
 	};
 
 	g_strlcpy(members_config.self.address, settings->peer_address,
--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -148,6 +148,17 @@
 	    NULL);
 }
 
+static void
+log_cold(const struct control *control, const struct effect *effect)
+{
+	char cold_ms[TEXT_BYTES];
+
+	g_snprintf(cold_ms, TEXT_BYTES, "%u", effect->cold_ms);
+	log_event(LOG_LEVEL_INFO, "endpoint_cold", "name",
+	    endpoint_name(control, effect->endpoint_id), "for_ms",
+	    effect->unconfirmed ? "-" : cold_ms, NULL);
+}
+
 void
 control_run_effects(struct control *control, uint64_t now_ms)
 {
@@ -183,6 +194,9 @@
 					       effect.endpoint_id),
 			    effect.leaving, effect.pause_ms);
 			break;
+		case EFFECT_ENDPOINT_COLD:
+			log_cold(control, &effect);
+			break;
 		case EFFECT_DECIDED:
 			gw_dispatch_on_decided(control, effect.seq);
 			break;
--- a/bamboorudderd/dump_dispatch.c
+++ b/bamboorudderd/dump_dispatch.c
@@ -22,6 +22,8 @@
 		state = "ejected";
 	else if (endpoint->probing)
 		state = "tried";
+	else if (dispatch_is_cold(dispatch, endpoint, now_ms))
+		state = "cold";
 	/* the load is that of the whole fleet at the endpoint's hub only */
 	return json_pack("{s:s, s:s, s:s, s:b, s:i, s:i, s:I, s:I, s:i, s:i}",
 	    "name", info->name, "address", info->address, "state", state,
--- a/core/delegation.c
+++ b/core/delegation.c
@@ -334,6 +334,10 @@
 		return placement->address[0] != '\0';
 	if (!dispatch_may_send_to(delegation->dispatch, endpoint, now_ms))
 		return false;
+	/* the hub does not know yet that the endpoint is cold */
+	if (endpoint->info.revision > placement->endpoint_revision &&
+	    dispatch_is_cold(delegation->dispatch, endpoint, now_ms))
+		return false;
 	if (placement->limit_per_1000_s > 0 ||
 	    !endpoint_limit_in_force(&endpoint->limit, now_ms))
 		return true;
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -124,6 +124,7 @@
 	endpoint->slow_permille = SLOWNESS_NORMAL_PERMILLE;
 	endpoint->first_token_ms = FIRST_TOKEN_INITIAL_MS;
 	memset(&endpoint->limit, 0, sizeof(endpoint->limit));
+	memset(&endpoint->cold, 0, sizeof(endpoint->cold));
 	endpoint->unreached_until_ms = 0;
 	endpoint->unreached_ms = 0;
 	endpoint->progress_ms = 0;
@@ -188,6 +189,8 @@
 	endpoint->info.leaving = leaving;
 	endpoint->listed = true;
 	endpoint->warm_at_ms = now_ms + info->warmup_remaining_ms;
+	if (info->warmup_remaining_ms > 0)
+		cold_pace_extend(&endpoint->cold, endpoint->warm_at_ms, now_ms);
 }
 
 void
--- a/core/dispatch_attempt.c
+++ b/core/dispatch_attempt.c
@@ -68,6 +68,7 @@
 	crash_suspects_start_trial(&dispatch->crash_suspects, trial_segment_id,
 	    now_ms);
 	endpoint_limit_take(&endpoint->limit);
+	cold_pace_take(&endpoint->cold);
 	if (now_ms >= endpoint->ejected_until_ms && endpoint->eject_ms > 0)
 		endpoint->probing = true;
 	add_attempt(dispatch, endpoint, attempt);
@@ -136,7 +137,7 @@
 	    &attempt->endpoint_id);
 	if (endpoint == NULL)
 		return;
-	endpoint->progress_ms = now_ms;
+	dispatch_record_progress(dispatch, endpoint, now_ms);
 	endpoint->load.prefill_tokens -= attempt->prefill_tokens;
 	if (attempt->engine && taken_ms != UINT32_MAX)
 		update_speed(endpoint, attempt, taken_ms);
@@ -166,9 +167,11 @@
 {
 	release(endpoint, attempt);
 	if (outcome == OUTCOME_COMPLETE)
-		endpoint->progress_ms = now_ms;
+		dispatch_record_progress(dispatch, endpoint, now_ms);
 	if (outcome == OUTCOME_BROKEN)
 		dispatch_record_loss(dispatch, endpoint, attempt, now_ms);
+	if (outcome == OUTCOME_BROKEN || outcome == OUTCOME_UNREACHED)
+		dispatch_record_silence(dispatch, endpoint, now_ms);
 	health_update->change = dispatch_update_health(endpoint, outcome,
 	    now_ms);
 	health_update->failing_permille = endpoint->failing_permille;
--- a/core/dispatch_limit.c
+++ b/core/dispatch_limit.c
@@ -97,6 +97,7 @@
 	g_hash_table_iter_init(&iter, dispatch->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		log_change(value, effects);
+		dispatch_log_cold(dispatch, value, now_ms, effects);
 		if (items->len < ENDPOINTS_MAX_COUNT)
 			collect_limit(value, refresh, now_ms, items);
 	}
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -1,9 +1,6 @@
 #include "core/bounded_table.h"
 #include "core/dispatch_private.h"
 
-/* Time until this daemon may have become the hub of an endpoint, or have reached
- * its hub again. */
-#define NOT_HUB_WAIT_MS 500u
 /* An endpoint that this daemon could not connect to is left out for this long,
  * doubled with each further failure. */
 #define UNREACHED_MIN_MS 500u
@@ -35,7 +32,7 @@
 	if (endpoint->hub_id == dispatch->config.node_id)
 		return endpoint_limit_wait_ms(&endpoint->limit, now_ms);
 	return endpoint_limit_in_force(&endpoint->limit, now_ms)
-	    ? NOT_HUB_WAIT_MS
+	    ? DISPATCH_NOT_HUB_WAIT_MS
 	    : 0;
 }
 
@@ -43,10 +40,11 @@
 dispatch_closed_ms(const struct dispatch *dispatch,
     struct dispatch_endpoint *endpoint, uint64_t now_ms)
 {
-	uint64_t pause_ms = endpoint_notices_wait_ms(&dispatch->notices,
+	uint64_t wait_ms = endpoint_notices_wait_ms(&dispatch->notices,
 	    endpoint->endpoint_id, endpoint->info.process_start_ms, now_ms);
 
-	return MAX(pause_ms, limit_wait_ms(dispatch, endpoint, now_ms));
+	wait_ms = MAX(wait_ms, limit_wait_ms(dispatch, endpoint, now_ms));
+	return MAX(wait_ms, dispatch_cold_wait_ms(dispatch, endpoint, now_ms));
 }
 
 bool
--- a/core/endpoint_limit.c
+++ b/core/endpoint_limit.c
@@ -2,7 +2,6 @@
 
 #include <glib.h>
 
-#define UREQ_PER_REQUEST 1000000u
 /* What the endpoint takes in this time may be saved up, and one request: in 4 s
  * it gets at most 4.5 times its limit and one request. */
 #define SAVED_MS 500u
@@ -27,10 +26,8 @@
 	if (evidence_ms <= limit->evidence_ms)
 		return;
 	limit->evidence_ms = evidence_ms;
-	if (limit->per_1000_s == 0) {
-		limit->allowance_ureq = UREQ_PER_REQUEST;
-		limit->refilled_ms = now_ms;
-	}
+	if (limit->per_1000_s == 0)
+		token_bucket_start(&limit->bucket, now_ms);
 	if (is_news(limit->per_1000_s, per_1000_s)) {
 		limit->to_announce = true;
 		limit->to_log = true;
@@ -43,41 +40,27 @@
 {
 	return limit->per_1000_s > 0 &&
 	    now_ms < limit->evidence_ms + LIMIT_KEEP_MS +
-		LIMIT_KEEP_REQUESTS_COUNT * UREQ_PER_REQUEST /
+		LIMIT_KEEP_REQUESTS_COUNT * TOKEN_BUCKET_REQUEST_UREQ /
 		    limit->per_1000_s;
 }
 
-static void
-refill(struct endpoint_limit *limit, uint64_t now_ms)
-{
-	uint64_t saved_max_ureq = UREQ_PER_REQUEST +
-	    (uint64_t)limit->per_1000_s * SAVED_MS;
-	uint64_t elapsed_ms = now_ms - MIN(limit->refilled_ms, now_ms);
-
-	limit->allowance_ureq = MIN(limit->allowance_ureq +
-		elapsed_ms * limit->per_1000_s,
-	    saved_max_ureq);
-	limit->refilled_ms = now_ms;
-}
-
 uint64_t
 endpoint_limit_wait_ms(struct endpoint_limit *limit, uint64_t now_ms)
 {
-	uint64_t missing_ureq;
+	const struct token_bucket_rate rate = {
+		.per_1000_s = limit->per_1000_s,
+		.burst_ureq = TOKEN_BUCKET_REQUEST_UREQ +
+		    (uint64_t)limit->per_1000_s * SAVED_MS,
+	};
 
-	if (!endpoint_limit_in_force(limit, now_ms))
-		return 0;
-	refill(limit, now_ms);
-	if (limit->allowance_ureq >= UREQ_PER_REQUEST)
-		return 0;
-	missing_ureq = UREQ_PER_REQUEST - limit->allowance_ureq;
-	return missing_ureq / limit->per_1000_s + 1;
+	return endpoint_limit_in_force(limit, now_ms)
+	    ? token_bucket_wait_ms(&limit->bucket, &rate, now_ms)
+	    : 0;
 }
 
 void
 endpoint_limit_take(struct endpoint_limit *limit)
 {
 	if (limit->per_1000_s > 0)
-		limit->allowance_ureq -= MIN(limit->allowance_ureq,
-		    UREQ_PER_REQUEST);
+		token_bucket_take(&limit->bucket);
 }
--- a/include/core/config_snapshot.h
+++ b/include/core/config_snapshot.h
@@ -43,6 +43,11 @@
 	uint64_t pool_id;
 	uint32_t slots; /**< concurrent requests of an endpoint, 0 if unknown */
 	uint64_t kv_capacity_tokens; /**< of one engine, 0 for a service */
+	/** Requests in 1,000 s that an endpoint takes while it is cold; 0: as
+	 * many as it is sent. */
+	uint32_t cold_per_1000_s;
+	uint32_t
+	    cold_start_ms; /**< an endpoint is cold so long after a start */
 	bool engine;
 };
 
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -14,6 +14,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/cold_pace.h"
 #include "core/config_snapshot.h"
 #include "core/crash_suspects.h"
 #include "core/effect.h"
@@ -150,6 +151,10 @@
 	/** Retries allowed on top of these, in thousandths. */
 	uint32_t retry_slack_milli;
 	uint32_t retry_window_ms;
+	/** What a cold endpoint may get in any second beyond its pool's rate:
+	 * the rate times a factor, and a number of requests. */
+	uint32_t cold_overshoot_milli;
+	uint32_t cold_slack_milli;
 };
 
 /** Load on one endpoint. */
@@ -181,6 +186,7 @@
 	uint64_t unreached_until_ms;
 	uint32_t unreached_ms; /**< length of that time */
 	struct endpoint_limit limit;
+	struct cold_pace cold;
 	bool probing; /**< a probe request is running */
 	bool listed; /**< present in discovery */
 };
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -249,6 +249,28 @@
     void (*fill)(const GArray *items, struct msg *msg), const GArray *items,
     struct effects *effects);
 
+/** Records an attempt at an endpoint that ended without a response. */
+void dispatch_record_silence(const struct dispatch *dispatch,
+    struct dispatch_endpoint *endpoint, uint64_t now_ms);
+
+/** Records that an endpoint began or completed a response. */
+void dispatch_record_progress(const struct dispatch *dispatch,
+    struct dispatch_endpoint *endpoint, uint64_t now_ms);
+
+/** @return whether an endpoint is cold, so that its hub keeps a rate */
+bool dispatch_is_cold(const struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint, uint64_t now_ms);
+
+/** @return time until this daemon may send a request to an endpoint that may be
+ * cold; 0: now */
+uint64_t dispatch_cold_wait_ms(const struct dispatch *dispatch,
+    struct dispatch_endpoint *endpoint, uint64_t now_ms);
+
+/** Adds the endpoint to the log if it became cold. */
+void dispatch_log_cold(const struct dispatch *dispatch,
+    struct dispatch_endpoint *endpoint, uint64_t now_ms,
+    struct effects *effects);
+
 /** Sends changed limits to other daemons. */
 void dispatch_tick_limits(struct dispatch *dispatch, uint64_t now_ms,
     struct effects *effects);
@@ -257,8 +279,12 @@
 bool dispatch_said_leaving(const struct dispatch *dispatch,
     const struct dispatch_endpoint *endpoint);
 
-/** @return time until an endpoint takes a request from this daemon, by its limit
- * and the pause that it asked for; 0: now */
+/** Time until this daemon may have become the hub of an endpoint, or have reached
+ * its hub again. */
+#define DISPATCH_NOT_HUB_WAIT_MS 500u
+
+/** @return time until an endpoint takes a request from this daemon, by its limit,
+ * the pause that it asked for and its rate while it is cold; 0: now */
 uint64_t dispatch_closed_ms(const struct dispatch *dispatch,
     struct dispatch_endpoint *endpoint, uint64_t now_ms);
 
--- a/include/core/effect.h
+++ b/include/core/effect.h
@@ -27,6 +27,8 @@
 	EFFECT_HEALTH_CHANGED,
 	/** log that endpoint_id has said that it leaves or pauses */
 	EFFECT_STATEMENT,
+	/** log that endpoint_id became cold */
+	EFFECT_ENDPOINT_COLD,
 	/** the decision on the attempt seq can be taken */
 	EFFECT_DECIDED
 };
@@ -47,6 +49,8 @@
 	uint32_t eject_ms;
 	bool leaving; /**< EFFECT_STATEMENT */
 	uint32_t pause_ms;
+	bool unconfirmed; /**< EFFECT_ENDPOINT_COLD: it may have restarted */
+	uint32_t cold_ms; /**< EFFECT_ENDPOINT_COLD; 0: until it responds */
 	struct msg msg;
 };
 
--- a/include/core/endpoint_limit.h
+++ b/include/core/endpoint_limit.h
@@ -10,12 +10,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/token_bucket.h"
+
 struct endpoint_limit {
 	uint32_t per_1000_s; /**< requests in 1,000 s; 0: no limit */
 	/** When the endpoint last named the limit, or responded without. */
 	uint64_t evidence_ms;
-	uint64_t allowance_ureq; /**< millionths of a request */
-	uint64_t refilled_ms;
+	struct token_bucket bucket;
 	bool to_announce; /**< not sent to other daemons yet */
 	bool to_log;
 };
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -24,6 +24,10 @@
 constexpr uint64_t DURATION_MS = 1000;
 /** Time after which a crashed engine has a new process. */
 constexpr uint64_t RESTART_MS = 3000;
+/** An engine is cold for so long after a start. */
+constexpr uint32_t COLD_START_MS = 3000;
+/** Age of the lists of different daemons differs by this at most. */
+constexpr uint64_t LIST_SPREAD_MS = 100;
 /** Segment that all requests of a route share. */
 constexpr uint64_t ROUTE_SEGMENT = 1;
 constexpr uint64_t DEADLY_SEGMENT = 666;
@@ -44,17 +48,27 @@
 	/** Limit that its responses name, in requests in 1,000 s; 0: none */
 	uint32_t limit_per_1000_s = 0;
 	std::vector<uint64_t> requests_ms; /**< times of requests sent to it */
+	/** Down, though daemons list it, until this time; 0: it runs. */
+	uint64_t down_until_ms = 0;
+	/** Time from its return until a daemon has the entry of its new process,
+	 * and for how long that entry says that it stays cold. */
+	uint64_t entry_delay_ms = 0;
+	uint32_t cold_ms = 0;
+	uint64_t returned_ms = 0; /**< from its last time down */
 };
 
 class CrashFleet : public dispatch_network::Network
 {
       public:
-	CrashFleet(size_t daemons_count, size_t engines_count)
+	CrashFleet(size_t daemons_count, size_t engines_count,
+	    uint32_t cold_per_1000_s = 0)
 	{
 		configuration = config_snapshot_new();
 		config_pool pool = {};
 		pool.pool_id = hash_name("engines");
 		pool.engine = true;
+		pool.cold_per_1000_s = cold_per_1000_s;
+		pool.cold_start_ms = cold_per_1000_s > 0 ? COLD_START_MS : 0;
 		g_array_append_val(configuration->pools, pool);
 		for (size_t i = 0; i < engines_count; i++)
 			engines.push_back(
@@ -92,6 +106,8 @@
 		config.retry_permille = 200;
 		config.retry_slack_milli = 50000;
 		config.retry_window_ms = 10000;
+		config.cold_overshoot_milli = 1500;
+		config.cold_slack_milli = 5000;
 		dispatch_init(cores[i].get(), &config);
 		delegations[i] = std::make_unique<delegation>();
 		delegation_init(delegations[i].get(), cores[i].get(),
@@ -150,10 +166,16 @@
 		}
 		if (!decision.start)
 			return decision;
+		engine *target = find_engine(decision.endpoint_id);
+		if (target->down_until_ms > now_ms) {
+			delegation_end_attempt(delegations[i].get(),
+			    decision.seq, OUTCOME_UNREACHED, now_ms, &effects);
+			run_effects(i);
+			return decision;
+		}
 		attempts.push_back({ i, decision.seq, now_ms,
 		    decision.endpoint_id, deadly, false });
-		find_engine(decision.endpoint_id)
-		    ->requests_ms.push_back(now_ms);
+		target->requests_ms.push_back(now_ms);
 		if (deadly)
 			deadly_sent_ms.push_back(now_ms);
 		return decision;
@@ -174,6 +196,18 @@
 		crashes_ms.push_back(now_ms);
 	}
 
+	/** Stops an engine, which daemons go on listing, and starts it again cold,
+	 * under the same name. */
+	void restart_unseen(engine &item, uint64_t down_ms,
+	    uint64_t entry_delay_ms)
+	{
+		item.down_until_ms = now_ms + down_ms;
+		item.entry_delay_ms = entry_delay_ms;
+		item.cold_ms = COLD_START_MS;
+		lose_attempts(hash_name(item.name.c_str()),
+		    [](const attempt &) { return true; });
+	}
+
 	/** Loses the attempts at an endpoint that the predicate names. */
 	template <typename Predicate>
 	void lose_attempts(uint64_t endpoint_id, Predicate predicate)
@@ -196,6 +230,8 @@
 	{
 		now_ms += STEP_MS;
 		restart_engines();
+		for (engine &item : engines)
+			return_engine(item);
 		advance_attempts();
 		for (size_t i = 0; i < cores.size(); i++)
 			tick(i);
@@ -235,9 +271,31 @@
 		info.pool_id = hash_name("engines");
 		info.process_start_ms = item.process_start_ms;
 		info.slots = 32;
+		info.revision = item.process_start_ms;
+		if (item.returned_ms > 0 &&
+		    now_ms < item.returned_ms + item.cold_ms)
+			info.warmup_remaining_ms = (uint32_t)(item.returned_ms +
+			    item.cold_ms - now_ms);
 		dispatch_put_endpoint(cores[i].get(), &info, now_ms);
 	}
 
+	/** Starts an engine again that was down, and tells the daemons later. */
+	void return_engine(engine &item)
+	{
+		if (item.down_until_ms > 0 && now_ms >= item.down_until_ms) {
+			item.down_until_ms = 0;
+			item.returned_ms = now_ms;
+			item.process_start_ms = now_ms;
+		}
+		for (size_t i = 0; item.returned_ms > 0 && i < cores.size();
+		     i++)
+			if (!cut_off[i] &&
+			    now_ms ==
+				item.returned_ms + item.entry_delay_ms +
+				    i * STEP_MS % LIST_SPREAD_MS)
+				put_engine(i, item);
+	}
+
 	void restart_engines()
 	{
 		for (engine &item : engines) {
--- a/tests/unit/test_deploy_template.cc
+++ b/tests/unit/test_deploy_template.cc
@@ -84,7 +84,8 @@
 const char *const NUMBERS[] = { "limits.cpu_quota", "limits.memory_mb",
 	"bounds.iteration_ms", "bounds.drain_ms", "bounds.revoke_ms",
 	"bounds.retry_budget_ratio", "bounds.retry_window_s",
-	"bounds.retry_slack", "bounds.grace_s" };
+	"bounds.retry_slack", "bounds.grace_s", "bounds.cold_overshoot",
+	"bounds.cold_slack" };
 
 values
 fields_with(const std::string &number)
@@ -129,6 +130,8 @@
 	EXPECT_EQ(settings.memory_mb, 33u);
 	EXPECT_EQ(settings.revoke_ms, 33u);
 	EXPECT_EQ(settings.shutdown_grace_ms, 33157u);
+	EXPECT_EQ(settings.cold_overshoot_milli, 33157u);
+	EXPECT_EQ(settings.cold_slack_milli, 33157u);
 }
 
 TEST(DeployTemplate, AbsentValuesGetDefaults)
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -79,6 +79,30 @@
 	config_snapshot_unref(configuration);
 }
 
+/* A figure that makes no sense is left out alone. */
+TEST(Platform, DecodesTheRateOfColdEndpoints)
+{
+	const struct {
+		const char *text;
+		uint32_t thousandths;
+	} cases[] = { { "12", 12000 }, { "0.25", 250 }, { "0", 0 }, { "-1", 0 },
+		{ "1e300", 0 }, { "\"12\"", 0 }, { "null", 0 } };
+
+	for (const auto &item : cases) {
+		struct config_snapshot *configuration = decode(
+		    std::string(R"({"version": 7, "routes": [],
+ "backends": [{"name": "p", "cold_start_s": 3.5, "cold_per_s": )") +
+		    item.text + "}]}");
+		ASSERT_NE(configuration, nullptr);
+		const config_pool *pool =
+		    config_snapshot_find_pool(configuration, hash_name("p"));
+		ASSERT_NE(pool, nullptr) << item.text;
+		EXPECT_EQ(pool->cold_per_1000_s, item.thousandths) << item.text;
+		EXPECT_EQ(pool->cold_start_ms, 3500u);
+		config_snapshot_unref(configuration);
+	}
+}
+
 TEST(Platform, SplitsRouteByWeight)
 {
 	struct config_snapshot *configuration = decode(CONFIGURATION);
