Drain failure domains that operators take out of use

Change: a third reflector, if platform.domains_age_ms is set; each daemon leaves the endpoints of drained domains out, and refuses a hub's placement there. Endpoints that are given back count as cold. bamboorudderctl domains, GET /v1/domains, log lines, dump. The count of commands in e2e-ctl grows from 8 to 9 with the new one.

--- a/bamboorudderctl/main.c
+++ b/bamboorudderctl/main.c
@@ -16,6 +16,8 @@
 static const struct command commands[] = {
 	{ "accounts", "", "list client accounts, their shares and requests",
 	    command_accounts },
+	{ "domains", "", "list failure domains, and which are drained",
+	    command_domains },
 	{ "drain", "", "finish running requests and accept no new ones",
 	    command_drain },
 	{ "dump", "", "print the daemon's complete control state",
--- a/bamboorudderd/admin.c
+++ b/bamboorudderd/admin.c
@@ -19,6 +19,7 @@
 	{ "/metrics", "GET", OPERATOR_NONE, admin_get_metrics, 0 },
 	{ "/readyz", "GET", OPERATOR_NONE, admin_get_readyz, 0 },
 	{ "/v1/accounts", "GET", OPERATOR_READ, admin_get_accounts, 0 },
+	{ "/v1/domains", "GET", OPERATOR_READ, admin_get_domains, 0 },
 	{ "/v1/drain", "POST", OPERATOR_EDIT, admin_post_drain, 0 },
 	{ "/v1/dump", "GET", OPERATOR_READ, admin_get_dump, 0 },
 	{ "/v1/members", "GET", OPERATOR_READ, admin_get_members, 0 },
--- a/bamboorudderd/admin_status.c
+++ b/bamboorudderd/admin_status.c
@@ -86,6 +86,60 @@
 	json_decref(dump);
 }
 
+static bool
+contains_text(const json_t *list, const char *text)
+{
+	const json_t *item;
+	size_t index;
+
+	json_array_foreach (list, index, item)
+		if (strcmp(json_string_value(item), text) == 0)
+			return true;
+	return false;
+}
+
+/* Adds a failure domain, or another daemon in it, to a list by name. */
+static void
+add_domain(json_t *domains, const char *name, bool drained, json_int_t daemons)
+{
+	json_t *domain = json_object_get(domains, name);
+
+	if (domain == NULL) {
+		domain = json_pack("{s:s, s:b, s:I}", "domain", name, "drained",
+		    drained, "daemons", (json_int_t)0);
+		json_object_set_new(domains, name, domain);
+	}
+	daemons += json_integer_value(json_object_get(domain, "daemons"));
+	json_object_set_new(domain, "daemons", json_integer(daemons));
+}
+
+/* Lists the failure domains that have daemons or are out of use. */
+void
+admin_get_domains(const struct admin_request *request)
+{
+	json_t *dump = control_dump(request->admin->control);
+	json_t *daemons = list_daemons(dump), *domains = json_object();
+	json_t *drained = json_object_get(json_object_get(dump, "dispatch"),
+	    "drained_domains");
+	json_t *list = json_array(), *item;
+	const char *name;
+	size_t index;
+
+	json_array_foreach (daemons, index, item) {
+		name = json_string_value(json_object_get(item, "domain"));
+		add_domain(domains, name, contains_text(drained, name), 1);
+	}
+	json_array_foreach (drained, index, item)
+		add_domain(domains, json_string_value(item), true, 0);
+	json_object_foreach (domains, name, item)
+		json_array_append(list, item);
+	response_send_json(request->connection, 200,
+	    json_pack("{s:o}", "domains", list));
+	json_decref(domains);
+	json_decref(daemons);
+	json_decref(dump);
+}
+
 /* @return the owner state of a pool, or NULL if another daemon owns it */
 static json_t *
 find_owner(const json_t *dump, const json_t *pool)
--- a/bamboorudderd/dump_dispatch.c
+++ b/bamboorudderd/dump_dispatch.c
@@ -15,6 +15,8 @@
 		state = "gone";
 	else if (info->leaving || dispatch_said_leaving(dispatch, endpoint))
 		state = "leaving";
+	else if (!dispatch_takes_requests(dispatch, endpoint))
+		state = "drained";
 	else if (endpoint_notices_wait_ms(&dispatch->notices,
 		     endpoint->endpoint_id, info->process_start_ms, now_ms) > 0)
 		state = "paused";
@@ -81,6 +83,20 @@
 	return items;
 }
 
+/* Names of the failure domains that are out of use. */
+static json_t *
+dump_drained_domains(const struct drained_domains *domains)
+{
+	json_t *names = json_array();
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, domains->names);
+	while (g_hash_table_iter_next(&iter, NULL, &name))
+		json_array_append_new(names, json_string(name));
+	return names;
+}
+
 json_t *
 dump_dispatch(const struct dispatch *dispatch, uint64_t now_ms)
 {
@@ -95,7 +111,7 @@
 	g_hash_table_iter_init(&iter, dispatch->accounts);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		json_array_append_new(accounts, dump_account(dispatch, value));
-	return json_pack("{s:I, s:b, s:i, s:i, s:I, s:o, s:o, s:o}",
+	return json_pack("{s:I, s:b, s:i, s:i, s:I, s:o, s:o, s:o, s:o}",
 	    "configuration",
 	    (json_int_t)(dispatch->configuration == NULL
 		    ? 0
@@ -104,5 +120,6 @@
 	    "peers_age_ms", (int)dispatch_peers_age_ms(dispatch, now_ms),
 	    "refusals", (json_int_t)dispatch->refusals_count, "endpoints",
 	    endpoints, "accounts", accounts, "suspects",
-	    dump_suspects(&dispatch->crash_suspects, now_ms));
+	    dump_suspects(&dispatch->crash_suspects, now_ms), "drained_domains",
+	    dump_drained_domains(&dispatch->drained_domains));
 }
--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -23,6 +23,11 @@
 #define LIST_WATCH_PERCENT 50u
 #define LIST_POLL_PERCENT 75u
 #define LIST_SPREAD_PERCENT 15u
+/* The same for the drained failure domains: a change has to reach the daemons
+ * that don't watch, too. */
+#define DOMAINS_WATCH_PERCENT 40u
+#define DOMAINS_POLL_PERCENT 50u
+#define DOMAINS_SPREAD_PERCENT 15u
 /* The platform sends new connections until two readiness probes have failed. */
 #define DRAIN_ACCEPT_MS 2600u
 /* Time without requests after which the process may exit. */
@@ -232,6 +237,7 @@
     struct control *control, GError **error)
 {
 	uint32_t age_ms = settings->endpoints_age_ms;
+	uint32_t domains_age_ms = settings->domains_age_ms;
 	struct feed_config feed_config = {
 		.url = settings->platform_url,
 		.timings[RESOURCE_CONFIGURATION] = {
@@ -248,6 +254,15 @@
 			.freshness_spread_ms = age_ms * LIST_SPREAD_PERCENT /
 			    100,
 		},
+		.timings[RESOURCE_DRAINED_DOMAINS] = {
+			.watch_wait_ms = domains_age_ms *
+			    DOMAINS_WATCH_PERCENT / 100,
+			.freshness_max_ms = domains_age_ms *
+			    DOMAINS_POLL_PERCENT / 100,
+			.freshness_spread_ms = domains_age_ms *
+			    DOMAINS_SPREAD_PERCENT / 100,
+		},
+		.reads_drained_domains = domains_age_ms > 0,
 		.timeout_ms = settings->platform_timeout_ms,
 		.spread_permille = control->dispatch.config.node_id % 1000,
 	};
@@ -256,6 +271,7 @@
 	gateway->settings = settings;
 	gateway->control = control;
 	control->gateway = gateway;
+	gateway->synced[RESOURCE_DRAINED_DOMAINS] = domains_age_ms == 0;
 	clk_init_system(&gateway->clk);
 	pthread_mutex_init(&gateway->mailbox_mutex, NULL);
 	STAILQ_INIT(&gateway->mailbox);
--- a/bamboorudderd/gateway_mailbox.c
+++ b/bamboorudderd/gateway_mailbox.c
@@ -378,18 +378,47 @@
 	    g_strdup(name));
 }
 
+struct domain_args {
+	char *name;
+	bool drained;
+};
+
+static void
+run_domain(struct control *control, struct control_task *task)
+{
+	struct domain_args *args = task->context;
+
+	if (dispatch_set_domain_drained(&control->dispatch, args->name,
+		args->drained, clk_monotonic_ms(&control->clk)))
+		log_event(LOG_LEVEL_WARN,
+		    args->drained ? "domain_drained" : "domain_back", "name",
+		    args->name, NULL);
+	g_free(args->name);
+	g_free(args);
+}
+
+static void
+on_domain(void *context, const char *name, bool drained)
+{
+	struct gateway *gateway = context;
+	struct domain_args *args = g_new0(struct domain_args, 1);
+
+	args->name = g_strdup(name);
+	args->drained = drained;
+	mailbox_post_context(gateway->control, run_domain, args);
+}
+
 static void
-apply_endpoints_synced(struct gateway *gateway, void *context)
+apply_synced(struct gateway *gateway, void *context)
 {
-	(void)context;
-	gateway->endpoints_synced = true;
+	gateway->synced[GPOINTER_TO_INT(context)] = true;
 }
 
 static void
-on_endpoints_synced(void *context)
+on_synced(void *context, enum resource_kind kind)
 {
-	gw_mailbox_post(context, apply_endpoints_synced, NULL);
+	gw_mailbox_post(context, apply_synced, GINT_TO_POINTER(kind));
 }
 
 const struct feed_sink_ops gw_feed_sink = { on_configuration, on_freshness,
-	on_endpoint, on_endpoint_removed, on_endpoints_synced };
+	on_endpoint, on_endpoint_removed, on_domain, on_synced };
--- a/bamboorudderd/gateway_server.c
+++ b/bamboorudderd/gateway_server.c
@@ -288,7 +288,8 @@
 {
 	struct gateway *gateway = context;
 	bool ready = gateway->configuration != NULL &&
-	    gateway->endpoints_synced && !gateway->draining &&
+	    gateway->synced[RESOURCE_ENDPOINTS] &&
+	    gateway->synced[RESOURCE_DRAINED_DOMAINS] && !gateway->draining &&
 	    gateway->readiness.ready;
 	struct MHD_Response *response;
 	enum MHD_Result result;
--- a/bamboorudderd/settings.c
+++ b/bamboorudderd/settings.c
@@ -95,6 +95,7 @@
 	    0, 1000000, 1000),
 	DECIMAL("endpoints.cold_slack", cold_slack_milli, "thousandths", 0,
 	    100000000, 0),
+	ROUNDED("platform.domains_age_ms", domains_age_ms, "ms", 0, 600000, 0),
 	CHOICE("share.policy", share_policy, "fleet", "fleet,naive", false),
 	CHOICE("share.order", share_order, "vtc", "vtc,fifo", false),
 	INTEGER("share.report_period_ms", report_period_ms, "ms", 50, 10000,
--- a/completions/bamboorudderctl.bash
+++ b/completions/bamboorudderctl.bash
@@ -2,7 +2,7 @@
 {
 	local current=${COMP_WORDS[COMP_CWORD]}
 	local previous=${COMP_WORDS[COMP_CWORD - 1]}
-	local commands="accounts drain dump members pools routes status version"
+	local commands="accounts domains drain dump members pools routes status version"
 	local options="--admin --help --if-match --json --watch"
 
 	case "$previous" in
--- a/completions/bamboorudderctl.fish
+++ b/completions/bamboorudderctl.fish
@@ -4,6 +4,6 @@
 complete -c bamboorudderctl -l json -d 'print JSON'
 complete -c bamboorudderctl -l watch -d 'with status: refresh every second'
 complete -c bamboorudderctl -n __fish_use_subcommand -f \
-    -a 'accounts drain dump members pools routes status version'
+    -a 'accounts domains drain dump members pools routes status version'
 complete -c bamboorudderctl -n '__fish_seen_subcommand_from routes pools' \
     -a 'apply check diff get history remove set'
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -74,6 +74,7 @@
 	    NULL, g_free);
 	crash_suspects_init(&dispatch->crash_suspects);
 	endpoint_notices_init(&dispatch->notices);
+	drained_domains_init(&dispatch->drained_domains);
 	dispatch->losses = g_array_new(FALSE, FALSE,
 	    sizeof(struct dispatch_loss));
 	dispatch->hubs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -98,6 +99,7 @@
 	g_hash_table_destroy(dispatch->budgets);
 	crash_suspects_finish(&dispatch->crash_suspects);
 	endpoint_notices_finish(&dispatch->notices);
+	drained_domains_finish(&dispatch->drained_domains);
 	g_array_free(dispatch->losses, TRUE);
 	g_array_free(dispatch->hubs, TRUE);
 	g_array_free(dispatch->hub_candidates, TRUE);
@@ -210,6 +212,26 @@
 		endpoint->listed = false;
 }
 
+bool
+dispatch_set_domain_drained(struct dispatch *dispatch, const char *name,
+    bool drained, uint64_t now_ms)
+{
+	uint64_t domain_id = hash_name(name);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!drained_domains_set(&dispatch->drained_domains, name, drained))
+		return false;
+	dispatch->assignment_due = true;
+	g_hash_table_iter_init(&iter, dispatch->endpoints);
+	while (!drained && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct dispatch_endpoint *endpoint = value;
+		if (endpoint->info.domain_id == domain_id)
+			dispatch_presume_cold(dispatch, endpoint, now_ms);
+	}
+	return true;
+}
+
 /* Spread, so that callers do not come back in the same moment. */
 static uint64_t
 retry_soon_ms(const struct dispatch_request *request)
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -134,7 +134,7 @@
     const struct dispatch_endpoint *endpoint,
     const struct dispatch_request *request)
 {
-	return !endpoint->info.leaving &&
+	return dispatch_takes_requests(dispatch, endpoint) &&
 	    !dispatch_said_leaving(dispatch, endpoint) &&
 	    !dispatch_was_tried(request, endpoint->endpoint_id);
 }
--- a/core/dispatch_cold.c
+++ b/core/dispatch_cold.c
@@ -38,6 +38,16 @@
 	endpoint->progress_ms = now_ms;
 }
 
+void
+dispatch_presume_cold(const struct dispatch *dispatch,
+    struct dispatch_endpoint *endpoint, uint64_t now_ms)
+{
+	struct cold_pace_rule rule;
+
+	find_rule(dispatch, endpoint, &rule);
+	cold_pace_extend(&endpoint->cold, now_ms + rule.start_ms, now_ms);
+}
+
 bool
 dispatch_is_cold(const struct dispatch *dispatch,
     const struct dispatch_endpoint *endpoint, uint64_t now_ms)
--- a/core/dispatch_groups.c
+++ b/core/dispatch_groups.c
@@ -125,7 +125,8 @@
 		struct dispatch_group *group = group_of(pool, endpoint);
 
 		endpoint->hub_id = group->hub_id;
-		group->endpoints_count += !endpoint->info.leaving;
+		group->endpoints_count += dispatch_takes_requests(dispatch,
+		    endpoint);
 		if (group->hub_id == dispatch->config.node_id)
 			g_ptr_array_add(pool->own_endpoints, endpoint);
 	}
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -47,11 +47,21 @@
 	return MAX(wait_ms, dispatch_cold_wait_ms(dispatch, endpoint, now_ms));
 }
 
+bool
+dispatch_takes_requests(const struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint)
+{
+	return !endpoint->info.leaving &&
+	    !drained_domains_contain(&dispatch->drained_domains,
+		endpoint->info.domain_id);
+}
+
 bool
 dispatch_may_send_to(const struct dispatch *dispatch,
     const struct dispatch_endpoint *endpoint, uint64_t now_ms)
 {
-	return endpoint->listed && !endpoint->info.leaving &&
+	return endpoint->listed &&
+	    dispatch_takes_requests(dispatch, endpoint) &&
 	    !dispatch_said_leaving(dispatch, endpoint) &&
 	    now_ms >= endpoint->unreached_until_ms &&
 	    endpoint_notices_wait_ms(&dispatch->notices, endpoint->endpoint_id,
--- a/include/bamboorudderctl/command.h
+++ b/include/bamboorudderctl/command.h
@@ -36,6 +36,8 @@
 
 enum exit_status command_accounts(const struct admin_client *client,
     uint32_t arg_count, char **args);
+enum exit_status command_domains(const struct admin_client *client,
+    uint32_t arg_count, char **args);
 enum exit_status command_drain(const struct admin_client *client,
     uint32_t arg_count, char **args);
 enum exit_status command_dump(const struct admin_client *client,
--- a/include/bamboorudderd/admin_operation.h
+++ b/include/bamboorudderd/admin_operation.h
@@ -62,6 +62,7 @@
 void admin_get_history(const struct admin_request *request);
 
 void admin_get_accounts(const struct admin_request *request);
+void admin_get_domains(const struct admin_request *request);
 void admin_get_dump(const struct admin_request *request);
 void admin_get_healthz(const struct admin_request *request);
 void admin_get_members(const struct admin_request *request);
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -185,7 +185,8 @@
 	/** Latest time, by feed_clock_ms, at which the configuration was known
 	 * to be the newest. */
 	uint64_t fresh_as_of_ms;
-	bool endpoints_synced; /**< all endpoints of a list are known */
+	/** The first list of the kind is known, or it is not read. */
+	bool synced[RESOURCE_KIND_COUNT];
 	struct readiness readiness;
 	struct gw_idle_window readiness_window;
 	struct gw_idle_window shedding_window;
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -31,6 +31,7 @@
 	struct settings_list peer_seeds;
 	uint32_t cpu_share_milli; /**< in thousandths of a core */
 	uint32_t endpoints_age_ms;
+	uint32_t domains_age_ms; /**< 0: no failure domain is ever drained */
 	uint32_t cold_overshoot_milli; /**< of a cold endpoint's rate */
 	uint32_t cold_slack_milli; /**< requests in thousandths */
 	char peer_public_key[SETTINGS_STRING_MAX_BYTES];
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -17,6 +17,7 @@
 #include "core/cold_pace.h"
 #include "core/config_snapshot.h"
 #include "core/crash_suspects.h"
+#include "core/drained_domains.h"
 #include "core/effect.h"
 #include "core/endpoint_limit.h"
 #include "core/endpoint_notice.h"
@@ -239,6 +240,7 @@
 	uint64_t mean_duration_ms; /**< moving average of complete responses */
 	struct crash_suspects crash_suspects;
 	struct endpoint_notices notices;
+	struct drained_domains drained_domains;
 	GArray *losses; /**< struct dispatch_loss */
 	GHashTable *budgets; /**< pool_id to struct dispatch_retry_budget */
 	uint64_t refusals_count;
@@ -259,6 +261,13 @@
 /** Stops new requests to an endpoint that discovery no longer lists. */
 void dispatch_remove_endpoint(struct dispatch *dispatch, const char *name);
 
+/**
+ * Takes a failure domain out of use, or back in.
+ * @return whether that is a change
+ */
+bool dispatch_set_domain_drained(struct dispatch *dispatch, const char *name,
+    bool drained, uint64_t now_ms);
+
 /**
  * Sets the live daemons, this one included, and selects the hubs among them.
  * Each daemon reports to one hub, and hubs exchange reports, so that the messages
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -257,6 +257,10 @@
 void dispatch_record_progress(const struct dispatch *dispatch,
     struct dispatch_endpoint *endpoint, uint64_t now_ms);
 
+/** Counts an endpoint as cold of which nothing was heard for long. */
+void dispatch_presume_cold(const struct dispatch *dispatch,
+    struct dispatch_endpoint *endpoint, uint64_t now_ms);
+
 /** @return whether an endpoint is cold, so that its hub keeps a rate */
 bool dispatch_is_cold(const struct dispatch *dispatch,
     const struct dispatch_endpoint *endpoint, uint64_t now_ms);
@@ -283,6 +287,11 @@
  * its hub again. */
 #define DISPATCH_NOT_HUB_WAIT_MS 500u
 
+/** @return whether an endpoint gets new requests, as far as discovery and the
+ * operators say */
+bool dispatch_takes_requests(const struct dispatch *dispatch,
+    const struct dispatch_endpoint *endpoint);
+
 /** @return time until an endpoint takes a request from this daemon, by its limit,
  * the pause that it asked for and its rate while it is cold; 0: now */
 uint64_t dispatch_closed_ms(const struct dispatch *dispatch,
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -31,8 +31,11 @@
 	void (*on_endpoint)(void *context,
 	    const struct dispatch_endpoint_info *info);
 	void (*on_endpoint_removed)(void *context, const char *name);
-	/** The first list of endpoints is complete; called once. */
-	void (*on_endpoints_synced)(void *context);
+	/** A failure domain was taken out of use, or back in. */
+	void (*on_domain)(void *context, const char *name, bool drained);
+	/** The first list of a kind, other than the configuration, is complete;
+	 * called once for each. */
+	void (*on_synced)(void *context, enum resource_kind kind);
 };
 
 struct feed_timing {
@@ -46,6 +49,7 @@
 struct feed_config {
 	const char *url; /**< of the store */
 	struct feed_timing timings[RESOURCE_KIND_COUNT];
+	bool reads_drained_domains; /**< else no failure domain is drained */
 	uint32_t timeout_ms; /**< of a call, in addition to its wait */
 	/** From 0 to 999, different for each daemon, so that in a large fleet
 	 * the calls of the daemons are spread. */
--- a/tests/e2e/feed_fixture.h
+++ b/tests/e2e/feed_fixture.h
@@ -26,7 +26,7 @@
 /** Records what a feed passes to its sink. */
 struct RecordingSink {
 	std::mutex mutex;
-	std::set<std::string> endpoints;
+	std::set<std::string> endpoints, drained_domains;
 	std::atomic<uint64_t> version{ 0 };
 	std::atomic<uint64_t> endpoints_version{ 0 };
 	/** Latest time at which the configuration was known to be the newest. */
@@ -49,7 +49,7 @@
 
 	if (kind == RESOURCE_ENDPOINTS)
 		sink->endpoints_version = freshness->version;
-	else
+	else if (kind == RESOURCE_CONFIGURATION)
 		sink->configuration_as_of_ms = freshness->as_of_ms;
 }
 
@@ -72,19 +72,34 @@
 }
 
 inline void
-on_endpoints_synced(void *context)
+on_domain(void *context, const char *name, bool drained)
 {
-	static_cast<RecordingSink *>(context)->synced = true;
+	RecordingSink *sink = static_cast<RecordingSink *>(context);
+	std::lock_guard<std::mutex> lock(sink->mutex);
+
+	if (drained)
+		sink->drained_domains.insert(name);
+	else
+		sink->drained_domains.erase(name);
+}
+
+inline void
+on_synced(void *context, enum resource_kind kind)
+{
+	if (kind == RESOURCE_ENDPOINTS)
+		static_cast<RecordingSink *>(context)->synced = true;
 }
 
 inline const feed_sink_ops ops = { on_configuration, on_freshness, on_endpoint,
-	on_endpoint_removed, on_endpoints_synced };
+	on_endpoint_removed, on_domain, on_synced };
 
 /** Feed of a daemon that relies on its peers to watch the store. */
 class Feed : public ::testing::Test
 {
       protected:
-	explicit Feed(uint32_t spread_permille = 0) : url(store.url())
+	explicit Feed(uint32_t spread_permille = 0,
+	    bool reads_drained_domains = false)
+	    : url(store.url())
 	{
 		feed_config config = {};
 
@@ -95,6 +110,8 @@
 		config.url = url.c_str();
 		config.timings[RESOURCE_CONFIGURATION] = { 300, 2000, 1200 };
 		config.timings[RESOURCE_ENDPOINTS] = { 300, 1500, 900 };
+		config.timings[RESOURCE_DRAINED_DOMAINS] = { 300, 1500, 900 };
+		config.reads_drained_domains = reads_drained_domains;
 		config.timeout_ms = 1000;
 		config.spread_permille = spread_permille;
 		feed_init(&feed, &config, &ops, &sink);
@@ -148,6 +165,13 @@
 		return sink.endpoints.count(name) > 0;
 	}
 
+	bool is_drained(const std::string &domain)
+	{
+		std::lock_guard<std::mutex> lock(sink.mutex);
+
+		return sink.drained_domains.count(domain) > 0;
+	}
+
 	FakeObjectStore store;
 	std::string url;
 	RecordingSink sink;
--- a/tests/e2e/test_ctl.cc
+++ b/tests/e2e/test_ctl.cc
@@ -61,7 +61,7 @@
 TEST_F(CommandLineTool, PrintsStateAsTextAndAsJson)
 {
 	for (const char *name :
-	    { "accounts", "members", "status", "version", "dump" }) {
+	    { "accounts", "domains", "members", "status", "version", "dump" }) {
 		ToolResult as_text = run({ name }),
 			   as_json = run({ "--json", name });
 		EXPECT_EQ(as_text.status, 0) << name << as_text.output;
@@ -242,5 +242,5 @@
 		}
 		in_commands = in_commands || line == "commands:";
 	}
-	EXPECT_EQ(commands_count, 8);
+	EXPECT_EQ(commands_count, 9);
 }
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -43,11 +43,12 @@
 
 struct engine {
 	std::string name;
-	uint64_t process_start_ms;
-	uint64_t back_at_ms; /**< 0 while it runs */
+	uint64_t process_start_ms = 0;
+	uint64_t back_at_ms = 0; /**< 0 while it runs */
 	/** Limit that its responses name, in requests in 1,000 s; 0: none */
 	uint32_t limit_per_1000_s = 0;
 	std::vector<uint64_t> requests_ms; /**< times of requests sent to it */
+	std::string domain = "";
 	/** Down, though daemons list it, until this time; 0: it runs. */
 	uint64_t down_until_ms = 0;
 	/** Time from its return until a daemon has the entry of its new process,
@@ -70,9 +71,11 @@
 		pool.cold_per_1000_s = cold_per_1000_s;
 		pool.cold_start_ms = cold_per_1000_s > 0 ? COLD_START_MS : 0;
 		g_array_append_val(configuration->pools, pool);
-		for (size_t i = 0; i < engines_count; i++)
-			engines.push_back(
-			    { "e" + std::to_string(i), now_ms, 0, 0, {} });
+		for (size_t i = 0; i < engines_count; i++) {
+			engines.emplace_back();
+			engines[i].name = "e" + std::to_string(i);
+			engines[i].process_start_ms = now_ms;
+		}
 		for (size_t i = 0; i < daemons_count; i++) {
 			daemons.push_back({ FIRST_ID + i, i % 3, i < 9 });
 			cores.push_back(nullptr);
@@ -196,6 +199,16 @@
 		crashes_ms.push_back(now_ms);
 	}
 
+	/** Puts the engines by turns into the failure domains z0, z1 and z2. */
+	void spread_over_domains()
+	{
+		for (size_t e = 0; e < engines.size(); e++) {
+			engines[e].domain = "z" + std::to_string(e % 3);
+			for (size_t i = 0; i < cores.size(); i++)
+				put_engine(i, engines[e]);
+		}
+	}
+
 	/** Stops an engine, which daemons go on listing, and starts it again cold,
 	 * under the same name. */
 	void restart_unseen(engine &item, uint64_t down_ms,
@@ -269,6 +282,7 @@
 
 		g_strlcpy(info.name, item.name.c_str(), sizeof(info.name));
 		info.pool_id = hash_name("engines");
+		info.domain_id = hash_name(item.domain.c_str());
 		info.process_start_ms = item.process_start_ms;
 		info.slots = 32;
 		info.revision = item.process_start_ms;
--- a/tests/unit/hubs_fleet.h
+++ b/tests/unit/hubs_fleet.h
@@ -164,6 +164,7 @@
 	bool loses_events = false;
 	uint64_t last_hash = 0;
 	std::vector<dispatch_freshness> freshness[RESOURCE_KIND_COUNT] = {
+		std::vector<dispatch_freshness>(400),
 		std::vector<dispatch_freshness>(400),
 		std::vector<dispatch_freshness>(400)
 	};
--- a/tests/unit/test_deploy_template.cc
+++ b/tests/unit/test_deploy_template.cc
@@ -85,7 +85,7 @@
 	"bounds.iteration_ms", "bounds.drain_ms", "bounds.revoke_ms",
 	"bounds.retry_budget_ratio", "bounds.retry_window_s",
 	"bounds.retry_slack", "bounds.grace_s", "bounds.cold_overshoot",
-	"bounds.cold_slack" };
+	"bounds.cold_slack", "bounds.evacuate_ms" };
 
 values
 fields_with(const std::string &number)
