--- a/tests/unit/test_hubs.cc
+++ b/tests/unit/test_hubs.cc
@@ -304,10 +304,10 @@
 	Fleet fleet(30, 0);
 
 	fleet.run_for(500);
-	dispatch_set_freshness(fleet.cores[0].get(), RESOURCE_CONFIGURATION, 5,
-	    fleet.now_ms);
-	dispatch_set_freshness(fleet.cores[0].get(), RESOURCE_ENDPOINTS, 77,
-	    fleet.now_ms);
+	const uint64_t versions[RESOURCE_KIND_COUNT] = { 5, 77, 9 };
+	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++)
+		dispatch_set_freshness(fleet.cores[0].get(),
+		    (resource_kind)kind, versions[kind], fleet.now_ms);
 	uint64_t confirmed_ms = fleet.now_ms;
 	fleet.run_for(1000);
 	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++)
@@ -315,9 +315,7 @@
 			const dispatch_freshness &freshness =
 			    fleet.freshness[kind][i];
 			uint64_t as_of_ms = freshness.as_of_ms - i * 100000;
-			EXPECT_EQ(freshness.version,
-			    kind == RESOURCE_ENDPOINTS ? 77u : 5u)
-			    << i;
+			EXPECT_EQ(freshness.version, versions[kind]) << i;
 			EXPECT_LE(as_of_ms, confirmed_ms) << i;
 			EXPECT_GE(as_of_ms + 600, confirmed_ms) << i;
 		}
