--- a/tests/e2e/gateway_fixture.h
+++ b/tests/e2e/gateway_fixture.h
@@ -29,15 +29,16 @@
 class Gateway : public ::testing::Test
 {
       protected:
-	explicit Gateway(const std::string &platform_settings = "")
-	    : harness(platform_settings)
+	explicit Gateway(const std::string &platform_settings = "",
+	    const std::string &listen_settings = "")
+	    : harness(platform_settings, "", listen_settings)
 	{
 	}
 
 	void start(uint64_t version = 3)
 	{
 		harness.store.put("config", "main",
-		    configuration_json(version, routes, accounts));
+		    configuration_json(version, routes, accounts, limits));
 		harness.add_endpoint("e1", first_endpoint);
 		ASSERT_TRUE(eventually([&] {
 			return harness.is_ready() && harness.discovered("e1");
@@ -60,6 +61,7 @@
 	std::atomic<int> first_request_count{ 0 }, second_request_count{ 0 };
 	ScriptedEndpoint first_endpoint, second_endpoint;
 	GatewayHarness harness;
+	std::string limits = DEFAULT_LIMITS;
 };
 
 /** A caller's connection with one request. */
--- a/tests/e2e/gateway_harness.h
+++ b/tests/e2e/gateway_harness.h
@@ -28,6 +28,13 @@
 namespace e2e
 {
 
+/* Sanitizers use memory of their own for each byte, and keep freed memory. */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr bool SANITIZED = true;
+#else
+constexpr bool SANITIZED = false;
+#endif
+
 /** Object store with paged lists, resumable watches and compaction. */
 class FakeObjectStore
 {
@@ -339,9 +346,13 @@
 	std::string backend = "app";
 };
 
+inline constexpr char DEFAULT_LIMITS[] =
+    "\"max_body_bytes\":65536,\"idle_timeout_ms\":15000";
+
 inline std::string
 configuration_json(uint64_t version, const std::vector<RouteSpec> &routes,
-    const std::string &accounts = "")
+    const std::string &accounts = "",
+    const std::string &limits = DEFAULT_LIMITS)
 {
 	std::string text = "{\"version\":" + std::to_string(version) +
 	    ",\"routes\":[";
@@ -362,9 +373,8 @@
 	}
 	return text +
 	    "],\"backends\":[{\"name\":\"app\",\"health_path\":\"/h\"}],"
-	    "\"limits\":{\"max_body_bytes\":65536,\"idle_timeout_ms\":15000},"
-	    "\"tenants\":[" +
-	    accounts + "]}";
+	    "\"limits\":{" +
+	    limits + "},\"tenants\":[" + accounts + "]}";
 }
 
 /** Complete HTTP response of an endpoint to a request. */
@@ -387,7 +397,8 @@
 {
       public:
 	explicit GatewayHarness(const std::string &platform_settings = "",
-	    const std::string &extra_settings = "")
+	    const std::string &extra_settings = "",
+	    const std::string &listen_settings = "")
 	    : listen_port(free_port()), readiness_port(free_port()),
 	      admin_port(free_port()), peer_port(free_port()),
 	      directory(::testing::TempDir() + "bamboorudder-gateway-XXXXXX")
@@ -398,7 +409,9 @@
 
 		file << "[listen]\naddress = \"127.0.0.1:" << listen_port
 		     << "\"\nreadiness_address = \"127.0.0.1:" << readiness_port
-		     << "\"\n[admin]\naddress = \"127.0.0.1:" << admin_port
+		     << "\"\n"
+		     << listen_settings
+		     << "\n[admin]\naddress = \"127.0.0.1:" << admin_port
 		     << "\"\n[peer]\naddress = \"127.0.0.1:" << peer_port
 		     << "\"\nfailure_domain = \"z1\"\n[platform]\n"
 		     << "form = \"objects\"\nurl = \"" << store.url()
@@ -459,6 +472,28 @@
 		    body, headers, timeout_ms);
 	}
 
+	/** @return most memory that the daemon has had so far */
+	uint64_t memory_peak_kb() const
+	{
+		std::ifstream status(
+		    "/proc/" + std::to_string(daemon->pid()) + "/status");
+		std::string line;
+
+		while (std::getline(status, line))
+			if (line.rfind("VmHWM:", 0) == 0)
+				return std::stoull(line.substr(6));
+		return 0;
+	}
+
+	/** @return descriptors that the daemon has open */
+	size_t open_files() const
+	{
+		std::filesystem::directory_iterator files(
+		    "/proc/" + std::to_string(daemon->pid()) + "/fd");
+
+		return (size_t)std::distance(begin(files), end(files));
+	}
+
 	/** Waits for a text in a log line of the request that was sent last. */
 	bool logged(const std::string &text)
 	{
--- a/tests/e2e/test_gateway_endless.cc
+++ b/tests/e2e/test_gateway_endless.cc
@@ -5,12 +5,6 @@
 namespace
 {
 
-/* Sanitizers use memory of their own for each byte, and keep freed memory. */
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-constexpr bool SANITIZED = true;
-#else
-constexpr bool SANITIZED = false;
-#endif
 constexpr uint32_t CALLERS_COUNT = 8;
 constexpr uint32_t TRIES_MAX_COUNT = 50;
 /* What the requests of all callers may add to the daemon's memory. */
@@ -58,18 +52,6 @@
 class GatewayMemory : public Gateway
 {
       protected:
-	uint64_t memory_peak_kb()
-	{
-		std::ifstream status("/proc/" +
-		    std::to_string(harness.daemon->pid()) + "/status");
-		std::string line;
-
-		while (std::getline(status, line))
-			if (line.rfind("VmHWM:", 0) == 0)
-				return std::stoull(line.substr(6));
-		return 0;
-	}
-
 	Response send_once(const std::string &path, const std::string &id) const
 	{
 		return send_request("POST",
@@ -124,7 +106,7 @@
 	    });
 	start();
 	ASSERT_EQ(harness.send("GET", "/safe/").status, 200);
-	uint64_t before_kb = memory_peak_kb();
+	uint64_t before_kb = harness.memory_peak_kb();
 	for (uint32_t i = 0; i < CALLERS_COUNT; i++)
 		callers.emplace_back([&, i] {
 			Response response = send_until_started(GetParam().path,
@@ -140,7 +122,7 @@
 	    eventually([&] { return *closed_count >= CALLERS_COUNT; }, 4000));
 	for (auto &caller : callers)
 		caller.join();
-	uint64_t added_kb = memory_peak_kb() - before_kb;
+	uint64_t added_kb = harness.memory_peak_kb() - before_kb;
 	EXPECT_TRUE(SANITIZED || added_kb < MEMORY_MAX_KB) << added_kb;
 }
 
@@ -163,7 +145,7 @@
 	});
 	start();
 	ASSERT_EQ(harness.send("GET", "/safe/").status, 200);
-	uint64_t before_kb = memory_peak_kb();
+	uint64_t before_kb = harness.memory_peak_kb();
 	for (uint32_t i = 0; i < UNFINISHED_COUNT; i++)
 		callers.emplace_back([&, i] {
 			Response response = send_until_started("/once/", i);
@@ -172,7 +154,7 @@
 		});
 	for (auto &caller : callers)
 		caller.join();
-	uint64_t added_kb = memory_peak_kb() - before_kb;
+	uint64_t added_kb = harness.memory_peak_kb() - before_kb;
 	EXPECT_TRUE(SANITIZED || added_kb < MEMORY_MAX_KB) << added_kb;
 	EXPECT_EQ(harness.send("GET", "/safe/").status, 200);
 }
