Bound the memory that all callers together make a daemon hold

Cause: receive_body() appended up to the limit for each connection, the server kept 48 KB for each, and nothing added up what all of them held.

Change: one account for connections, bodies and unread responses (core/caller_memory.c, bamboorudderd/gateway_memory.c). When it is full, the connection that held most for longest while the daemon waited for its caller gives way. Bodies of refused requests are read up to the limit for bodies, then their connections are closed; a response is no longer copied for the server; bodies are freed when their requests end. Ruled out: the C library's threshold for large blocks, which is fixed already.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -195,6 +195,7 @@
 	if (gateway->check_due_ms > now_ms)
 		return;
 	gw_load_check(gateway, now_ms);
+	gw_memory_report(gateway);
 	gateway->check_due_ms = now_ms + CHECK_PERIOD_MS;
 	check_deadlines(gateway, now_ms);
 	if (gateway->draining)
@@ -283,6 +284,7 @@
 	gateway->undecided_counts = g_hash_table_new_full(g_int64_hash,
 	    g_int64_equal, g_free, g_free);
 	load_shedder_init(&gateway->load_shedder);
+	gw_memory_init(gateway);
 	gateway->mailbox_source.kind = GW_SOURCE_MAILBOX;
 	gateway->mailbox_source.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	gw_source_add(gateway, &gateway->mailbox_source, EPOLLIN);
@@ -370,6 +372,7 @@
 	g_hash_table_destroy(gateway->rejection_holds);
 	g_hash_table_destroy(gateway->undecided_counts);
 	load_shedder_finish(&gateway->load_shedder);
+	gw_memory_finish(gateway);
 	pthread_mutex_destroy(&gateway->mailbox_mutex);
 	close(gateway->mailbox_source.fd);
 	close(gateway->stream_epoll_fd);
--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -169,6 +169,7 @@
 relay_response(struct gw_request *request)
 {
 	GArray *headers = request->response_headers;
+	GByteArray *body = request->response_bytes;
 
 	gw_observe_first_byte(request);
 	request->outcome = "answered";
@@ -176,8 +177,8 @@
 	request->status = request->endpoint_response.status;
 	request->response_headers = request->endpoint_headers;
 	request->endpoint_headers = headers;
-	g_byte_array_append(request->response_bytes,
-	    request->endpoint_body->data, request->endpoint_body->len);
+	request->response_bytes = request->endpoint_body;
+	request->endpoint_body = body;
 	gw_request_end(request);
 	gw_resume(request);
 }
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -135,6 +135,16 @@
 	    (gw_now_ms(request->gateway) - request->arrived_ms) * US_PER_MS);
 }
 
+/* Frees the bytes of an array. */
+static void
+clear_bytes(GByteArray **bytes)
+{
+	if ((*bytes)->len == 0)
+		return;
+	g_byte_array_free(*bytes, TRUE);
+	*bytes = g_byte_array_new();
+}
+
 void
 gw_request_end(struct gw_request *request)
 {
@@ -144,6 +154,9 @@
 		request->gateway->active_count--;
 	request->state = GW_STATE_ENDED;
 	request->response_complete = true;
+	clear_bytes(&request->body);
+	clear_bytes(&request->endpoint_body);
+	gw_memory_update(request);
 	observe_duration(request);
 	log_request(request);
 }
@@ -348,6 +361,7 @@
 	set_remaining(request);
 	if (!request->streaming)
 		request->state = GW_STATE_DECIDING;
+	gw_memory_update(request);
 	gw_dispatch_decide(request);
 }
 
--- a/bamboorudderd/gateway_response.c
+++ b/bamboorudderd/gateway_response.c
@@ -104,6 +104,7 @@
 		if (request->response_offset == request->response_bytes->len) {
 			g_byte_array_set_size(request->response_bytes, 0);
 			request->response_offset = 0;
+			gw_memory_update(request);
 		}
 		return (ssize_t)length;
 	}
@@ -122,8 +123,9 @@
 	if (request->streaming)
 		return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
 		    STREAM_BLOCK_BYTES, read_response, request, NULL);
+	/* the request outlasts the response */
 	return MHD_create_response_from_buffer(request->response_bytes->len,
-	    request->response_bytes->data, MHD_RESPMEM_MUST_COPY);
+	    request->response_bytes->data, MHD_RESPMEM_PERSISTENT);
 }
 
 static bool
--- a/bamboorudderd/gateway_server.c
+++ b/bamboorudderd/gateway_server.c
@@ -44,6 +44,14 @@
 	return info == NULL ? -1 : info->connect_fd;
 }
 
+static struct gw_caller *
+connection_caller(struct MHD_Connection *connection)
+{
+	return MHD_get_connection_info(connection,
+	    MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+	    ->socket_context;
+}
+
 /* The server does not read suspended connections: only hang-ups are watched. */
 void
 gw_caller_watch(struct gw_request *request)
@@ -64,6 +72,7 @@
 	struct gw_request *request = gw_request_new(context, target);
 
 	request->connection = connection;
+	gw_caller_begin(connection_caller(connection), request);
 	return request;
 }
 
@@ -170,22 +179,51 @@
 	return MHD_YES;
 }
 
-static enum MHD_Result
-receive_body(struct gw_request *request, const char *bytes, size_t *length)
+static uint32_t
+body_max_bytes(const struct gw_request *request)
 {
-	uint32_t max_bytes = request->configuration == NULL
+	return request->configuration == NULL
 	    ? request->gateway->settings->body_max_bytes
 	    : request->configuration->limits.body_max_bytes;
+}
 
-	/* the body of a refused request is received and discarded */
-	if (request->state == GW_STATE_RECEIVING) {
-		if (request->body->len + *length > max_bytes)
-			refuse_size(request, 413, "body_too_large");
-		else
-			g_byte_array_append(request->body,
-			    (const guint8 *)bytes, (guint)*length);
+/* Adds bytes to the body of a request, unless there is no room for them. */
+static void
+append_body(struct gw_request *request, const char *bytes, size_t length)
+{
+	g_byte_array_append(request->body, (const guint8 *)bytes,
+	    (guint)length);
+	gw_memory_update(request);
+	if (!gw_memory_make_room(request->gateway) &&
+	    request->state == GW_STATE_RECEIVING) {
+		request->close_connection = true;
+		gw_request_respond_error(request, 503, "callers_memory_full",
+		    GW_RETRY_AFTER_MS);
 	}
+}
+
+/* The body of a refused request is received and discarded, as the server responds
+ * after it; one that does not end closes the connection. */
+static enum MHD_Result
+discard_body(struct gw_request *request, size_t length)
+{
+	request->discarded_bytes += length;
+	return request->discarded_bytes > body_max_bytes(request) ? MHD_NO
+								  : MHD_YES;
+}
+
+static enum MHD_Result
+receive_body(struct gw_request *request, const char *bytes, size_t *length)
+{
+	size_t received_bytes = *length;
+
 	*length = 0;
+	if (request->state != GW_STATE_RECEIVING)
+		return discard_body(request, received_bytes);
+	if (request->body->len + received_bytes > body_max_bytes(request))
+		refuse_size(request, 413, "body_too_large");
+	else
+		append_body(request, bytes, received_bytes);
 	return MHD_YES;
 }
 
@@ -238,6 +276,7 @@
 		    request->caller_source.fd, NULL);
 	request->caller_watched = false;
 	request->server_done = true;
+	gw_caller_end(request);
 	gw_request_release(request);
 }
 
@@ -248,12 +287,13 @@
 	struct gateway *gateway = context;
 	unsigned int idle_s = IDLE_TIMEOUT_S;
 
-	(void)socket_context;
 	if (code != MHD_CONNECTION_NOTIFY_STARTED) {
 		gateway->connections_count--;
+		gw_caller_free(gateway, *socket_context);
 		return;
 	}
 	gateway->connections_count++;
+	*socket_context = gw_caller_new(gateway, connection_fd(connection));
 	if (gateway->configuration != NULL)
 		idle_s = MAX(1,
 		    gateway->configuration->limits.idle_timeout_ms *
@@ -331,7 +371,7 @@
 	    0, NULL, NULL, on_request, gateway, MHD_OPTION_EXTERNAL_LOGGER,
 	    on_server_log, gateway, MHD_OPTION_SOCK_ADDR, &address,
 	    MHD_OPTION_CONNECTION_LIMIT,
-	    gateway->settings->connections_max_count,
+	    gw_connections_max_count(gateway->settings),
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 	    (size_t)GW_CONNECTION_MEMORY_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
 	    LISTEN_BACKLOG_COUNT, MHD_OPTION_STRICT_FOR_CLIENT, 1,
--- a/bamboorudderd/gateway_transfer.c
+++ b/bamboorudderd/gateway_transfer.c
@@ -290,12 +290,6 @@
 	gw_resume(request);
 }
 
-static size_t
-unsent_bytes(const struct gw_request *request)
-{
-	return request->endpoint_body->len + request->response_bytes->len;
-}
-
 /* @return what the responses of all requests may have in memory together */
 static uint64_t
 responses_max_bytes(const struct gateway *gateway)
@@ -307,20 +301,18 @@
 	    RESPONSES_MIN_BYTES);
 }
 
+/* @return whether the response may have so many unsent bytes */
 static bool
-may_grow_by(const struct gw_request *request, size_t length)
+may_hold(struct gw_request *request, size_t unsent_bytes)
 {
-	size_t own_bytes = unsent_bytes(request) + length, total_bytes = length;
-	const struct gw_request *other;
+	struct gateway *gateway = request->gateway;
 
-	if (own_bytes <= RESPONSE_SMALL_BYTES)
+	if (unsent_bytes <= RESPONSE_SMALL_BYTES)
 		return true;
-	LIST_FOREACH(other, &request->gateway->requests, entries)
-	{
-		total_bytes += unsent_bytes(other);
-	}
-	return own_bytes <= RESPONSE_MAX_BYTES &&
-	    total_bytes <= responses_max_bytes(request->gateway);
+	return unsent_bytes <= RESPONSE_MAX_BYTES &&
+	    gateway->caller_memory.used_bytes[CALLER_MEMORY_RESPONSE] <=
+	    responses_max_bytes(gateway) &&
+	    gw_memory_make_room(gateway);
 }
 
 static size_t
@@ -330,10 +322,12 @@
 	size_t length = size * count;
 	size_t checked_bytes = request->endpoint_body->len;
 
-	if (!may_grow_by(request, length))
-		return 0;
 	g_byte_array_append(request->endpoint_body, (const guint8 *)bytes,
 	    (guint)length);
+	gw_memory_update(request);
+	if (!may_hold(request,
+		checked_bytes + length + request->response_bytes->len))
+		return 0;
 	if (!is_live_stream(request))
 		return length;
 	relay_events(request, checked_bytes);
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -20,6 +20,7 @@
 #include "bamboorudderd/settings.h"
 #include "common/clk.h"
 #include "common/sse.h"
+#include "core/caller_memory.h"
 #include "core/config_snapshot.h"
 #include "core/dispatch.h"
 #include "core/load_shedder.h"
@@ -73,11 +74,20 @@
 	char *value;
 };
 
+/** A connection of a caller. */
+struct gw_caller {
+	struct caller_holder holder; /**< the first member */
+	int fd;
+	struct gw_request *request; /**< in progress, or NULL */
+	bool evicted; /**< being closed, to make room */
+};
+
 /** One request of a caller and the state of its attempts. */
 struct gw_request {
 	LIST_ENTRY(gw_request) entries;
 	struct gateway *gateway;
 	struct MHD_Connection *connection;
+	struct gw_caller *caller; /**< NULL once the server is done with it */
 	struct gw_source caller_source; /**< detects a disconnection */
 	struct config_snapshot *configuration;
 	const struct config_route *route;
@@ -86,6 +96,7 @@
 	char *method;
 	char *target; /**< path and query as received, escapes included */
 	GByteArray *body;
+	uint64_t discarded_bytes; /**< of the body, received after a refusal */
 	uint64_t arrived_ms;
 	uint64_t caller_deadline_ms;
 	uint64_t deadline_ms; /**< earlier of caller deadline, route timeout */
@@ -167,6 +178,8 @@
 	uint64_t stream_poll_due_ms;
 	uint32_t streams_count;
 	uint32_t connections_count; /**< connections of callers */
+	struct caller_memory caller_memory;
+	uint32_t closing_count; /**< connections that gave way, not closed yet */
 	struct gw_source server_source;
 	struct gw_source readiness_source;
 	struct gw_source mailbox_source;
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -68,6 +68,27 @@
 /** Keeps the server from handling a request until gw_resume(). */
 void gw_suspend(struct gw_request *request);
 
+/* gateway_memory.c: memory that callers make this daemon hold */
+
+void gw_memory_init(struct gateway *gateway);
+void gw_memory_finish(struct gateway *gateway);
+/** @return most connections of callers at once */
+uint32_t gw_connections_max_count(const struct settings *settings);
+/** Adds a connection, for which others may have to give way. */
+struct gw_caller *gw_caller_new(struct gateway *gateway, int fd);
+void gw_caller_free(struct gateway *gateway, struct gw_caller *caller);
+/** Records that a request on the connection begins. */
+void gw_caller_begin(struct gw_caller *caller, struct gw_request *request);
+/** Records that the server is done with the request on the connection. */
+void gw_caller_end(struct gw_request *request);
+/** Records how many bytes a request and its response hold now. */
+void gw_memory_update(const struct gw_request *request);
+/** Lets connections give way until there is room.
+ * @return whether there is */
+bool gw_memory_make_room(struct gateway *gateway);
+/** Updates the metric of the memory that callers use. */
+void gw_memory_report(const struct gateway *gateway);
+
 /* gateway_response.c: responses to callers */
 
 /** @return length of the request line and headers */
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -24,6 +24,8 @@
 	char readiness_address[SETTINGS_STRING_MAX_BYTES];
 	uint32_t connections_max_count;
 	uint32_t memory_mb; /**< of the instance */
+	uint32_t callers_memory_mb; /**< 0: a part of memory_mb */
+	uint32_t files_max_count; /**< descriptors of the process; 0: enough */
 	uint32_t stream_delay_ms;
 	char admin_address[SETTINGS_STRING_MAX_BYTES];
 	char peer_address[SETTINGS_STRING_MAX_BYTES];
--- a/tests/e2e/gateway_fixture.h
+++ b/tests/e2e/gateway_fixture.h
@@ -89,8 +89,7 @@
 		EXPECT_EQ(connect(fd_, reinterpret_cast<sockaddr *>(&address),
 			      sizeof(address)),
 		    0);
-		EXPECT_EQ(::send(fd_, text.data(), text.size(), MSG_NOSIGNAL),
-		    (ssize_t)text.size());
+		send_text(text);
 	}
 
 	~Caller()
@@ -101,6 +100,12 @@
 	Caller(const Caller &) = delete;
 	Caller &operator=(const Caller &) = delete;
 
+	void send_text(const std::string &text) const
+	{
+		EXPECT_EQ(::send(fd_, text.data(), text.size(), MSG_NOSIGNAL),
+		    (ssize_t)text.size());
+	}
+
 	/** Waits for the first bytes of the response. */
 	std::string receive() const
 	{
--- a/tests/e2e/test_gateway_crowd.cc
+++ b/tests/e2e/test_gateway_crowd.cc
@@ -163,4 +163,21 @@
 	check_daemon();
 }
 
+/* The largest body, in calm, by a caller that takes its time. */
+TEST_F(GatewayCrowds, ASlowCallerWithinTheLimitsIsServed)
+{
+	constexpr size_t PIECES_COUNT = 64;
+	const std::string piece = http_chunk(
+	    std::string(BODY_MAX_BYTES / PIECES_COUNT, 's'));
+
+	start_gateway();
+	Caller caller(harness.listen_port, chunked_head("/safe/"));
+	for (size_t i = 0; i < PIECES_COUNT; i++) {
+		caller.send_text(piece);
+		std::this_thread::sleep_for(std::chrono::milliseconds(20));
+	}
+	caller.send_text("0\r\n\r\n");
+	EXPECT_EQ(caller.receive().rfind("HTTP/1.1 200", 0), 0u);
+}
+
 } // namespace
