--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -179,7 +179,8 @@
 	uint32_t streams_count;
 	uint32_t connections_count; /**< connections of callers */
 	struct caller_memory caller_memory;
-	uint32_t closing_count; /**< connections that gave way, not closed yet */
+	uint32_t
+	    closing_count; /**< connections that gave way, not closed yet */
 	struct gw_source server_source;
 	struct gw_source readiness_source;
 	struct gw_source mailbox_source;
