Pass connections of callers from busy instances to peers in their failure domain

Cause: all connections of a caller come to one instance.

Change: the daemon accepts connections itself; while it is short of time it passes the bytes of those that it has no time for to a peer that takes them by its own load (core/handoff.c, gateway_accept.c, gateway_handoff.c, gateway_peers.c).

--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -303,6 +303,9 @@
 		dispatch_handle_endpoint_limits(&control->dispatch, msg,
 		    now_ms);
 		break;
+	case MSG_HANDOFF_STOP:
+		gw_handoff_on_stop(control, msg->from_node_id);
+		break;
 	default:
 		break;
 	}
--- a/bamboorudderd/control_owners.c
+++ b/bamboorudderd/control_owners.c
@@ -1,4 +1,5 @@
 #include "bamboorudderd/control_private.h"
+#include "bamboorudderd/gateway.h"
 #include "common/metric.h"
 #include "core/hash.h"
 #include "core/owner.h"
@@ -93,6 +94,7 @@
 	control->members.live_set_changed = false;
 	metric_set(METRIC_MEMBERS_LIVE, live_count);
 	update_dispatch_membership(control, live_ids, live_count);
+	gw_peers_update(control);
 	entry_set_members(&control->entry, live_ids, live_count, now_ms,
 	    &control->effects);
 	control_update_owners(control, now_ms);
--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -60,10 +60,20 @@
 		log_event(LOG_LEVEL_ERROR, "watch_failed", NULL);
 }
 
+void
+gw_source_set(struct gateway *gateway, const struct gw_source *source,
+    uint32_t events)
+{
+	struct epoll_event event = { .events = events,
+		.data.ptr = (void *)source };
+
+	epoll_ctl(gateway->epoll_fd, EPOLL_CTL_MOD, source->fd, &event);
+}
+
 static void
 on_event(struct gateway *gateway, const struct epoll_event *event)
 {
-	const struct gw_source *source = event->data.ptr;
+	struct gw_source *source = event->data.ptr;
 
 	switch (source->kind) {
 	case GW_SOURCE_SERVER:
@@ -81,6 +91,18 @@
 	case GW_SOURCE_CALLER:
 		gw_request_disconnected(source->request);
 		break;
+	case GW_SOURCE_LISTEN:
+		gw_accept_callers(gateway);
+		break;
+	case GW_SOURCE_PEERS_LISTEN:
+		gw_accept_peers(gateway);
+		break;
+	case GW_SOURCE_GREETING:
+		gw_greeting_on_event(gateway, source->greeting);
+		break;
+	case GW_SOURCE_HANDOFF:
+		gw_handoff_on_event(source, event->events);
+		break;
 	case GW_SOURCE_REMOVED:
 		break;
 	}
@@ -146,7 +168,8 @@
 
 	if (now_ms + DRAIN_ENDS_SOON_MS >= gw_drain_end_ms(gateway))
 		atomic_store(&gateway->drain_ends_soon, 1);
-	if (gateway->active_count > 0 || has_unfinished_exchanges(gateway))
+	if (gateway->active_count > 0 || gateway->handoffs_count > 0 ||
+	    has_unfinished_exchanges(gateway))
 		gateway->idle_since_ms = now_ms;
 	if (!gateway->shutting_down &&
 	    (time_is_up ||
@@ -196,6 +219,8 @@
 		return;
 	gw_load_check(gateway, now_ms);
 	gw_memory_report(gateway);
+	gw_accept_check(gateway, now_ms);
+	gw_handoffs_check(gateway, now_ms);
 	gateway->check_due_ms = now_ms + CHECK_PERIOD_MS;
 	check_deadlines(gateway, now_ms);
 	if (gateway->draining)
@@ -285,6 +310,7 @@
 	    g_int64_equal, g_free, g_free);
 	load_shedder_init(&gateway->load_shedder);
 	gw_memory_init(gateway);
+	gw_peers_init(gateway);
 	gateway->mailbox_source.kind = GW_SOURCE_MAILBOX;
 	gateway->mailbox_source.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	gw_source_add(gateway, &gateway->mailbox_source, EPOLLIN);
@@ -302,6 +328,7 @@
 	gateway->draining = true;
 	gateway->drain_start_ms = gw_now_ms(gateway);
 	gateway->idle_since_ms = gateway->drain_start_ms;
+	gw_handoffs_stop(gateway);
 }
 
 void
@@ -364,6 +391,8 @@
 	feed_finish(&gateway->feed);
 	gw_mailbox_post(gateway, run_stop, NULL);
 	pthread_join(gateway->thread, NULL);
+	gw_handoffs_finish(gateway);
+	gw_accept_finish(gateway);
 	gw_server_finish(gateway);
 	gw_mailbox_run(gateway);
 	release_undecided(gateway);
@@ -372,6 +401,7 @@
 	g_hash_table_destroy(gateway->rejection_holds);
 	g_hash_table_destroy(gateway->undecided_counts);
 	load_shedder_finish(&gateway->load_shedder);
+	gw_peers_finish(gateway);
 	gw_memory_finish(gateway);
 	pthread_mutex_destroy(&gateway->mailbox_mutex);
 	close(gateway->mailbox_source.fd);
--- a/bamboorudderd/gateway_load.c
+++ b/bamboorudderd/gateway_load.c
@@ -34,6 +34,7 @@
 		.held_count = now->held_count - start->held_count,
 		.refused_count = now->refused_count - start->refused_count,
 		.started_count = now->started_count - start->started_count,
+		.passed_count = now->passed_count - start->passed_count,
 	};
 }
 
@@ -65,10 +66,19 @@
 static void
 update_shedding(struct gateway *gateway, uint32_t idle_percent)
 {
+	struct gw_load_counts counts = counts_since(gateway,
+	    &gateway->shedding_start);
 	bool was_shedding = gateway->load_shedder.reject_permille > 0;
 	bool was_busy = gateway->load_shedder.busy;
+	bool was_passing = gateway->handoff.passing;
 
+	gateway->shedding_start = gateway->load_counts;
 	load_shedder_end_window(&gateway->load_shedder, idle_percent);
+	handoff_end_window(&gateway->handoff, LOAD_SHEDDER_WINDOW_MS,
+	    idle_percent, counts.requests_count);
+	if (was_passing != gateway->handoff.passing)
+		log_event(LOG_LEVEL_WARN,
+		    was_passing ? "hands_over_no_more" : "hands_over", NULL);
 	if (was_busy != gateway->load_shedder.busy)
 		gw_dispatch_busy(gateway, gateway->load_shedder.busy);
 	if (was_shedding != (gateway->load_shedder.reject_permille > 0))
@@ -83,7 +93,7 @@
 	char idle[TEXT_BYTES], reject[TEXT_BYTES];
 	char requests[TEXT_BYTES], shed[TEXT_BYTES], held[TEXT_BYTES];
 	char refused[TEXT_BYTES], started[TEXT_BYTES], active[TEXT_BYTES];
-	char part[TEXT_BYTES];
+	char part[TEXT_BYTES], passed[TEXT_BYTES];
 	uint32_t part_permille = 0;
 	uint64_t account_id =
 	    load_shedder_busiest_account(&gateway->load_shedder,
@@ -99,10 +109,11 @@
 	g_snprintf(started, TEXT_BYTES, "%u", counts->started_count);
 	g_snprintf(active, TEXT_BYTES, "%u", gateway->active_count);
 	g_snprintf(part, TEXT_BYTES, "%u", part_permille);
+	g_snprintf(passed, TEXT_BYTES, "%u", counts->passed_count);
 	log_event(LOG_LEVEL_WARN, "load", "idle_percent", idle,
 	    "reject_permille", reject, "requests", requests, "shed", shed,
-	    "held", held, "refused", refused, "started", started, "active",
-	    active, "account",
+	    "held", held, "refused", refused, "started", started, "handed_over",
+	    passed, "active", active, "account",
 	    config_snapshot_account_name(gateway->configuration, account_id),
 	    "account_permille", part, NULL);
 }
@@ -114,7 +125,8 @@
 	    &gateway->log_start);
 
 	gateway->log_start = gateway->load_counts;
-	if (counts.shed_count > 0 || !gateway->readiness.ready)
+	if (counts.shed_count > 0 || counts.passed_count > 0 ||
+	    !gateway->readiness.ready)
 		log_load(gateway, &counts, idle_percent);
 }
 
--- a/bamboorudderd/gateway_memory.c
+++ b/bamboorudderd/gateway_memory.c
@@ -120,6 +120,10 @@
 
 	metric_add(METRIC_CALLERS_EVICTED, 1);
 	log_eviction(gateway, caller, now_ms);
+	if (caller->handoff != NULL) {
+		gw_handoff_abort(caller->handoff);
+		return;
+	}
 	if (request == NULL || request->state != GW_STATE_RECEIVING ||
 	    request->body->len == 0) {
 		close_connection(gateway, caller);
@@ -149,6 +153,7 @@
 	struct gw_caller *caller = g_new0(struct gw_caller, 1);
 
 	caller->fd = fd;
+	caller->from_node_id = gateway->accepting_from;
 	limit_socket_buffers(fd);
 	caller_memory_join(&gateway->caller_memory, &caller->holder,
 	    gw_now_ms(gateway));
--- /dev/null
+++ b/bamboorudderd/gateway_peers.c
@@ -0,0 +1,171 @@
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "bamboorudderd/control_private.h"
+#include "bamboorudderd/gateway_private.h"
+
+/* Daemons with processor time to spare are asked to take connections so often,
+ * beside the others. */
+#define HIGH_CPU_WEIGHT 4u
+
+void
+gw_peers_init(struct gateway *gateway)
+{
+	const struct settings *settings = gateway->settings;
+	bool takes = settings->handoff_address[0] != '\0';
+	const struct handoff_config config = {
+		.pass_idle_percent = takes ? settings->handoff_pass_percent : 0,
+		.accept_idle_percent = settings->handoff_accept_percent,
+	};
+
+	handoff_init(&gateway->handoff, &config);
+	gateway->peers = g_array_new(FALSE, TRUE, sizeof(struct gw_peer));
+	gateway->handoff_peers = g_array_new(FALSE, TRUE,
+	    sizeof(struct handoff_peer));
+	LIST_INIT(&gateway->greetings);
+	LIST_INIT(&gateway->handoffs);
+}
+
+void
+gw_peers_finish(struct gateway *gateway)
+{
+	handoff_finish(&gateway->handoff);
+	g_array_free(gateway->peers, TRUE);
+	g_array_free(gateway->handoff_peers, TRUE);
+}
+
+const struct gw_peer *
+gw_find_peer(const struct gateway *gateway, uint64_t node_id)
+{
+	for (guint i = 0; i < gateway->peers->len; i++) {
+		const struct gw_peer *peer = &g_array_index(gateway->peers,
+		    struct gw_peer, i);
+		if (peer->node_id == node_id)
+			return peer;
+	}
+	return NULL;
+}
+
+/* Lets the connections that a peer passes here end after their requests in
+ * progress. */
+static void
+stop_handoffs(struct gateway *gateway, uint64_t node_id)
+{
+	const GPtrArray *holders = gateway->caller_memory.holders;
+
+	for (guint i = 0; i < holders->len; i++) {
+		/* the holder is the first member of its connection */
+		struct gw_caller *caller = holders->pdata[i];
+
+		if (caller->from_node_id != node_id)
+			continue;
+		caller->close_after = true;
+		if (caller->request == NULL)
+			shutdown(caller->fd, SHUT_RDWR);
+	}
+	gateway->server_due = true;
+}
+
+static void
+apply_stop(struct gateway *gateway, void *context)
+{
+	uint64_t *node_id = context;
+
+	stop_handoffs(gateway, *node_id);
+	g_free(node_id);
+}
+
+void
+gw_handoff_on_stop(struct control *control, uint64_t node_id)
+{
+	if (control->gateway != NULL)
+		gw_mailbox_post(control->gateway, apply_stop,
+		    g_memdup2(&node_id, sizeof(node_id)));
+}
+
+static bool
+is_domain_peer(const struct control *control, const struct member *member)
+{
+	const struct member *self = &control->members.config.self;
+
+	return member->node_id != self->node_id &&
+	    strcmp(member->domain, self->domain) == 0;
+}
+
+static void
+run_stop_handoffs(struct control *control, struct control_task *task)
+{
+	uint64_t live_ids[MEMBERS_MAX_COUNT];
+	size_t live_count = members_list_live(&control->members, live_ids,
+	    MEMBERS_MAX_COUNT);
+
+	(void)task;
+	for (size_t i = 0; i < live_count; i++)
+		if (is_domain_peer(control,
+			members_find(&control->members, live_ids[i])))
+			effects_send(&control->effects, live_ids[i],
+			    MSG_HANDOFF_STOP);
+}
+
+void
+gw_handoffs_stop(struct gateway *gateway)
+{
+	if (gateway->handoffs_count > 0)
+		mailbox_post_context(gateway->control, run_stop_handoffs, NULL);
+}
+
+static void
+apply_peers(struct gateway *gateway, void *context)
+{
+	g_array_free(gateway->peers, TRUE);
+	gateway->peers = context;
+	g_array_set_size(gateway->handoff_peers, 0);
+	for (guint i = 0; i < gateway->peers->len; i++) {
+		const struct gw_peer *peer = &g_array_index(gateway->peers,
+		    struct gw_peer, i);
+		const struct handoff_peer item = { peer->node_id,
+			peer->weight };
+		g_array_append_val(gateway->handoff_peers, item);
+	}
+}
+
+/* All daemons take connections at the same port. */
+static void
+read_member(const struct member *member, in_port_t port, struct gw_peer *peer)
+{
+	memset(peer, 0, sizeof(*peer));
+	peer->node_id = member->node_id;
+	peer->weight = member->high_cpu ? HIGH_CPU_WEIGHT : 1;
+	gw_parse_address(member->address, &peer->address);
+	inet_ntop(AF_INET, &peer->address.sin_addr, peer->host,
+	    sizeof(peer->host));
+	peer->address.sin_port = port;
+}
+
+void
+gw_peers_update(struct control *control)
+{
+	const struct settings *settings = control->settings;
+	uint64_t live_ids[MEMBERS_MAX_COUNT];
+	size_t live_count = members_list_live(&control->members, live_ids,
+	    MEMBERS_MAX_COUNT);
+	struct sockaddr_in own_address;
+	GArray *peers;
+
+	if (control->gateway == NULL || settings->handoff_address[0] == '\0')
+		return;
+	gw_parse_address(settings->handoff_address, &own_address);
+	peers = g_array_new(FALSE, TRUE, sizeof(struct gw_peer));
+	for (size_t i = 0; i < live_count; i++) {
+		const struct member *member = members_find(&control->members,
+		    live_ids[i]);
+		struct gw_peer peer;
+
+		if (!is_domain_peer(control, member))
+			continue;
+		read_member(member, own_address.sin_port, &peer);
+		g_array_append_val(peers, peer);
+	}
+	gw_mailbox_post(control->gateway, apply_peers, peers);
+}
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -79,6 +79,9 @@
 	char share[TEXT_BYTES], prompt_tokens[TEXT_BYTES];
 	char hub_list[TEXT_BYTES], hub_list_age[TEXT_BYTES], list[TEXT_BYTES];
 	const struct dispatch_decision *decision = &request->decision;
+	const struct gw_peer *via = request->caller == NULL
+	    ? NULL
+	    : gw_find_peer(request->gateway, request->caller->from_node_id);
 	const struct dispatch_forecast *forecast = &decision->forecast;
 
 	g_snprintf(status, TEXT_BYTES, "%u", request->status);
@@ -104,8 +107,9 @@
 	log_event(LOG_LEVEL_INFO, "request", "id", request->head.request_id,
 	    "route", request->route == NULL ? "-" : request->route->name,
 	    "account", request->account == NULL ? "-" : request->account->name,
-	    "outcome", request->outcome, "status", status, "taken_ms", duration,
-	    "endpoint", decision->name[0] == '\0' ? "-" : decision->name, "hub",
+	    "via", via == NULL ? "-" : via->host, "outcome", request->outcome,
+	    "status", status, "taken_ms", duration, "endpoint",
+	    decision->name[0] == '\0' ? "-" : decision->name, "hub",
 	    request->hub_address[0] == '\0' ? "-" : request->hub_address,
 	    "hub_list", hub_list, "hub_list_age_ms", hub_list_age, "list", list,
 	    "attempts", attempts, "ahead_ms", backlog, "own_ms", prefill,
--- a/bamboorudderd/gateway_response.c
+++ b/bamboorudderd/gateway_response.c
@@ -134,6 +134,7 @@
 	const struct gateway *gateway = request->gateway;
 
 	return gateway->draining || request->close_connection ||
+	    request->caller->close_after || gateway->handoff.passing ||
 	    gateway->connections_count * 100 >
 	    gateway->settings->connections_max_count * KEEP_ALIVE_MAX_PERCENT;
 }
--- a/bamboorudderd/gateway_server.c
+++ b/bamboorudderd/gateway_server.c
@@ -9,7 +9,6 @@
 #include "common/log.h"
 #include "common/metric.h"
 
-#define LISTEN_BACKLOG_COUNT 512u
 #define READINESS_CONNECTIONS_MAX_COUNT 32u
 #define IDLE_TIMEOUT_S 60u
 /* Share of the configured idle timeout after which a connection is closed.
@@ -321,16 +320,21 @@
 	return strlen(text);
 }
 
+bool
+gw_is_ready(const struct gateway *gateway)
+{
+	return gateway->configuration != NULL &&
+	    gateway->synced[RESOURCE_ENDPOINTS] &&
+	    gateway->synced[RESOURCE_DRAINED_DOMAINS] && !gateway->draining &&
+	    gateway->readiness.ready;
+}
+
 static enum MHD_Result
 on_readiness_probe(void *context, struct MHD_Connection *connection,
     const char *url, const char *method, const char *version,
     const char *upload, size_t *upload_bytes, void **state)
 {
 	struct gateway *gateway = context;
-	bool ready = gateway->configuration != NULL &&
-	    gateway->synced[RESOURCE_ENDPOINTS] &&
-	    gateway->synced[RESOURCE_DRAINED_DOMAINS] && !gateway->draining &&
-	    gateway->readiness.ready;
 	struct MHD_Response *response;
 	enum MHD_Result result;
 
@@ -342,13 +346,14 @@
 	(void)state;
 	response = MHD_create_response_from_buffer(0, (void *)"",
 	    MHD_RESPMEM_PERSISTENT);
-	result = MHD_queue_response(connection, ready ? 200 : 503, response);
+	result = MHD_queue_response(connection,
+	    gw_is_ready(gateway) ? 200 : 503, response);
 	MHD_destroy_response(response);
 	return result;
 }
 
-static void
-parse_address(const char *text, struct sockaddr_in *out)
+void
+gw_parse_address(const char *text, struct sockaddr_in *out)
 {
 	const char *colon = strrchr(text, ':');
 	char *host = g_strndup(text, (gsize)(colon - text));
@@ -360,21 +365,17 @@
 	g_free(host);
 }
 
+/* Connections are accepted by the event loop, see gateway_accept.c. */
 static struct MHD_Daemon *
 start_server(struct gateway *gateway)
 {
-	struct sockaddr_in address;
-
-	parse_address(gateway->settings->listen_address, &address);
-	return MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
-		MHD_USE_ERROR_LOG,
+	return MHD_start_daemon(MHD_USE_EPOLL | MHD_USE_NO_LISTEN_SOCKET |
+		MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG,
 	    0, NULL, NULL, on_request, gateway, MHD_OPTION_EXTERNAL_LOGGER,
-	    on_server_log, gateway, MHD_OPTION_SOCK_ADDR, &address,
-	    MHD_OPTION_CONNECTION_LIMIT,
+	    on_server_log, gateway, MHD_OPTION_CONNECTION_LIMIT,
 	    gw_connections_max_count(gateway->settings),
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-	    (size_t)GW_CONNECTION_MEMORY_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-	    LISTEN_BACKLOG_COUNT, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+	    (size_t)GW_CONNECTION_MEMORY_BYTES, MHD_OPTION_STRICT_FOR_CLIENT, 1,
 	    MHD_OPTION_URI_LOG_CALLBACK, on_target, gateway,
 	    MHD_OPTION_UNESCAPE_CALLBACK, keep_escapes, gateway,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, gateway,
@@ -387,7 +388,7 @@
 {
 	struct sockaddr_in address;
 
-	parse_address(gateway->settings->readiness_address, &address);
+	gw_parse_address(gateway->settings->readiness_address, &address);
 	return MHD_start_daemon(MHD_USE_EPOLL, 0, NULL, NULL,
 	    on_readiness_probe, gateway, MHD_OPTION_SOCK_ADDR, &address,
 	    MHD_OPTION_CONNECTION_LIMIT, READINESS_CONNECTIONS_MAX_COUNT,
@@ -419,11 +420,19 @@
 {
 	const struct settings *settings = gateway->settings;
 
+	gateway->listen_source.fd = -1;
+	gateway->peers_source.fd = -1;
 	gateway->server = start_server(gateway);
 	if (!add_server_source(gateway, gateway->server,
 		&gateway->server_source, GW_SOURCE_SERVER,
 		settings->listen_address, error))
 		return FALSE;
+	if (!gw_listen(gateway, &gateway->listen_source, GW_SOURCE_LISTEN,
+		settings->listen_address, error) ||
+	    (settings->handoff_address[0] != '\0' &&
+		!gw_listen(gateway, &gateway->peers_source,
+		    GW_SOURCE_PEERS_LISTEN, settings->handoff_address, error)))
+		return FALSE;
 	gateway->readiness_server = start_readiness_server(gateway);
 	return add_server_source(gateway, gateway->readiness_server,
 	    &gateway->readiness_source, GW_SOURCE_READINESS,
--- a/common/codec_dispatch_decode.c
+++ b/common/codec_dispatch_decode.c
@@ -220,6 +220,8 @@
 	case MSG_RUNNING_ATTEMPTS:
 		read_running_attempts(reader, &msg->u.running_attempts);
 		break;
+	case MSG_HANDOFF_STOP:
+		break;
 	default:
 		reader->failed = true;
 		break;
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -11,6 +11,7 @@
 #include <curl/curl.h>
 #include <glib.h>
 #include <microhttpd.h>
+#include <netinet/in.h>
 #include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -23,12 +24,15 @@
 #include "core/caller_memory.h"
 #include "core/config_snapshot.h"
 #include "core/dispatch.h"
+#include "core/handoff.h"
 #include "core/load_shedder.h"
 #include "core/readiness.h"
 #include "platform/feed.h"
 #include "platform/wire.h"
 
 struct gateway;
+struct gw_greeting;
+struct gw_handoff;
 struct gw_request;
 
 enum gw_source_kind {
@@ -37,6 +41,10 @@
 	GW_SOURCE_MAILBOX,
 	GW_SOURCE_TRANSFER, /**< socket of a transfer to an endpoint */
 	GW_SOURCE_CALLER, /**< connection whose disconnection is watched */
+	GW_SOURCE_LISTEN, /**< new connections of callers */
+	GW_SOURCE_PEERS_LISTEN, /**< connections that peers pass on */
+	GW_SOURCE_GREETING, /**< a peer that has not named itself yet */
+	GW_SOURCE_HANDOFF, /**< a connection that is passed to a peer */
 	GW_SOURCE_REMOVED /**< an event read earlier may still refer to it */
 };
 
@@ -49,6 +57,8 @@
 	 * waking the event loop. */
 	bool polled;
 	struct gw_request *request; /**< for GW_SOURCE_CALLER */
+	struct gw_greeting *greeting; /**< for GW_SOURCE_GREETING */
+	struct gw_handoff *handoff; /**< for GW_SOURCE_HANDOFF */
 };
 
 /** A function to be called on the traffic thread. */
@@ -79,6 +89,9 @@
 	struct caller_holder holder; /**< the first member */
 	int fd;
 	struct gw_request *request; /**< in progress, or NULL */
+	struct gw_handoff *handoff; /**< passes it to a peer, or NULL */
+	uint64_t from_node_id; /**< peer that passes it here; 0: none */
+	bool close_after; /**< takes no further request */
 	bool evicted; /**< being closed, to make room */
 };
 
@@ -165,6 +178,15 @@
 	uint32_t held_count; /**< refused by a rejection hold */
 	uint32_t refused_count; /**< refused by a decision */
 	uint32_t started_count; /**< attempts */
+	uint32_t passed_count; /**< connections that a peer took */
+};
+
+/** A live daemon in the same failure domain. */
+struct gw_peer {
+	uint64_t node_id;
+	uint32_t weight; /**< see struct handoff_peer */
+	char host[ADDRESS_MAX_BYTES]; /**< IP address */
+	struct sockaddr_in address; /**< where it takes connections */
 };
 
 struct gateway {
@@ -179,8 +201,19 @@
 	uint32_t streams_count;
 	uint32_t connections_count; /**< connections of callers */
 	struct caller_memory caller_memory;
-	uint32_t
-	    closing_count; /**< connections that gave way, not closed yet */
+	/** Connections that gave way and are not closed yet. */
+	uint32_t closing_count;
+	struct gw_source listen_source;
+	struct gw_source peers_source; /**< fd -1: none are taken */
+	bool accepts_paused;
+	/** Peer that passes on the connection that the server is given now. */
+	uint64_t accepting_from;
+	LIST_HEAD(, gw_greeting) greetings;
+	LIST_HEAD(, gw_handoff) handoffs;
+	uint32_t handoffs_count;
+	struct handoff handoff;
+	GArray *peers; /**< struct gw_peer */
+	GArray *handoff_peers; /**< struct handoff_peer, the same peers */
 	struct gw_source server_source;
 	struct gw_source readiness_source;
 	struct gw_source mailbox_source;
@@ -207,6 +240,7 @@
 	struct gw_idle_window log_window;
 	struct gw_load_counts load_counts;
 	struct gw_load_counts readiness_start; /**< as its window began */
+	struct gw_load_counts shedding_start; /**< as its window began */
 	struct gw_load_counts log_start; /**< as its window began */
 	struct load_shedder load_shedder;
 	/** Hash of account and pool to struct gw_rejection_hold. */
@@ -243,6 +277,14 @@
 
 void gateway_finish(struct gateway *gateway);
 
+/** Tells the traffic thread which daemons are live in the same failure domain;
+ * called by the control thread. */
+void gw_peers_update(struct control *control);
+
+/** Handles a peer's word that it is about to stop; called by the control
+ * thread. */
+void gw_handoff_on_stop(struct control *control, uint64_t node_id);
+
 /** Passes a decision on to the traffic thread; called by the control thread. */
 void gw_dispatch_on_decided(struct control *control, uint64_t attempt_id);
 
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -23,6 +23,52 @@
 void gw_source_add(struct gateway *gateway, struct gw_source *source,
     uint32_t events);
 
+/** Changes the events that a descriptor of the event loop is watched for. */
+void gw_source_set(struct gateway *gateway, const struct gw_source *source,
+    uint32_t events);
+
+/* gateway_accept.c: new connections of callers, and those that peers pass on */
+
+/** Answer to a peer whose connection is taken; others are closed. */
+#define GW_HANDOFF_TAKEN 1
+
+/** Listens on an address. */
+gboolean gw_listen(struct gateway *gateway, struct gw_source *source,
+    enum gw_source_kind kind, const char *text, GError **error);
+void gw_accept_finish(struct gateway *gateway);
+void gw_accept_callers(struct gateway *gateway);
+void gw_accept_peers(struct gateway *gateway);
+void gw_greeting_on_event(struct gateway *gateway,
+    struct gw_greeting *greeting);
+/** Lets the server handle a connection.
+ * @param from_node_id peer that passes it on, or 0 */
+void gw_serve_connection(struct gateway *gateway, int fd,
+    uint64_t from_node_id);
+/** To be called every 50 ms. */
+void gw_accept_check(struct gateway *gateway, uint64_t now_ms);
+
+/* gateway_handoff.c: connections that are passed to peers */
+
+/** Asks peers to take a connection. @return false if there is none to be asked,
+ * so that the connection is the caller's again */
+bool gw_handoff_start(struct gateway *gateway, int fd);
+void gw_handoff_on_event(struct gw_source *source, uint32_t events);
+/** Resets a connection that is passed on. */
+void gw_handoff_abort(struct gw_handoff *handoff);
+/** To be called every 50 ms. */
+void gw_handoffs_check(struct gateway *gateway, uint64_t now_ms);
+void gw_handoffs_finish(struct gateway *gateway);
+
+/* gateway_peers.c: daemons in the same failure domain */
+
+void gw_peers_init(struct gateway *gateway);
+void gw_peers_finish(struct gateway *gateway);
+/** Tells the peers that the connections passed to them end soon. */
+void gw_handoffs_stop(struct gateway *gateway);
+/** @return the live peer, or NULL */
+const struct gw_peer *gw_find_peer(const struct gateway *gateway,
+    uint64_t node_id);
+
 /* gateway_load.c: load of the event loop */
 
 void gw_load_start(struct gateway *gateway);
@@ -59,6 +105,9 @@
 
 /* gateway_server.c: HTTP server for callers and readiness probes */
 
+/** @return whether the daemon takes new callers */
+bool gw_is_ready(const struct gateway *gateway);
+void gw_parse_address(const char *text, struct sockaddr_in *out);
 gboolean gw_server_init(struct gateway *gateway, GError **error);
 void gw_server_finish(struct gateway *gateway);
 /** Starts watching for a disconnection of the caller. */
--- a/include/bamboorudderd/settings.h
+++ b/include/bamboorudderd/settings.h
@@ -31,6 +31,9 @@
 	char peer_address[SETTINGS_STRING_MAX_BYTES];
 	char failure_domain[SETTINGS_STRING_MAX_BYTES];
 	struct settings_list peer_seeds;
+	char handoff_address[SETTINGS_STRING_MAX_BYTES]; /**< "": none */
+	uint32_t handoff_pass_percent;
+	uint32_t handoff_accept_percent;
 	uint32_t cpu_share_milli; /**< in thousandths of a core */
 	uint32_t endpoints_age_ms;
 	uint32_t domains_age_ms; /**< 0: no failure domain is ever drained */
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -36,6 +36,9 @@
 	MSG_PLACEMENT,
 	MSG_ATTEMPT_EVENTS,
 	MSG_RUNNING_ATTEMPTS,
+	/** The sender is about to stop: connections of callers that it passes to
+	 * the receiver take no further request. Has no body. */
+	MSG_HANDOFF_STOP,
 	MSG_TYPE_COUNT
 };
 
--- a/tests/unit/test_codec.cc
+++ b/tests/unit/test_codec.cc
@@ -49,6 +49,22 @@
 	g_byte_array_free(bytes, TRUE);
 }
 
+TEST(Codec, AMessageWithoutABodyRoundTrips)
+{
+	GByteArray *bytes = g_byte_array_new();
+	msg message = {}, decoded;
+
+	message.type = MSG_HANDOFF_STOP;
+	message.from_node_id = 9;
+	codec_encode(&message, bytes);
+	ASSERT_TRUE(codec_decode(bytes->data, bytes->len, &decoded));
+	EXPECT_EQ(decoded.type, MSG_HANDOFF_STOP);
+	EXPECT_EQ(decoded.from_node_id, 9u);
+	g_byte_array_append(bytes, bytes->data, 1);
+	EXPECT_FALSE(codec_decode(bytes->data, bytes->len, &decoded));
+	g_byte_array_free(bytes, TRUE);
+}
+
 /** Encodes and decodes a message, and rejects every truncation of it. */
 void
 round_trip(const msg &message, msg *decoded)
--- a/tests/unit/test_deploy_template.cc
+++ b/tests/unit/test_deploy_template.cc
@@ -74,6 +74,7 @@
 		{ "listen.readiness", "10.1.0.33:8780" },
 		{ "listen.control_plane", "10.1.0.33:8785" },
 		{ "ip", "10.1.0.33" },
+		{ "internal_ports.0", "7400" },
 		{ "internal_ports.1", "7415" },
 		{ "zone", "uy-sur-mvd" },
 		{ "seed_nodes", "10.1.0.33:8785" },
