Take new connections first in a busy event loop, and read late answers of peers

Cause: with 256 events handled between two waits, a daemon without idle time noticed its peers' answers after their timeout, passed nothing on, and its queue of new connections overflowed; a request could be passed on after its caller had left. Change: 64 events between waits; new connections are taken first if more events wait; an answer is read before its peer is given up; what a caller sent before it left is not passed on.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -8,7 +8,7 @@
 #include "bamboorudderd/gateway_private.h"
 #include "common/log.h"
 
-#define EVENTS_PER_WAIT 256
+#define EVENTS_PER_WAIT 64
 #define CHECK_PERIOD_MS 50u
 /* Share of the time within which a revoked key has to stop working; the
  * configuration is read from the store if peers have not confirmed it for that
@@ -250,6 +250,9 @@
 		if (timeout_ms > 0)
 			gw_load_add_idle(gateway,
 			    clk_monotonic_us(&gateway->clk) - wait_start_us);
+		/* while others wait, no new connection may be lost */
+		if (count == EVENTS_PER_WAIT)
+			gw_accept_callers(gateway);
 		for (int i = 0; i < count; i++)
 			on_event(gateway, &events[i]);
 		g_ptr_array_set_size(gateway->removed_sources, 0);
--- a/bamboorudderd/gateway_handoff.c
+++ b/bamboorudderd/gateway_handoff.c
@@ -355,6 +355,9 @@
 			side->ended = true;
 			return true;
 		}
+		/* a request that waited here too long is not passed on */
+		if (from == END_CALLER && gw_has_hung_up(side->source.fd))
+			return false;
 		handoff->used |= from == END_CALLER;
 		/* what comes after the end of the other side is for nobody */
 		if (!to->shut && !send_bytes(to, block, (size_t)length))
@@ -422,6 +425,21 @@
 	    now_ms >= gateway->drain_start_ms + UNUSED_MS;
 }
 
+/* The answer may have come while this daemon was busy. */
+static void
+on_answer_due(struct gw_handoff *handoff, uint64_t now_ms)
+{
+	enum handoff_state state = handoff->state;
+
+	gw_handoff_on_event(&handoff->sides[END_PEER].source, 0);
+	if (handoff->removed)
+		return;
+	if (handoff->state != state)
+		handoff->asked_ms = now_ms;
+	else if (now_ms >= handoff->asked_ms + ANSWER_TIMEOUT_MS)
+		on_not_taken(handoff, HANDOFF_SILENT);
+}
+
 void
 gw_handoffs_check(struct gateway *gateway, uint64_t now_ms)
 {
@@ -432,7 +450,7 @@
 		next = LIST_NEXT(handoff, entries);
 		if (handoff->state != HANDOFF_RELAYING) {
 			if (now_ms >= handoff->asked_ms + ANSWER_TIMEOUT_MS)
-				on_not_taken(handoff, HANDOFF_SILENT);
+				on_answer_due(handoff, now_ms);
 		} else if (is_over(handoff, now_ms))
 			remove_handoff(handoff);
 	}
--- a/bamboorudderd/gateway_server.c
+++ b/bamboorudderd/gateway_server.c
@@ -55,14 +55,19 @@
 }
 
 bool
-gw_caller_has_left(const struct gw_request *request)
+gw_has_hung_up(int fd)
 {
-	struct pollfd caller = { .fd = connection_fd(request->connection),
-		.events = POLLRDHUP };
+	struct pollfd caller = { .fd = fd, .events = POLLRDHUP };
 
 	return poll(&caller, 1, 0) > 0;
 }
 
+bool
+gw_caller_has_left(const struct gw_request *request)
+{
+	return gw_has_hung_up(connection_fd(request->connection));
+}
+
 /* The server does not read suspended connections: only hang-ups are watched. */
 void
 gw_caller_watch(struct gw_request *request)
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -123,6 +123,8 @@
 void gw_parse_address(const char *text, struct sockaddr_in *out);
 gboolean gw_server_init(struct gateway *gateway, GError **error);
 void gw_server_finish(struct gateway *gateway);
+/** @return whether the other side of a connection has ended it */
+bool gw_has_hung_up(int fd);
 /** @return whether the caller has closed its connection */
 bool gw_caller_has_left(const struct gw_request *request);
 /** Starts watching for a disconnection of the caller. */
