Respond to turned-away connections when they are accepted

Cause: a turned-away connection took two passes of a busy event loop, so that their number reached its bound and the queue of new connections overflowed. Change: the request is read and refused at once; only callers that have sent nothing are watched; 64 connections are taken at a time.

--- a/bamboorudderd/gateway_accept.c
+++ b/bamboorudderd/gateway_accept.c
@@ -12,7 +12,7 @@
 
 #define LISTEN_BACKLOG_COUNT 512
 /* Connections accepted before other events are handled. */
-#define ACCEPTS_PER_EVENT 512
+#define ACCEPTS_PER_EVENT 64
 /* Time in which a peer has to name itself. */
 #define GREETING_TIMEOUT_MS 500u
 
--- a/bamboorudderd/gateway_turn_away.c
+++ b/bamboorudderd/gateway_turn_away.c
@@ -6,8 +6,10 @@
 #include "bamboorudderd/gateway_private.h"
 #include "common/metric.h"
 
-/* Time that a caller has to send its request and to take the response. */
-#define TURN_AWAY_MS 1000u
+/* Time that a caller has to send its request. */
+#define REQUEST_WAIT_MS 1000u
+/* Time that it has after that to take the response and close its side. */
+#define LINGER_MS 300u
 #define TURN_AWAY_MAX_COUNT 1024u
 #define BLOCK_BYTES (16u * 1024u)
 /* Read before other events are handled. */
@@ -20,7 +22,8 @@
 struct gw_turned_away {
 	LIST_ENTRY(gw_turned_away) entries;
 	struct gw_source source;
-	uint64_t accepted_ms;
+	uint64_t due_ms; /**< when it is closed at the latest */
+	bool watched; /**< part of the event loop */
 	bool responded;
 };
 
@@ -35,26 +38,6 @@
 	g_ptr_array_add(gateway->removed_sources, item);
 }
 
-bool
-gw_turn_away(struct gateway *gateway, int fd)
-{
-	struct gw_turned_away *item;
-
-	if (gateway->turned_away_count >= TURN_AWAY_MAX_COUNT)
-		return false;
-	metric_add(METRIC_CONNECTIONS_TURNED_AWAY, 1);
-	gateway->load_counts.turned_away_count++;
-	item = g_new0(struct gw_turned_away, 1);
-	item->source.kind = GW_SOURCE_TURNED_AWAY;
-	item->source.fd = fd;
-	item->source.turned_away = item;
-	item->accepted_ms = gw_now_ms(gateway);
-	gateway->turned_away_count++;
-	LIST_INSERT_HEAD(&gateway->turned_away, item, entries);
-	gw_source_add(gateway, &item->source, EPOLLIN);
-	return true;
-}
-
 /* Nothing of the request was passed on, so it has not run. */
 static void
 respond(struct gateway *gateway, struct gw_turned_away *item)
@@ -69,6 +52,7 @@
 	    retry_after_ms / 1000, retry_after_ms % 1000);
 
 	item->responded = true;
+	item->due_ms = gw_now_ms(gateway) + LINGER_MS;
 	send(item->source.fd, text, (size_t)length, MSG_NOSIGNAL);
 	shutdown(item->source.fd, SHUT_WR);
 }
@@ -94,6 +78,37 @@
 	}
 }
 
+static void
+watch(struct gateway *gateway, struct gw_turned_away *item)
+{
+	if (!item->watched)
+		gw_source_add(gateway, &item->source, EPOLLIN);
+	item->watched = true;
+}
+
+bool
+gw_turn_away(struct gateway *gateway, int fd)
+{
+	struct gw_turned_away *item;
+
+	if (gateway->turned_away_count >= TURN_AWAY_MAX_COUNT)
+		return false;
+	metric_add(METRIC_CONNECTIONS_TURNED_AWAY, 1);
+	gateway->load_counts.turned_away_count++;
+	item = g_new0(struct gw_turned_away, 1);
+	item->source.kind = GW_SOURCE_TURNED_AWAY;
+	item->source.fd = fd;
+	item->source.turned_away = item;
+	item->due_ms = gw_now_ms(gateway) + REQUEST_WAIT_MS;
+	gateway->turned_away_count++;
+	LIST_INSERT_HEAD(&gateway->turned_away, item, entries);
+	/* what waited to be accepted has mostly sent its request */
+	gw_turned_away_on_event(gateway, item);
+	if (item->source.kind != GW_SOURCE_REMOVED && !item->responded)
+		watch(gateway, item);
+	return true;
+}
+
 void
 gw_turned_away_check(struct gateway *gateway, uint64_t now_ms)
 {
@@ -102,12 +117,11 @@
 	for (item = LIST_FIRST(&gateway->turned_away); item != NULL;
 	     item = next) {
 		next = LIST_NEXT(item, entries);
-		if (now_ms < item->accepted_ms + TURN_AWAY_MS)
-			continue;
 		/* its request may have come while this daemon was busy */
-		if (!item->responded)
+		if (!item->watched || now_ms >= item->due_ms)
 			gw_turned_away_on_event(gateway, item);
-		if (item->source.kind != GW_SOURCE_REMOVED)
+		if (item->source.kind != GW_SOURCE_REMOVED &&
+		    now_ms >= item->due_ms)
 			finish(gateway, item);
 	}
 }
