--- a/bamboorudderd/gateway_memory.c
+++ b/bamboorudderd/gateway_memory.c
@@ -20,7 +20,7 @@
 #define CONNECTIONS_MIN_COUNT 16u
 /* What a connection counts while its caller waits for the daemon. While the daemon
  * waits for the caller, all of the server's memory for it counts: its head or
- * trailer may be long and unfinished. */
+ * trailer may be long and unfinished, also if the request is refused already. */
 #define SERVED_BYTES (16u * 1024u)
 #define HANDOFF_BYTES (4u * 1024u)
 /* Unsent bytes of a response up to which its caller does not count as slow. */
@@ -286,8 +286,7 @@
 	caller_memory_set(memory, holder, CALLER_MEMORY_RESPONSE,
 	    request->endpoint_body->len + request->response_bytes->len);
 	gw_caller_set_waiting(request->gateway, request->caller,
-	    request->state == GW_STATE_RECEIVING ||
-		unsent_bytes > UNSENT_USUAL_BYTES);
+	    !request->received || unsent_bytes > UNSENT_USUAL_BYTES);
 }
 
 void
--- a/bamboorudderd/gateway_server.c
+++ b/bamboorudderd/gateway_server.c
@@ -277,6 +277,10 @@
 		return receive_head(request, method);
 	if (*upload_bytes > 0)
 		return receive_body(request, upload, upload_bytes);
+	if (!request->received) {
+		request->received = true;
+		gw_memory_update(request);
+	}
 	if (request->state == GW_STATE_RECEIVING) {
 		if (gw_response_has_room(request))
 			gw_request_submit(request);
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -119,6 +119,7 @@
 	uint64_t deadline_ms; /**< earlier of caller deadline, route timeout */
 	enum gw_state state;
 	bool head_received;
+	bool received; /**< whole, with its body and trailer */
 	bool submitted; /**< received; counted in active_count */
 	bool close_connection; /**< the connection can't be reused */
 	bool suspended; /**< the server does not handle the connection */
