Answer a passed request whose peer ends before its response

Change: it answers them with 502, since they may have run; what breaks off within a response is still reset. Result: Handoff.ARequestIsAnsweredIfThePeerDiesBeforeItsResponse, status 0 before, 502 after.

--- a/bamboorudderd/gateway_handoff.c
+++ b/bamboorudderd/gateway_handoff.c
@@ -52,6 +52,7 @@
 	uint64_t asked_ms;
 	uint64_t peer_ended_ms; /**< 0: it has not */
 	bool used; /**< the caller has sent something */
+	bool awaiting; /**< the caller has sent something since the peer has */
 	bool removed;
 };
 
@@ -275,6 +276,19 @@
 	watch(handoff, END_CALLER, EPOLLIN);
 }
 
+/* Answers a request whose peer has ended without a response: it may have run. */
+static void
+respond_for_peer(struct gw_handoff *handoff)
+{
+	static const char response[] = "HTTP/1.1 502 Bad Gateway\r\n"
+				       "Connection: close\r\n"
+				       "Content-Length: 0\r\n\r\n";
+
+	handoff->awaiting = false;
+	send(handoff->sides[END_CALLER].source.fd, response,
+	    sizeof(response) - 1, MSG_NOSIGNAL);
+}
+
 /* Passes the end of one side's bytes on, once all of them were taken. */
 static void
 pass_end(struct gw_handoff *handoff, enum handoff_end from)
@@ -283,6 +297,8 @@
 
 	if (!handoff->sides[from].ended || to->shut || to->pending->len > 0)
 		return;
+	if (from == END_PEER && handoff->awaiting)
+		respond_for_peer(handoff);
 	to->shut = true;
 	shutdown(to->source.fd, SHUT_WR);
 	if (from == END_PEER)
@@ -359,6 +375,7 @@
 		if (from == END_CALLER && gw_has_hung_up(side->source.fd))
 			return false;
 		handoff->used |= from == END_CALLER;
+		handoff->awaiting = from == END_CALLER;
 		/* what comes after the end of the other side is for nobody */
 		if (!to->shut && !send_bytes(to, block, (size_t)length))
 			return false;
@@ -368,6 +385,18 @@
 	return true;
 }
 
+/* Ends the peer's side, as if it had closed it. */
+static void
+drop_peer(struct gw_handoff *handoff)
+{
+	struct handoff_side *peer = &handoff->sides[END_PEER];
+
+	close_side(handoff, END_PEER);
+	g_byte_array_set_size(peer->pending, 0);
+	peer->ended = true;
+	peer->shut = true;
+}
+
 static void
 relay(struct gw_handoff *handoff, enum handoff_end end, uint32_t events)
 {
@@ -378,10 +407,14 @@
 		sound = flush_pending(side);
 	if (sound && !side->ended && (events & (EPOLLIN | EPOLLHUP)) != 0)
 		sound = read_side(handoff, end);
-	if (!sound) {
+	if (!sound &&
+	    (!handoff->awaiting ||
+		gw_has_hung_up(handoff->sides[END_CALLER].source.fd))) {
 		gw_handoff_abort(handoff);
 		return;
 	}
+	if (!sound)
+		drop_peer(handoff);
 	pass_end(handoff, END_CALLER);
 	pass_end(handoff, END_PEER);
 	if (handoff->sides[END_CALLER].shut && handoff->sides[END_PEER].shut)
--- a/tests/e2e/test_gateway_handoff.cc
+++ b/tests/e2e/test_gateway_handoff.cc
@@ -252,6 +252,23 @@
 	EXPECT_FALSE(response.complete && response.status == 200);
 }
 
+/* The endpoint may have run it, so that it is neither repeated nor refused. */
+TEST_F(Handoff, ARequestIsAnsweredIfThePeerDiesBeforeItsResponse)
+{
+	endpoint.set_script([](Connection &connection, const std::string &) {
+		connection.read_request(); /* until it is closed */
+	});
+	start({ PASSES, TAKES, TAKES_NONE });
+	std::thread killer([&] {
+		std::this_thread::sleep_for(std::chrono::milliseconds(500));
+		daemons[1]->signal(SIGKILL);
+	});
+	Response response = send("/once/", "died");
+	killer.join();
+	EXPECT_EQ(response.status, 502);
+	EXPECT_TRUE(response.complete);
+}
+
 TEST_F(Handoff, RequestsEndWholeWhenEitherSideStops)
 {
 	for (size_t stopped : { 0u, 1u }) {
