Move the forecast of an engine's first token into a module of its own

Cause: its parts stood in three files of dispatch, and engines that state their pace are to be learned differently.

--- a/bamboorudderd/dump_dispatch.c
+++ b/bamboorudderd/dump_dispatch.c
@@ -34,7 +34,7 @@
 	    (int)endpoint->load.running_count, "reading_tokens",
 	    (json_int_t)endpoint->load.prefill_tokens, "memory_tokens",
 	    (json_int_t)endpoint->load.kv_tokens, "slow_permille",
-	    (int)endpoint->slow_permille, "failing_permille",
+	    (int)endpoint->engine.slow_permille, "failing_permille",
 	    (int)endpoint->failing_permille);
 }
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -5,9 +5,6 @@
 #include "core/dispatch_private.h"
 #include "core/hash.h"
 
-/* Part of the time to a first token that does not depend on prefill, until
- * measured. */
-#define FIRST_TOKEN_INITIAL_MS 30u
 /* Admission limit on the backlog: a base plus a fifth of the latency target. */
 #define ADMISSION_LIMIT_BASE_MS 120u
 #define ADMISSION_LIMIT_TARGET_PERCENT 20u
@@ -27,7 +24,6 @@
  * large prompts are not refused for their size. */
 #define COUNTED_PREFILL_MAX_MS 100u
 #define DURATION_INITIAL_MS 1000u
-#define SLOWNESS_NORMAL_PERMILLE 1000u
 /* A refused caller is told to retry soon after the backlog will be within its
  * account's limit, so that its request can still meet its deadline. A caller
  * whose account is far over its fair share is told to wait longer. */
@@ -123,8 +119,7 @@
 	endpoint->eject_ms = 0;
 	endpoint->failing_permille = 0;
 	endpoint->results_count = 0;
-	endpoint->slow_permille = SLOWNESS_NORMAL_PERMILLE;
-	endpoint->first_token_ms = FIRST_TOKEN_INITIAL_MS;
+	engine_forecast_init(&endpoint->engine);
 	memset(&endpoint->limit, 0, sizeof(endpoint->limit));
 	memset(&endpoint->cold, 0, sizeof(endpoint->cold));
 	endpoint->unreached_until_ms = 0;
@@ -347,7 +342,7 @@
 	forecast->prefill_ms = (uint32_t)best->prefill_ms;
 	forecast->first_token_ms = (uint32_t)(best->backlog_ms +
 				       best->prefill_ms) +
-	    best->endpoint->first_token_ms;
+	    best->endpoint->engine.first_token_ms;
 	forecast->admission_limit_ms = (uint32_t)admission_limit_ms;
 	if (exceeds_limit(best, admission_limit_ms)) {
 		refuse(dispatch, request,
--- a/core/dispatch_attempt.c
+++ b/core/dispatch_attempt.c
@@ -2,18 +2,11 @@
 
 #include "core/dispatch_private.h"
 
-/* After a shorter prefill, the time to the first token tells nothing of an
- * engine's prefill speed. It updates the part that does not depend on prefill
- * instead. */
-#define SHORT_PREFILL_MS 25u
-#define FIRST_TOKEN_MAX_MS 2000u
 #define AVERAGE_WEIGHT 16u
 /* For this long after it refused a request, an endpoint counts as full. */
 #define FULL_DURATION_MS 100u
 /* Daemons name their running attempts every second. */
 #define ATTEMPT_EXPIRY_MS 2500u
-#define SLOWNESS_MIN_PERMILLE 500u
-#define SLOWNESS_MAX_PERMILLE 8000u
 
 static struct dispatch_attempt *
 new_attempt(const struct dispatch_endpoint *endpoint, uint64_t seq,
@@ -57,6 +50,8 @@
 		attempt->prefill_tokens = candidate->uncached_tokens;
 		attempt->kv_tokens = (uint64_t)request->prompt_tokens +
 		    request->response_tokens;
+		attempt->ahead_tokens = endpoint->load.prefill_tokens +
+		    candidate->uncached_tokens;
 		attempt->forecast_ms = (uint32_t)(candidate->backlog_ms +
 		    candidate->prefill_ms);
 		dispatch_cache_record(endpoint, request, now_ms);
@@ -88,29 +83,17 @@
 	dispatch->daemon_busy = busy;
 }
 
-/* Splits the time to a first token into the prefill, which depends on the
- * engine's speed, and a constant part. */
 static void
-update_speed(struct dispatch_endpoint *endpoint,
-    const struct dispatch_attempt *attempt, uint64_t taken_ms)
+learn(struct dispatch_endpoint *endpoint,
+    const struct dispatch_attempt *attempt, uint32_t taken_ms, uint64_t now_ms)
 {
-	uint64_t first_token_ms = endpoint->first_token_ms, slowness_permille;
+	const struct engine_sample sample = {
+		.tokens = attempt->ahead_tokens,
+		.forecast_ms = attempt->forecast_ms,
+		.taken_ms = taken_ms,
+	};
 
-	if (attempt->forecast_ms < SHORT_PREFILL_MS) {
-		taken_ms -= MIN(taken_ms, attempt->forecast_ms);
-		endpoint->first_token_ms = (uint32_t)
-		    dispatch_moving_average(first_token_ms,
-			MIN(taken_ms, FIRST_TOKEN_MAX_MS), AVERAGE_WEIGHT);
-		return;
-	}
-	taken_ms -= MIN(taken_ms, first_token_ms);
-	slowness_permille = endpoint->slow_permille * taken_ms /
-	    attempt->forecast_ms;
-	endpoint->slow_permille = (uint32_t)
-	    dispatch_moving_average(endpoint->slow_permille,
-		CLAMP(slowness_permille, SLOWNESS_MIN_PERMILLE,
-		    SLOWNESS_MAX_PERMILLE),
-		AVERAGE_WEIGHT);
+	engine_forecast_record_first_token(&endpoint->engine, &sample, now_ms);
 }
 
 static void
@@ -140,7 +123,7 @@
 	dispatch_record_progress(dispatch, endpoint, now_ms);
 	endpoint->load.prefill_tokens -= attempt->prefill_tokens;
 	if (attempt->engine && taken_ms != UINT32_MAX)
-		update_speed(endpoint, attempt, taken_ms);
+		learn(endpoint, attempt, taken_ms, now_ms);
 }
 
 static void
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -1,8 +1,6 @@
 #include "core/dispatch_private.h"
 #include "core/hash.h"
 
-/* Nominal prefill speed of an engine, to which its measured slowness refers. */
-#define PREFILL_TOKENS_PER_MS 50u
 /* Number of endpoints that all daemons prefer, by rendezvous hashing, for a
  * shared segment that no endpoint has cached. */
 #define PREFERRED_ENDPOINTS_COUNT 2u
@@ -92,28 +90,32 @@
     struct dispatch_candidate *candidate)
 {
 	const struct dispatch_endpoint *endpoint = candidate->endpoint;
-	uint64_t slowness_permille = endpoint->slow_permille, needed_kv_tokens;
+	uint64_t needed_kv_tokens,
+	    slowness_permille =
+		engine_forecast_slowness_permille(&endpoint->engine, now_ms);
 
 	if (now_ms < endpoint->warm_at_ms)
 		slowness_permille *= WARMUP_SLOW_FACTOR;
 	candidate->uncached_tokens = dispatch_uncached_tokens(endpoint, request,
 	    now_ms);
-	candidate->backlog_ms = endpoint->load.prefill_tokens *
-		slowness_permille / PREFILL_TOKENS_PER_MS / 1000 +
+	candidate->backlog_ms =
+	    engine_forecast_prefill_ms(endpoint->load.prefill_tokens,
+		slowness_permille) +
 	    slot_wait_ms(dispatch, endpoint);
 	needed_kv_tokens = endpoint->load.kv_tokens + request->prompt_tokens +
 	    request->response_tokens;
 	if (pool->kv_capacity_tokens > 0 &&
 	    needed_kv_tokens * 100 > pool->kv_capacity_tokens * KV_FULL_PERCENT)
 		candidate->backlog_ms += dispatch->mean_duration_ms;
-	candidate->prefill_ms = candidate->uncached_tokens * slowness_permille /
-	    PREFILL_TOKENS_PER_MS / 1000;
+	candidate->prefill_ms =
+	    engine_forecast_prefill_ms(candidate->uncached_tokens,
+		slowness_permille);
 	candidate->cost_ms = candidate->backlog_ms + candidate->prefill_ms +
-	    endpoint->first_token_ms +
+	    endpoint->engine.first_token_ms +
 	    (preferred ? SHARED_PREFILL_PREFERRED_WEIGHT
 		       : SHARED_PREFILL_WEIGHT) *
 		uncached_shared_tokens(request, candidate) /
-		PREFILL_TOKENS_PER_MS;
+		ENGINE_PREFILL_TOKENS_PER_MS;
 }
 
 /* A service has no prefill: its cost is the percentage of its slots in use. */
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -21,6 +21,7 @@
 #include "core/effect.h"
 #include "core/endpoint_limit.h"
 #include "core/endpoint_notice.h"
+#include "core/engine_forecast.h"
 #include "core/msg.h"
 
 /** Callers wait for at most this part of their remaining time. */
@@ -179,9 +180,7 @@
 	uint32_t eject_ms; /**< length of the last ejection */
 	uint32_t failing_permille; /**< moving average */
 	uint32_t results_count; /**< since discovery or process restart */
-	uint32_t slow_permille; /**< measured over forecast prefill time */
-	/** Part of the time to a first token that does not depend on prefill. */
-	uint32_t first_token_ms;
+	struct engine_forecast engine; /**< unless it is a service */
 	uint64_t progress_ms; /**< when a response last began or completed */
 	/** This daemon could not connect to it, and doesn't try until then. */
 	uint64_t unreached_until_ms;
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -18,6 +18,8 @@
 	uint64_t started_ms;
 	uint64_t prefill_tokens;
 	uint64_t kv_tokens;
+	uint64_t
+	    ahead_tokens; /**< of all prompts to prefill, its own included */
 	uint32_t forecast_ms; /**< until the end of its prefill */
 	bool engine;
 	bool first_token_arrived;
