--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -2,8 +2,11 @@
 
 Starts the daemon by the run line of deploy/system.toml with its settings
 template, beside a store and replicas that follow PROTOCOL.md. Everything
-listens on loopback addresses and on ports that were free.
+listens on loopback addresses and on ports that were free. Environment:
+BAMBOORUDDERD, another daemon than that of the run line (a path, from the root
+of the repository); RECORD_DIR, another folder for record.txt.
 """
+import contextlib
 import json
 import os
 import re
@@ -45,7 +48,8 @@
     def __init__(self, case_dir):
         self.start = time.monotonic()
         self.lock = threading.Lock()
-        self.file = open(os.path.join(case_dir, "record.txt"), "w")
+        folder = os.environ.get("RECORD_DIR", case_dir)
+        self.file = open(os.path.join(folder, "record.txt"), "w")
 
     def add(self, *words):
         with self.lock:
@@ -54,10 +58,13 @@
             self.file.flush()
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def free_ports(count):
+    """@return ports that were free, each once"""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
 
 
 # ---------------------------------------------------------------- HTTP
@@ -410,11 +417,14 @@
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             role = tomllib.load(file)["roles"]["edge"]
         self.command = role["run"].split(" ")
+        if "BAMBOORUDDERD" in os.environ:
+            self.command[0] = os.environ["BAMBOORUDDERD"]
         if not os.path.exists(os.path.join(ROOT, self.command[0])):
-            raise CannotRun("the build line of deploy/system.toml was not run")
+            raise CannotRun("there is no %s, run the build line of "
+                            "deploy/system.toml" % self.command[0])
         self.record = record
         self.name = "daemon-%d" % index
-        ports = [free_port() for _ in range(4)]
+        ports = free_ports(5)
         self.frontend = "127.0.0.1:%d" % ports[0]
         self.readiness = "127.0.0.1:%d" % ports[1]
         self.control = "127.0.0.1:%d" % ports[2]
@@ -422,7 +432,7 @@
             "ip": "127.0.0.1", "zone": zone,
             "listen": {"frontend": self.frontend, "readiness": self.readiness,
                        "control_plane": self.control},
-            "internal_ports": [ports[3], ports[3]],
+            "internal_ports": [ports[3], ports[4]],
             "seed_nodes": (seeds or []) + [self.control],
             "limits": MACHINE_LIMITS, "bounds": BOUNDS,
             "platform": {"address": store.address},
