Log how late a stop and the requests during it are

Cause: a request that a stop cuts leaves the same line whether its body, a further attempt, the clock of the stop or a passed connection made it late. Change: the main thread notes when sigwait() returns and passes it to the traffic thread, which logs how late it is (drain_begun); the line of a request gets the times at which its head was read and its last attempt began, counted from the signal. No decision uses them.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -331,17 +331,22 @@
 static void
 run_drain(struct gateway *gateway, void *context)
 {
-	(void)context;
+	uint64_t *signal_ms = context;
+
 	gateway->draining = true;
+	gateway->signal_ms = *signal_ms;
+	g_free(signal_ms);
 	gateway->drain_start_ms = gw_now_ms(gateway);
 	gateway->idle_since_ms = gateway->drain_start_ms;
+	gw_observe_drain(gateway);
 	gw_handoffs_stop(gateway);
 }
 
 void
-gateway_drain(struct gateway *gateway)
+gateway_drain(struct gateway *gateway, uint64_t signal_ms)
 {
-	gw_mailbox_post(gateway, run_drain, NULL);
+	gw_mailbox_post(gateway, run_drain,
+	    g_memdup2(&signal_ms, sizeof(signal_ms)));
 }
 
 bool
--- a/bamboorudderd/gateway_observe.c
+++ b/bamboorudderd/gateway_observe.c
@@ -14,6 +14,19 @@
 		g_snprintf(text, TEXT_BYTES, "%u", age_ms);
 }
 
+/* Formats a time, counted from when the process was told to stop.
+ * @param at_ms 0 if there was none */
+static void
+format_stop_time(const struct gateway *gateway, uint64_t at_ms,
+    char text[TEXT_BYTES])
+{
+	if (!gateway->draining || at_ms == 0)
+		g_strlcpy(text, "-", TEXT_BYTES);
+	else
+		g_snprintf(text, TEXT_BYTES, "%" G_GINT64_FORMAT,
+		    (gint64)at_ms - (gint64)gateway->signal_ms);
+}
+
 static void
 log_request(const struct gw_request *request)
 {
@@ -23,6 +36,7 @@
 	char share[TEXT_BYTES], prompt_tokens[TEXT_BYTES];
 	char first_token[TEXT_BYTES];
 	char hub_list[TEXT_BYTES], hub_list_age[TEXT_BYTES], list[TEXT_BYTES];
+	char stop_head[TEXT_BYTES], stop_attempt[TEXT_BYTES];
 	const struct dispatch_decision *decision = &request->decision;
 	const struct gw_peer *via = request->caller == NULL
 	    ? NULL
@@ -50,6 +64,8 @@
 	format_age(decision->hub_list.age_ms, hub_list_age);
 	g_snprintf(list, TEXT_BYTES, "%" G_GUINT64_FORMAT,
 	    decision->own_list.version);
+	format_stop_time(request->gateway, request->arrived_ms, stop_head);
+	format_stop_time(request->gateway, request->attempt_ms, stop_attempt);
 	log_event(LOG_LEVEL_INFO, "request", "id", request->head.request_id,
 	    "route", request->route == NULL ? "-" : request->route->name,
 	    "account", request->account == NULL ? "-" : request->account->name,
@@ -63,7 +79,21 @@
 	    domain_crossing_reason_name(decision->crossing), "limit_ms", limit,
 	    "running", running, "over_share", forecast->over_share ? "1" : "0",
 	    "share_permille", share, "prompt_tokens", prompt_tokens,
-	    "peers_age_ms", age, "configuration", version, NULL);
+	    "peers_age_ms", age, "configuration", version, "stop_head_ms",
+	    stop_head, "stop_attempt_ms", stop_attempt, NULL);
+}
+
+void
+gw_observe_drain(const struct gateway *gateway)
+{
+	char late[TEXT_BYTES], grace[TEXT_BYTES];
+
+	g_snprintf(late, TEXT_BYTES, "%" G_GUINT64_FORMAT,
+	    gateway->drain_start_ms - gateway->signal_ms);
+	g_snprintf(grace, TEXT_BYTES, "%u",
+	    gateway->settings->shutdown_grace_ms);
+	log_event(LOG_LEVEL_INFO, "drain_begun", "late_ms", late, "grace_ms",
+	    grace, NULL);
 }
 
 static void
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -166,14 +166,14 @@
 /* Shuts down a daemon with a gateway. Waits until all received requests are
  * done or another signal arrives. */
 static int
-stop_gateway(struct daemon *daemon, const sigset_t *signals)
+stop_gateway(struct daemon *daemon, const sigset_t *signals, uint64_t signal_ms)
 {
 	struct timespec pause = { 0, DRAIN_POLL_INTERVAL_MS * NS_PER_MS };
 	GThread *admin_thread = NULL;
 	int signal_number = 0;
 
 	log_event(LOG_LEVEL_INFO, "draining", NULL);
-	gateway_drain(&daemon->gateway);
+	gateway_drain(&daemon->gateway, signal_ms);
 	while (!gateway_drained(&daemon->gateway) && signal_number != SIGTERM &&
 	    signal_number != SIGINT) {
 		signal_number = sigtimedwait(signals, NULL, &pause);
@@ -239,7 +239,8 @@
 		else if (signal_number == SIGHUP)
 			reload_run(&daemon->reload);
 	if (uses_gateway(daemon))
-		return stop_gateway(daemon, &signals);
+		return stop_gateway(daemon, &signals,
+		    clk_monotonic_ms(&daemon->gateway.clk));
 	atomic_store(&daemon->admin.draining, 1);
 	if (!drain_run(&daemon->frontend, &daemon->control, &signals))
 		daemon_abort(daemon);
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -261,7 +261,8 @@
 	bool draining;
 	bool shutting_down; /**< draining is over; refuses all requests */
 	bool stopping;
-	uint64_t drain_start_ms;
+	uint64_t signal_ms; /**< when the process was told to stop */
+	uint64_t drain_start_ms; /**< when this thread learned of it */
 	uint64_t shutdown_ms; /**< when shutting_down was set */
 	uint64_t idle_since_ms; /**< last time with a request, in a drain */
 	_Atomic uint32_t drain_ends_soon; /**< read by the main thread */
@@ -272,8 +273,9 @@
 gboolean gateway_init(struct gateway *gateway, const struct settings *settings,
     struct control *control, GError **error);
 
-/** Reports the daemon as not ready and serves the remaining requests. */
-void gateway_drain(struct gateway *gateway);
+/** Reports the daemon as not ready and serves the remaining requests.
+ * @param signal_ms when the process was told to stop, by clk_monotonic_ms() */
+void gateway_drain(struct gateway *gateway, uint64_t signal_ms);
 
 /** @return whether draining will be over within two seconds */
 bool gateway_drain_ends_soon(struct gateway *gateway);
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -246,6 +246,8 @@
 void gw_observe_attempt(const struct gw_request *request, uint64_t bytes);
 /** @return outcome in the log of a request that is refused for a reason */
 const char *gw_refusal_outcome(enum refuse_reason reason);
+/** Logs the begin of a drain, and how late it is. */
+void gw_observe_drain(const struct gateway *gateway);
 /** Records the end of a request: its duration and its line in the log. */
 void gw_observe_end(const struct gw_request *request);
 
