--- a/tests/e2e/test_gateway_handoff.cc
+++ b/tests/e2e/test_gateway_handoff.cc
@@ -334,6 +334,34 @@
 	EXPECT_EQ(daemons[0]->wait_with_timeout(5000), 0);
 }
 
+/* The peer goes on, but its answers end with the process that passes them on. */
+TEST_F(Handoff, APeerStartsNoWorkThatMayOutlastTheDaemonThatStops)
+{
+	const std::string head = "POST /once/ HTTP/1.1\r\nHost: a.example\r\n"
+				 "X-Bamboorudder-Request-Id: hop\r\n"
+				 "X-Bamboorudder-Deadline-Ms: 8000\r\n"
+				 "Content-Length: 1\r\n\r\n";
+
+	endpoint.set_script(
+	    [this](Connection &connection, const std::string &request) {
+		    runs_count++;
+		    connection.send_text(response_text(request, "whole"));
+	    });
+	start({ PASSES, TAKES, TAKES });
+	Caller kept(listen_port(), head + "b"), late(listen_port(), "");
+	EXPECT_EQ(kept.receive().rfind("HTTP/1.1 200", 0), 0u);
+	daemons[0]->signal(SIGTERM);
+	std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+	late.send_text(head);
+	std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+	kept.send_text(head + "b");
+	late.send_text("b");
+	EXPECT_EQ(kept.receive().rfind("HTTP/1.1 503", 0), 0u);
+	EXPECT_EQ(late.receive().rfind("HTTP/1.1 503", 0), 0u);
+	EXPECT_EQ(runs_count, 1);
+	EXPECT_EQ(daemons[0]->wait_with_timeout(5000), 0);
+}
+
 /* A connection without a request does not hold up the end of the process. */
 TEST_F(Handoff, ADaemonThatStopsClosesConnectionsWithoutARequest)
 {
