Count a stop from its signal, and take long requests for 2.6 s of it

Cause: any request whose head was read up to 3,000 ms after the traffic thread had begun to drain was taken. A caller is owed the whole answer to what it sends 3 s after the signal; the thread begins later than that, and without any margin. Class of fault: a limit is measured by the clock of the one who is late. Change: core/drain_admission holds when the signal came, by the main thread's clock, and the grace; work with any deadline may begin for 2,600 ms, as long as the platform sends new connections.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -28,16 +28,8 @@
 #define DOMAINS_WATCH_PERCENT 40u
 #define DOMAINS_POLL_PERCENT 50u
 #define DOMAINS_SPREAD_PERCENT 15u
-/* The platform sends new connections until two readiness probes have failed. */
-#define DRAIN_ACCEPT_MS 2600u
 /* Time without requests after which the process may exit. */
 #define DRAIN_IDLE_MS 300u
-/* This part of the grace period is reserved for the answers of the requests that
- * are still running, and for the end of the process. */
-#define DRAIN_EXIT_DIVISOR 8u
-/* More of a short grace period is reserved, up to this time. */
-#define DRAIN_EXIT_MIN_MS 1000u
-#define DRAIN_EXIT_MIN_DIVISOR 3u
 /* Time that the rest of the process needs to stop. */
 #define DRAIN_ENDS_SOON_MS 1500u
 /* Time for the answers to be written. */
@@ -123,17 +115,6 @@
 	}
 }
 
-uint64_t
-gw_drain_end_ms(const struct gateway *gateway)
-{
-	uint32_t grace_ms = gateway->settings->shutdown_grace_ms;
-
-	uint32_t exit_ms = MAX(grace_ms / DRAIN_EXIT_DIVISOR,
-	    MIN(DRAIN_EXIT_MIN_MS, grace_ms / DRAIN_EXIT_MIN_DIVISOR));
-
-	return gateway->drain_start_ms + grace_ms - exit_ms;
-}
-
 static void
 end_requests_for_exit(struct gateway *gateway)
 {
@@ -167,9 +148,10 @@
 check_drain(struct gateway *gateway, uint64_t now_ms)
 {
 	uint64_t draining_ms = now_ms - gateway->drain_start_ms;
-	bool time_is_up = now_ms >= gw_drain_end_ms(gateway);
+	uint64_t end_ms = drain_admission_end_ms(&gateway->admission);
+	bool time_is_up = now_ms >= end_ms;
 
-	if (now_ms + DRAIN_ENDS_SOON_MS >= gw_drain_end_ms(gateway))
+	if (now_ms + DRAIN_ENDS_SOON_MS >= end_ms)
 		atomic_store(&gateway->drain_ends_soon, 1);
 	if (gateway->active_count > 0 || gateway->handoffs_count > 0 ||
 	    has_unfinished_exchanges(gateway))
@@ -334,7 +316,8 @@
 	uint64_t *signal_ms = context;
 
 	gateway->draining = true;
-	gateway->signal_ms = *signal_ms;
+	drain_admission_begin(&gateway->admission, *signal_ms,
+	    gateway->settings->shutdown_grace_ms);
 	g_free(signal_ms);
 	gateway->drain_start_ms = gw_now_ms(gateway);
 	gateway->idle_since_ms = gateway->drain_start_ms;
--- a/bamboorudderd/gateway_observe.c
+++ b/bamboorudderd/gateway_observe.c
@@ -24,7 +24,7 @@
 		g_strlcpy(text, "-", TEXT_BYTES);
 	else
 		g_snprintf(text, TEXT_BYTES, "%" G_GINT64_FORMAT,
-		    (gint64)at_ms - (gint64)gateway->signal_ms);
+		    (gint64)at_ms - (gint64)gateway->admission.signal_ms);
 }
 
 static void
@@ -89,7 +89,7 @@
 	char late[TEXT_BYTES], grace[TEXT_BYTES];
 
 	g_snprintf(late, TEXT_BYTES, "%" G_GUINT64_FORMAT,
-	    gateway->drain_start_ms - gateway->signal_ms);
+	    gateway->drain_start_ms - gateway->admission.signal_ms);
 	g_snprintf(grace, TEXT_BYTES, "%u",
 	    gateway->settings->shutdown_grace_ms);
 	log_event(LOG_LEVEL_INFO, "drain_begun", "late_ms", late, "grace_ms",
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -5,10 +5,6 @@
 #include "common/metric.h"
 #include "core/hash.h"
 
-/* A draining daemon accepts all requests for this long, and after that those
- * with a deadline at least DRAIN_REQUEST_MARGIN_MS before it ends the rest. */
-#define DRAIN_SERVE_MS 3000u
-#define DRAIN_REQUEST_MARGIN_MS 100u
 #define DRAIN_RETRY_AFTER_MS 100u
 /* Allowance for the time from the sending of a request to the check whether the
  * configuration is fresh enough for its key. */
@@ -214,9 +210,8 @@
 
 	if (gateway->shutting_down)
 		return false;
-	return now_ms <= gateway->drain_start_ms + DRAIN_SERVE_MS ||
-	    request->deadline_ms + DRAIN_REQUEST_MARGIN_MS <=
-	    gw_drain_end_ms(gateway);
+	return drain_admission_may_begin(&gateway->admission, now_ms,
+	    request->deadline_ms);
 }
 
 bool
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -24,6 +24,7 @@
 #include "core/caller_memory.h"
 #include "core/config_snapshot.h"
 #include "core/dispatch.h"
+#include "core/drain_admission.h"
 #include "core/handoff.h"
 #include "core/load_shedder.h"
 #include "core/readiness.h"
@@ -261,7 +262,7 @@
 	bool draining;
 	bool shutting_down; /**< draining is over; refuses all requests */
 	bool stopping;
-	uint64_t signal_ms; /**< when the process was told to stop */
+	struct drain_admission admission; /**< from the signal to stop on */
 	uint64_t drain_start_ms; /**< when this thread learned of it */
 	uint64_t shutdown_ms; /**< when shutting_down was set */
 	uint64_t idle_since_ms; /**< last time with a request, in a drain */
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -16,9 +16,6 @@
 
 uint64_t gw_now_ms(const struct gateway *gateway);
 
-/** @return when a drain ends the requests that are still running */
-uint64_t gw_drain_end_ms(const struct gateway *gateway);
-
 /** Adds a file descriptor to the event loop. */
 void gw_source_add(struct gateway *gateway, struct gw_source *source,
     uint32_t events);
--- a/tests/e2e/test_gateway_drain.cc
+++ b/tests/e2e/test_gateway_drain.cc
@@ -69,6 +69,25 @@
 	std::chrono::steady_clock::time_point signalled_;
 };
 
+/* Nothing that a caller sends 3 s after the signal may be taken and cut. */
+TEST_F(GatewayDrain, AHeadThatIsReadNearlyThreeSecondsLateStartsNoLongWork)
+{
+	start_and_stop();
+	wait_until_ms(2000);
+	Caller early(harness.listen_port,
+	    request_head("POST", "/once/", "early") + "b");
+	EXPECT_EQ(early.receive().rfind("HTTP/1.1 200", 0), 0u);
+	wait_until_ms(2750);
+	Caller late(harness.listen_port,
+	    request_head("POST", "/once/", "late") + "b");
+	EXPECT_EQ(late.receive().rfind("HTTP/1.1 503", 0), 0u);
+	Caller fits(harness.listen_port,
+	    request_head("POST", "/once/", "fits", 3500) + "b");
+	EXPECT_EQ(fits.receive().rfind("HTTP/1.1 200", 0), 0u);
+	released = true;
+	EXPECT_EQ(harness.daemon->wait_with_timeout(8000), 0);
+}
+
 TEST_F(GatewayDrain, ABodyThatEndsLateStartsNoWorkThatMayOutlastTheProcess)
 {
 	start_and_stop();
