Ask before every attempt whether it can end before a stopping daemon does

Cause: whether a request fits into what is left of a stop was asked once, when its head had been read. A body that ends later, the wait for a decision, a further attempt or a resumed stream began work without the question. Class of fault: a decision is not made again when what it rests on has changed. Change: the question is part of what is checked before each attempt, and is asked when the body is whole.

--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -70,6 +70,8 @@
 } denials[] = {
 	[GW_PERMISSION_GIVEN] = { 0, "", 0 },
 	[GW_PERMISSION_LATE] = { 503, "timeout_not_run", GW_RETRY_AFTER_MS },
+	[GW_PERMISSION_STOPPING] = { 503, "shutting_down",
+	    GW_DRAIN_RETRY_AFTER_MS },
 	[GW_PERMISSION_UNCONFIRMED] = { 503, "configuration_too_old",
 	    GW_RETRY_AFTER_MS },
 	[GW_PERMISSION_REVOKED] = { 401, "unknown_key", 0 },
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -5,7 +5,6 @@
 #include "common/metric.h"
 #include "core/hash.h"
 
-#define DRAIN_RETRY_AFTER_MS 100u
 /* Allowance for the time from the sending of a request to the check whether the
  * configuration is fresh enough for its key. */
 #define FRESHNESS_MARGIN_MS 400u
@@ -136,6 +135,17 @@
 	    gateway->fresh_as_of_ms + revoke_ms;
 }
 
+/* Tells whether work for a request can end before this process does. */
+static bool
+may_begin(const struct gw_request *request)
+{
+	const struct gateway *gateway = request->gateway;
+
+	return !gateway->shutting_down &&
+	    drain_admission_may_begin(&gateway->admission, gw_now_ms(gateway),
+		request->deadline_ms);
+}
+
 enum gw_permission
 gw_request_check_permission(const struct gw_request *request)
 {
@@ -143,6 +153,8 @@
 
 	if (gw_now_ms(gateway) >= request->deadline_ms)
 		return GW_PERMISSION_LATE;
+	if (!may_begin(request))
+		return GW_PERMISSION_STOPPING;
 	if (request->account == NULL)
 		return GW_PERMISSION_GIVEN;
 	if (!configuration_is_fresh(gateway))
@@ -203,17 +215,6 @@
 	    MIN(remaining_ms, request->route->timeout_ms);
 }
 
-static bool
-may_serve_while_draining(const struct gw_request *request, uint64_t now_ms)
-{
-	const struct gateway *gateway = request->gateway;
-
-	if (gateway->shutting_down)
-		return false;
-	return drain_admission_may_begin(&gateway->admission, now_ms,
-	    request->deadline_ms);
-}
-
 bool
 gw_request_accept_head(struct gw_request *request)
 {
@@ -237,9 +238,9 @@
 	if (!authenticate(request))
 		return false;
 	set_deadlines(request, now_ms);
-	if (gateway->draining && !may_serve_while_draining(request, now_ms))
+	if (!may_begin(request))
 		return refuse_early(request, 503, "shutting_down",
-		    DRAIN_RETRY_AFTER_MS);
+		    GW_DRAIN_RETRY_AFTER_MS);
 	return true;
 }
 
@@ -365,9 +366,9 @@
 	request->gateway->active_count++;
 	fill_dispatch_request(request);
 	hold = find_hold(request);
-	if (request->gateway->shutting_down)
+	if (!may_begin(request))
 		gw_request_respond_error(request, 503, "shutting_down",
-		    DRAIN_RETRY_AFTER_MS);
+		    GW_DRAIN_RETRY_AFTER_MS);
 	else if (hold != NULL)
 		refuse_by_hold(request, hold);
 	else if (load_shedder_rejects(&request->gateway->load_shedder,
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -13,6 +13,8 @@
 
 /** Retry-After of a refusal for which no better estimate is known. */
 #define GW_RETRY_AFTER_MS 500u
+/** Retry-After where other daemons can serve the request. */
+#define GW_DRAIN_RETRY_AFTER_MS 100u
 
 uint64_t gw_now_ms(const struct gateway *gateway);
 
@@ -213,6 +215,7 @@
 enum gw_permission {
 	GW_PERMISSION_GIVEN,
 	GW_PERMISSION_LATE, /**< its deadline has passed */
+	GW_PERMISSION_STOPPING, /**< it may last longer than this process */
 	GW_PERMISSION_UNCONFIRMED, /**< its key may have been revoked */
 	GW_PERMISSION_REVOKED
 };
