Cut no request before the last sixth of a short grace

Callers see: with a grace of 4 s, a request that its endpoint works on is given up at 3.0 s; it is owed its answer until 3.33 s at least. Cause: up to a third of a short grace was kept for the end of the process. Change: at most a sixth of it, where an eighth is less than a second. Nothing changes for 6 s, and for the 8 s of the default.

--- a/core/drain_admission.c
+++ b/core/drain_admission.c
@@ -9,7 +9,7 @@
 #define EXIT_DIVISOR 8u
 /* More of a short grace period is reserved, up to this time. */
 #define EXIT_MIN_MS 1000u
-#define EXIT_MIN_DIVISOR 3u
+#define EXIT_MIN_DIVISOR 6u
 
 void
 drain_admission_begin(struct drain_admission *admission, uint64_t signal_ms,
--- a/tests/unit/test_drain_admission.cc
+++ b/tests/unit/test_drain_admission.cc
@@ -81,4 +81,15 @@
 	}
 }
 
+/* Before its last sixth, a caller is owed what an endpoint still works on. */
+TEST(DrainAdmission, RequestsAreNotCutBeforeTheLastSixthOfTheGrace)
+{
+	for (uint32_t grace_ms = 100; grace_ms <= 60000; grace_ms += 100) {
+		drain_admission admission = stop(grace_ms);
+		EXPECT_GE(drain_admission_end_ms(&admission) - SIGNAL_MS,
+		    (uint64_t)grace_ms * 5 / 6)
+		    << grace_ms;
+	}
+}
+
 } // namespace
