Let a peer refuse what may outlast the daemon that passes it on

Cause: a connection that a daemon passes to a peer ends with that daemon. It told the peer that it stops, but not when, and the peer took requests on these connections with any deadline until the last moment. A connection that the peer was given just after the message was not told to close at all. Class of fault: the same question is not asked on the other way in. Change: MSG_HANDOFF_STOP carries how long ago the signal came and the grace; the peer keeps them with each connection and asks the same question for its requests, beside its own.

--- a/bamboorudderd/control_dispatch.c
+++ b/bamboorudderd/control_dispatch.c
@@ -304,7 +304,7 @@
 		    now_ms);
 		break;
 	case MSG_HANDOFF_STOP:
-		gw_handoff_on_stop(control, msg->from_node_id);
+		gw_handoff_on_stop(control, msg);
 		break;
 	default:
 		break;
--- a/bamboorudderd/gateway_memory.c
+++ b/bamboorudderd/gateway_memory.c
@@ -202,6 +202,7 @@
 
 	caller->fd = fd;
 	caller->from_node_id = gateway->accepting_from;
+	gw_caller_apply_stop(gateway, caller);
 	limit_socket_buffers(fd);
 	caller_memory_join(&gateway->caller_memory, &caller->holder,
 	    gw_now_ms(gateway));
--- a/bamboorudderd/gateway_observe.c
+++ b/bamboorudderd/gateway_observe.c
@@ -14,17 +14,22 @@
 		g_snprintf(text, TEXT_BYTES, "%u", age_ms);
 }
 
-/* Formats a time, counted from when the process was told to stop.
+/* Formats a time, counted from when this process or the peer that passes the
+ * connection was told to stop.
  * @param at_ms 0 if there was none */
 static void
-format_stop_time(const struct gateway *gateway, uint64_t at_ms,
+format_stop_time(const struct gw_request *request, uint64_t at_ms,
     char text[TEXT_BYTES])
 {
-	if (!gateway->draining || at_ms == 0)
+	const struct drain_admission *admission = &request->gateway->admission;
+
+	if (!admission->stopping && request->caller != NULL)
+		admission = &request->caller->origin;
+	if (!admission->stopping || at_ms == 0)
 		g_strlcpy(text, "-", TEXT_BYTES);
 	else
 		g_snprintf(text, TEXT_BYTES, "%" G_GINT64_FORMAT,
-		    (gint64)at_ms - (gint64)gateway->admission.signal_ms);
+		    (gint64)at_ms - (gint64)admission->signal_ms);
 }
 
 static void
@@ -64,8 +69,8 @@
 	format_age(decision->hub_list.age_ms, hub_list_age);
 	g_snprintf(list, TEXT_BYTES, "%" G_GUINT64_FORMAT,
 	    decision->own_list.version);
-	format_stop_time(request->gateway, request->arrived_ms, stop_head);
-	format_stop_time(request->gateway, request->attempt_ms, stop_attempt);
+	format_stop_time(request, request->arrived_ms, stop_head);
+	format_stop_time(request, request->attempt_ms, stop_attempt);
 	log_event(LOG_LEVEL_INFO, "request", "id", request->head.request_id,
 	    "route", request->route == NULL ? "-" : request->route->name,
 	    "account", request->account == NULL ? "-" : request->account->name,
@@ -144,3 +149,17 @@
 	if (crossing == CROSSING_REFUSED || crossing == CROSSING_ALONE)
 		metric_add(METRIC_ATTEMPTS_REFUSED_AT_HOME, 1);
 }
+
+void
+gw_observe_peer_stop(uint64_t node_id, const struct drain_admission *admission,
+    uint64_t now_ms)
+{
+	char node[TEXT_BYTES], elapsed[TEXT_BYTES], grace[TEXT_BYTES];
+
+	g_snprintf(node, TEXT_BYTES, "%016" G_GINT64_MODIFIER "x", node_id);
+	g_snprintf(elapsed, TEXT_BYTES, "%" G_GUINT64_FORMAT,
+	    now_ms - admission->signal_ms);
+	g_snprintf(grace, TEXT_BYTES, "%u", admission->grace_ms);
+	log_event(LOG_LEVEL_INFO, "peer_stops", "node", node, "elapsed_ms",
+	    elapsed, "grace_ms", grace, NULL);
+}
--- a/bamboorudderd/gateway_peers.c
+++ b/bamboorudderd/gateway_peers.c
@@ -22,6 +22,8 @@
 	gateway->peers = g_array_new(FALSE, TRUE, sizeof(struct gw_peer));
 	gateway->handoff_peers = g_array_new(FALSE, TRUE,
 	    sizeof(struct handoff_peer));
+	gateway->peer_stops = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    NULL, g_free);
 	LIST_INIT(&gateway->greetings);
 	LIST_INIT(&gateway->handoffs);
 	LIST_INIT(&gateway->turned_away);
@@ -31,6 +33,7 @@
 gw_peers_finish(struct gateway *gateway)
 {
 	handoff_finish(&gateway->handoff);
+	g_hash_table_destroy(gateway->peer_stops);
 	g_array_free(gateway->peers, TRUE);
 	g_array_free(gateway->handoff_peers, TRUE);
 }
@@ -47,28 +50,64 @@
 	return NULL;
 }
 
-/* Lets the connections that a peer passes here end after the requests in progress, or
- * when they have been idle for a while. */
+/* A peer that is about to stop. */
+struct peer_stop {
+	uint64_t node_id;
+	struct drain_admission admission;
+};
+
+/* Lets a connection that a peer passes here end after the request in progress, or
+ * when it has been idle for a while. */
+static void
+stop_connection(struct gw_caller *caller, const struct peer_stop *stop)
+{
+	if (caller->from_node_id != stop->node_id)
+		return;
+	caller->close_after = true;
+	caller->origin = stop->admission;
+}
+
+void
+gw_caller_apply_stop(const struct gateway *gateway, struct gw_caller *caller)
+{
+	const struct peer_stop *stop = g_hash_table_lookup(gateway->peer_stops,
+	    &caller->from_node_id);
+
+	/* a later process of the peer may have the same node_id */
+	if (stop != NULL &&
+	    gw_now_ms(gateway) <= stop->admission.signal_ms + DRAIN_ACCEPT_MS)
+		stop_connection(caller, stop);
+}
+
 static void
 apply_stop(struct gateway *gateway, void *context)
 {
 	const GPtrArray *holders = gateway->caller_memory.holders;
-	uint64_t *node_id = context;
+	struct peer_stop *stop = context;
 
 	/* the holder is the first member of its connection */
-	for (guint i = 0; i < holders->len; i++) {
-		struct gw_caller *caller = holders->pdata[i];
-		caller->close_after |= caller->from_node_id == *node_id;
-	}
-	g_free(node_id);
+	for (guint i = 0; i < holders->len; i++)
+		stop_connection(holders->pdata[i], stop);
+	g_hash_table_replace(gateway->peer_stops, &stop->node_id, stop);
 }
 
 void
-gw_handoff_on_stop(struct control *control, uint64_t node_id)
+gw_handoff_on_stop(struct control *control, const struct msg *msg)
 {
-	if (control->gateway != NULL)
-		gw_mailbox_post(control->gateway, apply_stop,
-		    g_memdup2(&node_id, sizeof(node_id)));
+	struct gateway *gateway = control->gateway;
+	struct peer_stop *stop;
+	uint64_t now_ms;
+
+	if (gateway == NULL)
+		return;
+	now_ms = gw_now_ms(gateway);
+	stop = g_new0(struct peer_stop, 1);
+	stop->node_id = msg->from_node_id;
+	drain_admission_begin(&stop->admission,
+	    now_ms - MIN(now_ms, msg->u.handoff_stop.elapsed_ms),
+	    msg->u.handoff_stop.grace_ms);
+	gw_observe_peer_stop(stop->node_id, &stop->admission, now_ms);
+	gw_mailbox_post(gateway, apply_stop, stop);
 }
 
 static bool
@@ -80,6 +119,18 @@
 	    strcmp(member->domain, self->domain) == 0;
 }
 
+static void
+send_stop(struct control *control, uint64_t node_id)
+{
+	const struct gateway *gateway = control->gateway;
+	struct msg *msg = effects_send(&control->effects, node_id,
+	    MSG_HANDOFF_STOP);
+
+	msg->u.handoff_stop.elapsed_ms = (uint32_t)(gw_now_ms(gateway) -
+	    gateway->admission.signal_ms);
+	msg->u.handoff_stop.grace_ms = gateway->admission.grace_ms;
+}
+
 static void
 run_stop_handoffs(struct control *control, struct control_task *task)
 {
@@ -88,11 +139,12 @@
 	    MEMBERS_MAX_COUNT);
 
 	(void)task;
+	if (control->gateway == NULL)
+		return;
 	for (size_t i = 0; i < live_count; i++)
 		if (is_domain_peer(control,
 			members_find(&control->members, live_ids[i])))
-			effects_send(&control->effects, live_ids[i],
-			    MSG_HANDOFF_STOP);
+			send_stop(control, live_ids[i]);
 }
 
 void
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -135,15 +135,20 @@
 	    gateway->fresh_as_of_ms + revoke_ms;
 }
 
-/* Tells whether work for a request can end before this process does. */
+/* Tells whether work for a request can end before this process does, and before a
+ * peer that passes its connection here. */
 static bool
 may_begin(const struct gw_request *request)
 {
 	const struct gateway *gateway = request->gateway;
+	uint64_t now_ms = gw_now_ms(gateway);
 
 	return !gateway->shutting_down &&
-	    drain_admission_may_begin(&gateway->admission, gw_now_ms(gateway),
-		request->deadline_ms);
+	    drain_admission_may_begin(&gateway->admission, now_ms,
+		request->deadline_ms) &&
+	    (request->caller == NULL ||
+		drain_admission_may_begin(&request->caller->origin, now_ms,
+		    request->deadline_ms));
 }
 
 enum gw_permission
--- a/common/codec_dispatch_decode.c
+++ b/common/codec_dispatch_decode.c
@@ -212,6 +212,13 @@
 		read_reported_limit(reader, &items[i]);
 }
 
+static void
+read_handoff_stop(struct reader *reader, struct msg_handoff_stop *stop)
+{
+	stop->elapsed_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+	stop->grace_ms = (uint32_t)reader_uint(reader, UINT32_MAX);
+}
+
 void
 codec_read_dispatch(struct reader *reader, struct msg *msg)
 {
@@ -238,6 +245,7 @@
 		read_running_attempts(reader, &msg->u.running_attempts);
 		break;
 	case MSG_HANDOFF_STOP:
+		read_handoff_stop(reader, &msg->u.handoff_stop);
 		break;
 	default:
 		reader->failed = true;
--- a/common/codec_dispatch_encode.c
+++ b/common/codec_dispatch_encode.c
@@ -180,6 +180,10 @@
 	case MSG_RUNNING_ATTEMPTS:
 		write_running_attempts(out, &msg->u.running_attempts);
 		break;
+	case MSG_HANDOFF_STOP:
+		writer_uint(out, msg->u.handoff_stop.elapsed_ms);
+		writer_uint(out, msg->u.handoff_stop.grace_ms);
+		break;
 	default:
 		break;
 	}
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -98,6 +98,7 @@
 	bool unread; /**< no request on it has begun yet */
 	bool close_after; /**< takes no further request */
 	bool evicted; /**< being closed, to make room */
+	struct drain_admission origin; /**< a stop of the peer that passes it */
 };
 
 /** One request of a caller and the state of its attempts. */
@@ -225,6 +226,7 @@
 	struct handoff handoff;
 	GArray *peers; /**< struct gw_peer */
 	GArray *handoff_peers; /**< struct handoff_peer, the same peers */
+	GHashTable *peer_stops; /**< node_id to struct peer_stop */
 	struct gw_source server_source;
 	struct gw_source readiness_source;
 	struct gw_source mailbox_source;
@@ -296,7 +298,7 @@
 
 /** Handles a peer's word that it is about to stop; called by the control
  * thread. */
-void gw_handoff_on_stop(struct control *control, uint64_t node_id);
+void gw_handoff_on_stop(struct control *control, const struct msg *msg);
 
 /** Passes a decision on to the traffic thread; called by the control thread. */
 void gw_dispatch_on_decided(struct control *control, uint64_t attempt_id);
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -78,6 +78,9 @@
 void gw_peers_finish(struct gateway *gateway);
 /** Tells the peers that the connections passed to them end soon. */
 void gw_handoffs_stop(struct gateway *gateway);
+/** Lets a new connection end soon if the peer that passes it here stops. */
+void gw_caller_apply_stop(const struct gateway *gateway,
+    struct gw_caller *caller);
 /** @return the live peer, or NULL */
 const struct gw_peer *gw_find_peer(const struct gateway *gateway,
     uint64_t node_id);
@@ -248,6 +251,9 @@
 const char *gw_refusal_outcome(enum refuse_reason reason);
 /** Logs the begin of a drain, and how late it is. */
 void gw_observe_drain(const struct gateway *gateway);
+/** Logs that a peer is about to stop. */
+void gw_observe_peer_stop(uint64_t node_id,
+    const struct drain_admission *admission, uint64_t now_ms);
 /** Records the end of a request: its duration and its line in the log. */
 void gw_observe_end(const struct gw_request *request);
 
--- a/include/core/msg.h
+++ b/include/core/msg.h
@@ -39,7 +39,7 @@
 	MSG_ATTEMPT_EVENTS,
 	MSG_RUNNING_ATTEMPTS,
 	/** The sender is about to stop: connections of callers that it passes to
-	 * the receiver take no further request. Has no body. */
+	 * the receiver take no further request. */
 	MSG_HANDOFF_STOP,
 	MSG_TYPE_COUNT
 };
@@ -379,6 +379,12 @@
 	uint32_t count;
 };
 
+/** The stop of a daemon that passes connections to the receiver. */
+struct msg_handoff_stop {
+	uint32_t elapsed_ms; /**< since it was told to stop */
+	uint32_t grace_ms; /**< it is killed this long after that */
+};
+
 /** What a daemon knows of a prompt segment that was in engine crashes. */
 struct crash_record {
 	uint64_t segment_id;
@@ -448,6 +454,7 @@
 		struct msg_placement placement;
 		struct msg_attempt_events attempt_events;
 		struct msg_running_attempts running_attempts;
+		struct msg_handoff_stop handoff_stop;
 	} u;
 };
 
