--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -24,6 +24,7 @@
 #include "core/caller_memory.h"
 #include "core/config_snapshot.h"
 #include "core/dispatch.h"
+#include "core/drain_admission.h"
 #include "core/handoff.h"
 #include "core/load_shedder.h"
 #include "core/readiness.h"
@@ -97,6 +98,7 @@
 	bool unread; /**< no request on it has begun yet */
 	bool close_after; /**< takes no further request */
 	bool evicted; /**< being closed, to make room */
+	struct drain_admission origin; /**< a stop of the peer that passes it */
 };
 
 /** One request of a caller and the state of its attempts. */
@@ -224,6 +226,7 @@
 	struct handoff handoff;
 	GArray *peers; /**< struct gw_peer */
 	GArray *handoff_peers; /**< struct handoff_peer, the same peers */
+	GHashTable *peer_stops; /**< node_id to struct peer_stop */
 	struct gw_source server_source;
 	struct gw_source readiness_source;
 	struct gw_source mailbox_source;
@@ -261,7 +264,8 @@
 	bool draining;
 	bool shutting_down; /**< draining is over; refuses all requests */
 	bool stopping;
-	uint64_t drain_start_ms;
+	struct drain_admission admission; /**< from the signal to stop on */
+	uint64_t drain_start_ms; /**< when this thread learned of it */
 	uint64_t shutdown_ms; /**< when shutting_down was set */
 	uint64_t idle_since_ms; /**< last time with a request, in a drain */
 	_Atomic uint32_t drain_ends_soon; /**< read by the main thread */
@@ -272,8 +276,9 @@
 gboolean gateway_init(struct gateway *gateway, const struct settings *settings,
     struct control *control, GError **error);
 
-/** Reports the daemon as not ready and serves the remaining requests. */
-void gateway_drain(struct gateway *gateway);
+/** Reports the daemon as not ready and serves the remaining requests.
+ * @param signal_ms when the process was told to stop, by clk_monotonic_ms() */
+void gateway_drain(struct gateway *gateway, uint64_t signal_ms);
 
 /** @return whether draining will be over within two seconds */
 bool gateway_drain_ends_soon(struct gateway *gateway);
@@ -293,7 +298,7 @@
 
 /** Handles a peer's word that it is about to stop; called by the control
  * thread. */
-void gw_handoff_on_stop(struct control *control, uint64_t node_id);
+void gw_handoff_on_stop(struct control *control, const struct msg *msg);
 
 /** Passes a decision on to the traffic thread; called by the control thread. */
 void gw_dispatch_on_decided(struct control *control, uint64_t attempt_id);
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -13,12 +13,11 @@
 
 /** Retry-After of a refusal for which no better estimate is known. */
 #define GW_RETRY_AFTER_MS 500u
+/** Retry-After where other daemons can serve the request. */
+#define GW_DRAIN_RETRY_AFTER_MS 100u
 
 uint64_t gw_now_ms(const struct gateway *gateway);
 
-/** @return when a drain ends the requests that are still running */
-uint64_t gw_drain_end_ms(const struct gateway *gateway);
-
 /** Adds a file descriptor to the event loop. */
 void gw_source_add(struct gateway *gateway, struct gw_source *source,
     uint32_t events);
@@ -79,6 +78,9 @@
 void gw_peers_finish(struct gateway *gateway);
 /** Tells the peers that the connections passed to them end soon. */
 void gw_handoffs_stop(struct gateway *gateway);
+/** Lets a new connection end soon if the peer that passes it here stops. */
+void gw_caller_apply_stop(const struct gateway *gateway,
+    struct gw_caller *caller);
 /** @return the live peer, or NULL */
 const struct gw_peer *gw_find_peer(const struct gateway *gateway,
     uint64_t node_id);
@@ -216,6 +218,7 @@
 enum gw_permission {
 	GW_PERMISSION_GIVEN,
 	GW_PERMISSION_LATE, /**< its deadline has passed */
+	GW_PERMISSION_STOPPING, /**< it may last longer than this process */
 	GW_PERMISSION_UNCONFIRMED, /**< its key may have been revoked */
 	GW_PERMISSION_REVOKED
 };
@@ -246,6 +249,11 @@
 void gw_observe_attempt(const struct gw_request *request, uint64_t bytes);
 /** @return outcome in the log of a request that is refused for a reason */
 const char *gw_refusal_outcome(enum refuse_reason reason);
+/** Logs the begin of a drain, and how late it is. */
+void gw_observe_drain(const struct gateway *gateway);
+/** Logs that a peer is about to stop. */
+void gw_observe_peer_stop(uint64_t node_id,
+    const struct drain_admission *admission, uint64_t now_ms);
 /** Records the end of a request: its duration and its line in the log. */
 void gw_observe_end(const struct gw_request *request);
 
