Make the simulated networks of unit-members cheap

Profiles showed where: loops over all peers read the array's place and length anew for each peer (gossip_apply_versions_record() a third of build, least_spread_member(), the ticks), and the test copied each message of some KB three times.

Change: the loops take the array's place once (members_peers()), stop once no versions fit, and compare numbers instead of members. The test writes and reads messages in place. Sizes, bounds, checks and what runs when stay; ticks that have nothing to do are not skipped.

--- a/core/gossip.c
+++ b/core/gossip.c
@@ -41,13 +41,14 @@
 gossip_has_pending(const struct members *members)
 {
 	const struct member *self = &members->config.self;
+	const struct member *peers = members_peers(members);
+	guint count = members->peers->len;
 
 	if (self->update_sends_remaining > 0 ||
 	    self->versions_sends_remaining > 0)
 		return true;
-	for (guint i = 0; i < members->peers->len; i++) {
-		const struct member *member = &g_array_index(members->peers,
-		    struct member, i);
+	for (guint i = 0; i < count; i++) {
+		const struct member *member = &peers[i];
 		if (member->update_sends_remaining > 0 ||
 		    (member->versions_sends_remaining > 0 &&
 			member_is_up(member)))
@@ -106,18 +107,19 @@
 least_spread_member(const struct members *members,
     const struct msg_heartbeat *heartbeat)
 {
-	struct member *best = NULL;
+	struct member *peers = members_peers(members), *best = NULL;
+	guint count = members->peers->len;
+	uint32_t best_remaining = 0;
 
-	for (guint i = 0; i < members->peers->len; i++) {
-		struct member *member = &g_array_index(members->peers,
-		    struct member, i);
-		if (member->update_sends_remaining > 0 &&
-		    member->state != MEMBER_UNKNOWN &&
-		    (best == NULL ||
-			member->update_sends_remaining >
-			    best->update_sends_remaining) &&
-		    !contains_update(heartbeat, member))
-			best = member;
+	for (guint i = 0; i < count; i++) {
+		struct member *member = &peers[i];
+		uint32_t remaining = member->update_sends_remaining;
+		if (remaining <= best_remaining ||
+		    member->state == MEMBER_UNKNOWN ||
+		    contains_update(heartbeat, member))
+			continue;
+		best = member;
+		best_remaining = remaining;
 	}
 	return best;
 }
@@ -163,10 +165,12 @@
 {
 	guint count = members->peers->len;
 	guint first = count == 0 ? 0 : (guint)(members_random(members) % count);
+	struct member *peers = members_peers(members);
 
-	for (guint i = 0; i < count; i++) {
-		struct member *member = &g_array_index(members->peers,
-		    struct member, (first + i) % count);
+	for (guint i = 0;
+	     i < count && heartbeat->versions_count < GOSSIP_VERSIONS_MAX_COUNT;
+	     i++) {
+		struct member *member = &peers[(first + i) % count];
 		if (member->versions_sends_remaining > 0)
 			append_versions(heartbeat, member);
 	}
@@ -343,10 +347,13 @@
 gossip_apply_versions_record(struct members *members,
     const struct member_versions *versions)
 {
-	for (guint i = 0; i < members->peers->len; i++) {
-		struct member *member = &g_array_index(members->peers,
-		    struct member, i);
-		if ((uint32_t)member->node_id == versions->node_id_low &&
+	struct member *peers = members_peers(members);
+	guint count = members->peers->len;
+	uint32_t node_id_low = versions->node_id_low;
+
+	for (guint i = 0; i < count; i++) {
+		struct member *member = &peers[i];
+		if ((uint32_t)member->node_id == node_id_low &&
 		    (uint32_t)member->incarnation == versions->incarnation_low)
 			gossip_apply_versions(members, member,
 			    versions->routes_version, versions->pools_version);
--- a/core/members.c
+++ b/core/members.c
@@ -348,9 +348,10 @@
 static void
 reap_down_members(struct members *members, uint64_t now_ms)
 {
+	const struct member *peers = members_peers(members);
+
 	for (guint i = members->peers->len; i > 0; i--) {
-		const struct member *member = &g_array_index(members->peers,
-		    struct member, i - 1);
+		const struct member *member = &peers[i - 1];
 		if (member->state == MEMBER_DOWN && !member->seed &&
 		    now_ms >= member->state_since_ms + REAP_AFTER_MS)
 			g_array_remove_index(members->peers, i - 1);
--- a/core/probe.c
+++ b/core/probe.c
@@ -132,10 +132,11 @@
 	uint32_t period_ms = members->config.heartbeat_period_ms;
 	uint32_t suspicion_ms = MAX(period_ms,
 	    members->config.down_after_ms - 2 * period_ms);
+	struct member *peers = members_peers(members);
+	guint count = members->peers->len;
 
-	for (guint i = 0; i < members->peers->len; i++) {
-		struct member *member = &g_array_index(members->peers,
-		    struct member, i);
+	for (guint i = 0; i < count; i++) {
+		struct member *member = &peers[i];
 		if (member->state != MEMBER_SUSPECT ||
 		    now_ms < member->state_since_ms + suspicion_ms)
 			continue;
--- a/include/core/members.h
+++ b/include/core/members.h
@@ -144,6 +144,14 @@
     uint64_t node_id);
 uint64_t members_random(struct members *members);
 
+/** @return all peers, members->peers->len of them, until one is added or
+ * removed */
+static inline struct member *
+members_peers(const struct members *members)
+{
+	return (struct member *)(void *)members->peers->data;
+}
+
 /** @return a random member that is up and not except_node_id, or NULL */
 struct member *members_pick_random(struct members *members,
     uint64_t except_node_id);
--- a/tests/unit/members_net.h
+++ b/tests/unit/members_net.h
@@ -199,7 +199,7 @@
 		node.inbox.clear();
 	}
 
-	void apply_effect(size_t from, const effect &item)
+	void apply_effect(size_t from, effect &item)
 	{
 		Node &node = nodes[from];
 
@@ -209,18 +209,19 @@
 			node.down_count++;
 		if (item.type != EFFECT_SEND)
 			return;
-		msg message = item.msg, decoded;
-		message.from_node_id = id(from);
-		message.from_incarnation = node.core.config.self.incarnation;
+		item.msg.from_node_id = id(from);
+		item.msg.from_incarnation = node.core.config.self.incarnation;
 		g_byte_array_set_size(bytes_, 0);
-		codec_encode(&message, bytes_);
+		codec_encode(&item.msg, bytes_);
 		node.sent_bytes += bytes_->len;
 		auto to = index_of_.find(item.to_node_id);
 		if (to == index_of_.end() || nodes[to->second].dead ||
 		    is_link_cut(from, to->second))
 			return;
-		if (codec_decode(bytes_->data, bytes_->len, &decoded))
-			nodes[to->second].inbox.push_back(decoded);
+		std::deque<msg> &inbox = nodes[to->second].inbox;
+		inbox.emplace_back();
+		if (!codec_decode(bytes_->data, bytes_->len, &inbox.back()))
+			inbox.pop_back();
 	}
 
 	void step()
@@ -232,11 +233,11 @@
 			if (!node.running)
 				continue;
 			for (; count > 0; count--) {
-				msg message = node.inbox.front();
-				node.inbox.pop_front();
+				msg &message = node.inbox.front();
 				members_handle_message(&node.core, &message,
 				    now_ms, &effects_);
 				codec_release(&message);
+				node.inbox.pop_front();
 				apply_effects(i);
 			}
 			if ((now_ms / STEP_MS + i) % 5 == 0) {
