Let the soak's drained endpoints start again as new processes

By the protocol an endpoint that reported draining ends, and one that starts again has another `born`; a daemon that saw both rightly leaves the endpoint out for good. After some such changes no endpoint was left. The fault is the check's, not the daemon's.

Change: an endpoint of the soak starts again with a later `born`. The bounds stay: three quarters served 12 s after the last fault.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -121,8 +121,7 @@
 	endpoint_proxies_.push_back(std::make_unique<FaultProxy>(
 	    (uint16_t)std::stoul(address.substr(address.find(':') + 1))));
 	store_.put("servers", name,
-	    e2e::endpoint_entry_json("app",
-		endpoint_proxies_.back()->address()));
+	    endpoint->entry(endpoint_proxies_.back()->address(), "ready"));
 	endpoints_.push_back(std::move(endpoint));
 }
 
@@ -210,15 +209,14 @@
 	}
 }
 
-/* Changes the keys, and drains an endpoint and adds it again. */
+/* Changes the keys, and drains an endpoint, which then starts again. */
 void
 Soak::change_configuration(Random random)
 {
 	while (!faults_ended()) {
-		std::string name = "e" +
-		    std::to_string(random() % endpoints_.size());
-		std::string address = endpoint_proxies_[(size_t)(name[1] - '0')]
-					  ->address();
+		size_t index = random() % endpoints_.size();
+		std::string name = "e" + std::to_string(index);
+		std::string address = endpoint_proxies_[index]->address();
 
 		/* two changes must take longer than revoke_ms, for which a
 		 * daemon accepts keys that it can't confirm */
@@ -226,10 +224,11 @@
 		write_configuration();
 		faults_++;
 		store_.put("servers", name,
-		    e2e::endpoint_entry_json("app", address, "draining"));
+		    endpoints_[index]->entry(address, "draining"));
 		sleep_ms(400 + random() % 1000);
+		endpoints_[index]->restart();
 		store_.put("servers", name,
-		    e2e::endpoint_entry_json("app", address));
+		    endpoints_[index]->entry(address, "ready"));
 		if (random() % 4 == 0)
 			store_.compact();
 	}
--- a/tests/soak/soak_harness.h
+++ b/tests/soak/soak_harness.h
@@ -141,6 +141,24 @@
 		stop();
 	}
 
+	/** Starts again as a new process, under the same name. */
+	void restart()
+	{
+		born_ms_++;
+	}
+
+	/** @return the entry in the store, behind a proxy's address */
+	std::string entry(const std::string &address,
+	    const std::string &phase) const
+	{
+		std::string text = e2e::endpoint_entry_json("app", address,
+		    phase);
+		size_t at = text.find(BORN);
+
+		return text.replace(at, strlen(BORN),
+		    "\"born\":" + std::to_string(born_ms_) + "}");
+	}
+
 	/** Whether the key in a request id was revoked over revoke_ms ago. */
 	std::function<bool(const std::string &)> key_is_revoked;
 
@@ -221,9 +239,11 @@
 		close(fd);
 	}
 
+	static constexpr char BORN[] = "\"born\":5}";
+
 	std::string name_;
 	RequestLog *request_log_;
-	uint64_t seed_;
+	uint64_t seed_, born_ms_ = 5;
 };
 
 /** A daemon process and its proxy to the store. */
