Pass connections between daemons in the soak

Change: the first daemon passes all connections of its callers to the third, which shares its failure domain now and is stopped, killed and terminated like the others; so is the first. A run in which nothing was passed on fails (passed_on counts what was taken, across restarts). Peers have loopback addresses of their own, as the port of the way between them has to be the same.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -19,6 +19,8 @@
 {
 
 constexpr uint32_t CALLERS_COUNT = 6;
+/* The first daemon passes connections of callers to others of its domain. */
+constexpr uint32_t DOMAINS_COUNT = 2;
 constexpr uint32_t REVOKE_MS = 3000;
 /* The requirements allow 12 s between the end of the last fault and the first
  * request that must be served. */
@@ -100,6 +102,7 @@
 	KeyRotation key_rotation_;
 	e2e::FakeObjectStore store_;
 	uint64_t version_ = 0;
+	uint16_t handoff_port_ = e2e::free_port();
 	std::vector<std::unique_ptr<FaultyEndpoint>> endpoints_;
 	std::vector<std::unique_ptr<FaultProxy>> endpoint_proxies_;
 	std::vector<std::unique_ptr<Daemon>> daemons_;
@@ -150,9 +153,14 @@
 	    << "[listen]\naddress = \"127.0.0.1:" << daemon.listen_port
 	    << "\"\nreadiness_address = \"127.0.0.1:" << daemon.readiness_port
 	    << "\"\n[admin]\naddress = \"127.0.0.1:" << daemon.admin_port
-	    << "\"\n[peer]\naddress = \"127.0.0.1:" << daemon.peer_port
-	    << "\"\nfailure_domain = \"z" << index % 3 << "\"\nseeds = ["
-	    << seeds << "]\n[platform]\nform = \"objects\"\nurl = \"http://"
+	    << "\"\n[peer]\naddress = \"" << daemon.peer_address
+	    << "\"\nhandoff_address = \"127.0.0." << index + 1 << ":"
+	    << handoff_port_
+	    << "\"\nhandoff_pass_percent = " << (index == 0 ? 100 : 0)
+	    << "\nhandoff_accept_percent = " << (index == 0 ? 100 : 0)
+	    << "\nfailure_domain = \"z" << index % DOMAINS_COUNT
+	    << "\"\nseeds = [" << seeds
+	    << "]\n[platform]\nform = \"objects\"\nurl = \"http://"
 	    << daemon.store_proxy->address()
 	    << "\"\ntimeout_ms = 400\nwatch_wait_ms = 800\n"
 	    << "endpoints_age_ms = 1500\nrevoke_ms = " << REVOKE_MS
@@ -200,6 +208,8 @@
 		std::lock_guard<std::mutex> lock(daemon.mutex);
 
 		faults_++;
+		if (kind != 0)
+			daemon.taken_before_count = daemon.taken_count();
 		daemon.process->signal(kind == 0 ? SIGSTOP
 			: kind == 1              ? SIGKILL
 						 : SIGTERM);
@@ -358,7 +368,7 @@
 	uint32_t requests = 0, complete = 0, refused = 0, wrong = 0,
 		 ran_twice = 0;
 	uint32_t denied = 0, false_not_run = 0, revoked_sent = 0,
-		 revoked_ran = 0, unfinished_ran = 0, violations;
+		 revoked_ran = 0, unfinished_ran = 0, violations, passed_on = 0;
 	uint32_t served_percent = measured_served_ * 100 /
 	    std::max<uint32_t>(measured_requests_, 1);
 
@@ -389,13 +399,17 @@
 	       "refused=%u\nwrong=%u\nran_twice=%u\nfalse_not_run=%u\n",
 	    options_.seed, faults_.load(), requests, complete, refused, wrong,
 	    ran_twice, false_not_run);
-	printf("denied=%u\nunfinished_ran=%u\nrevoked_sent=%u\n"
+	for (const auto &daemon : daemons_)
+		passed_on += daemon->taken_count();
+	printf("passed_on=%u\ndenied=%u\nunfinished_ran=%u\nrevoked_sent=%u\n"
 	       "revoked_ran=%u\nserved_after_percent=%u\n",
-	    denied, unfinished_ran, revoked_sent, revoked_ran, served_percent);
+	    passed_on, denied, unfinished_ran, revoked_sent, revoked_ran,
+	    served_percent);
 	violations = wrong + ran_twice + false_not_run + denied +
 	    unfinished_ran + revoked_ran;
 	if (violations == 0 && served_percent >= SERVED_MIN_PERCENT &&
-	    complete > 0 && revoked_sent > 0)
+	    complete > 0 && revoked_sent > 0 &&
+	    (passed_on > 0 || options_.daemons <= DOMAINS_COUNT))
 		return 0;
 	printf("failed_seed=%" PRIu64 " logs=%s\n", options_.seed,
 	    directory_.c_str());
@@ -419,10 +433,10 @@
 		daemons_[i]->listen_port = e2e::free_port();
 		daemons_[i]->readiness_port = e2e::free_port();
 		daemons_[i]->admin_port = e2e::free_port();
-		daemons_[i]->peer_port = e2e::free_port();
-		seeds += std::string(i == 0 ? "" : ",") +
-		    "\"127.0.0.1:" + std::to_string(daemons_[i]->peer_port) +
-		    "\"";
+		daemons_[i]->peer_address = "127.0.0." + std::to_string(i + 1) +
+		    ":" + std::to_string(e2e::free_port());
+		seeds += std::string(i == 0 ? "" : ",") + "\"" +
+		    daemons_[i]->peer_address + "\"";
 	}
 	for (uint32_t i = 0; i < options_.daemons; i++)
 		add_daemon(i, seeds);
--- a/tests/soak/soak_harness.h
+++ b/tests/soak/soak_harness.h
@@ -283,11 +283,30 @@
 
 /** A daemon process and its proxy to the store. */
 struct Daemon {
-	uint16_t listen_port, readiness_port, admin_port, peer_port;
-	std::string settings_path, log_path;
+	uint16_t listen_port, readiness_port, admin_port;
+	std::string peer_address, settings_path, log_path;
 	std::unique_ptr<FaultProxy> store_proxy;
 	std::unique_ptr<e2e::Process> process;
 	std::mutex mutex; /**< held while a fault of the process lasts */
+
+	uint32_t taken_before_count = 0; /**< by processes that have ended */
+
+	/** @return the connections that it took from others */
+	uint32_t taken_count() const
+	{
+		static const char name[] =
+		    "\nbamboorudder_handoffs_taken_total ";
+		std::string text = e2e::send_request("GET",
+		    "http://127.0.0.1:" + std::to_string(admin_port) +
+			"/metrics")
+				       .body;
+		size_t at = text.find(name);
+
+		if (at == std::string::npos)
+			return taken_before_count;
+		return taken_before_count +
+		    (uint32_t)std::stoul(text.substr(at + strlen(name)));
+	}
 };
 
 } // namespace soak
