--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -11,6 +11,7 @@
 #include <filesystem>
 
 #include "soak_harness.h"
+#include "unfinished_crowd.h"
 
 using namespace soak;
 
@@ -18,6 +19,8 @@
 {
 
 constexpr uint32_t CALLERS_COUNT = 6;
+/* The first daemon passes connections of callers to others of its domain. */
+constexpr uint32_t DOMAINS_COUNT = 2;
 constexpr uint32_t REVOKE_MS = 3000;
 /* The requirements allow 12 s between the end of the last fault and the first
  * request that must be served. */
@@ -26,6 +29,9 @@
 /* Below 100 because endpoints fail about a tenth of the requests. */
 constexpr uint32_t SERVED_MIN_PERCENT = 75;
 constexpr uint32_t REQUEST_TIMEOUT_MS = 4000;
+/* Requests with one of the keys before the current one. */
+constexpr uint32_t FORMER_KEYS_PERCENT = 20;
+constexpr uint32_t FORMER_KEYS_COUNT = 6;
 
 const std::vector<e2e::RouteSpec> routes = {
 	{ "/once/", "unsafe", 1, false },
@@ -60,11 +66,21 @@
 	void inject_connection_faults(Random random);
 	void inject_process_faults(Random random);
 	void change_configuration(Random random);
+	void inject_crowds(Random random);
 	void run_caller(uint64_t number);
 	bool send_request(CURL *handle, const std::string &id, const char *path,
 	    const std::string &key, Daemon &daemon);
+	bool is_sent_revoked(const RequestLog::Entry &entry);
+	void print_times(const std::string &id, const RequestLog::Entry &entry);
 	int check_results();
 
+	int64_t elapsed_ms(Clock::time_point at) const
+	{
+		return std::chrono::duration_cast<std::chrono::milliseconds>(
+		    at - begin_)
+		    .count();
+	}
+
 	bool faults_ended() const
 	{
 		return faults_ended_;
@@ -80,11 +96,13 @@
 	}
 
 	Options options_;
+	Clock::time_point begin_ = Clock::now();
 	std::string directory_;
 	RequestLog request_log_;
 	KeyRotation key_rotation_;
 	e2e::FakeObjectStore store_;
 	uint64_t version_ = 0;
+	uint16_t handoff_port_ = e2e::free_port();
 	std::vector<std::unique_ptr<FaultyEndpoint>> endpoints_;
 	std::vector<std::unique_ptr<FaultProxy>> endpoint_proxies_;
 	std::vector<std::unique_ptr<Daemon>> daemons_;
@@ -112,17 +130,10 @@
 	    options_.seed);
 	std::string address = endpoint->address();
 
-	endpoint->key_is_revoked = [this](const std::string &id) {
-		size_t at = id.find('k');
-		return at != std::string::npos &&
-		    key_rotation_.revoked_for(std::stoull(id.substr(at + 1)),
-			REVOKE_MS);
-	};
 	endpoint_proxies_.push_back(std::make_unique<FaultProxy>(
 	    (uint16_t)std::stoul(address.substr(address.find(':') + 1))));
 	store_.put("servers", name,
-	    e2e::endpoint_entry_json("app",
-		endpoint_proxies_.back()->address()));
+	    endpoint->entry(endpoint_proxies_.back()->address(), "ready"));
 	endpoints_.push_back(std::move(endpoint));
 }
 
@@ -142,9 +153,14 @@
 	    << "[listen]\naddress = \"127.0.0.1:" << daemon.listen_port
 	    << "\"\nreadiness_address = \"127.0.0.1:" << daemon.readiness_port
 	    << "\"\n[admin]\naddress = \"127.0.0.1:" << daemon.admin_port
-	    << "\"\n[peer]\naddress = \"127.0.0.1:" << daemon.peer_port
-	    << "\"\nfailure_domain = \"z" << index % 3 << "\"\nseeds = ["
-	    << seeds << "]\n[platform]\nform = \"objects\"\nurl = \"http://"
+	    << "\"\n[peer]\naddress = \"" << daemon.peer_address
+	    << "\"\nhandoff_address = \"127.0.0." << index + 1 << ":"
+	    << handoff_port_
+	    << "\"\nhandoff_pass_percent = " << (index == 0 ? 100 : 0)
+	    << "\nhandoff_accept_percent = " << (index == 0 ? 100 : 0)
+	    << "\nfailure_domain = \"z" << index % DOMAINS_COUNT
+	    << "\"\nseeds = [" << seeds
+	    << "]\n[platform]\nform = \"objects\"\nurl = \"http://"
 	    << daemon.store_proxy->address()
 	    << "\"\ntimeout_ms = 400\nwatch_wait_ms = 800\n"
 	    << "endpoints_age_ms = 1500\nrevoke_ms = " << REVOKE_MS
@@ -192,6 +208,8 @@
 		std::lock_guard<std::mutex> lock(daemon.mutex);
 
 		faults_++;
+		if (kind != 0)
+			daemon.taken_before_count = daemon.taken_count();
 		daemon.process->signal(kind == 0 ? SIGSTOP
 			: kind == 1              ? SIGKILL
 						 : SIGTERM);
@@ -210,15 +228,14 @@
 	}
 }
 
-/* Changes the keys, and drains an endpoint and adds it again. */
+/* Changes the keys, and drains an endpoint, which then starts again. */
 void
 Soak::change_configuration(Random random)
 {
 	while (!faults_ended()) {
-		std::string name = "e" +
-		    std::to_string(random() % endpoints_.size());
-		std::string address = endpoint_proxies_[(size_t)(name[1] - '0')]
-					  ->address();
+		size_t index = random() % endpoints_.size();
+		std::string name = "e" + std::to_string(index);
+		std::string address = endpoint_proxies_[index]->address();
 
 		/* two changes must take longer than revoke_ms, for which a
 		 * daemon accepts keys that it can't confirm */
@@ -226,20 +243,36 @@
 		write_configuration();
 		faults_++;
 		store_.put("servers", name,
-		    e2e::endpoint_entry_json("app", address, "draining"));
+		    endpoints_[index]->entry(address, "draining"));
 		sleep_ms(400 + random() % 1000);
+		endpoints_[index]->restart();
 		store_.put("servers", name,
-		    e2e::endpoint_entry_json("app", address));
+		    endpoints_[index]->entry(address, "ready"));
 		if (random() % 4 == 0)
 			store_.compact();
 	}
 }
 
-size_t
-append_body(char *bytes, size_t size, size_t count, void *context)
+void
+Soak::inject_crowds(Random random)
+{
+	for (uint32_t number = 0; !faults_ended(); number++) {
+		sleep_ms(random() % 1000);
+		UnfinishedCrowd crowd(daemons_[random() % daemons_.size()]
+					  ->listen_port,
+		    key_rotation_.current(), number);
+		faults_++;
+		sleep_ms(200 + random() % 1800);
+	}
+}
+
+bool
+needs_key(const char *path)
 {
-	static_cast<std::string *>(context)->append(bytes, size * count);
-	return size * count;
+	for (const e2e::RouteSpec &route : routes)
+		if (route.prefix == path)
+			return !route.anonymous;
+	return true;
 }
 
 /** @return whether the response came from an endpoint */
@@ -266,6 +299,7 @@
 	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, append_body);
 	curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
+	request_log_.record_sent(id, needs_key(path) ? key : "");
 	code = curl_easy_perform(handle);
 	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
 	curl_slist_free_all(headers);
@@ -276,7 +310,8 @@
 	return code == CURLE_OK && (status == 200 || status == 500);
 }
 
-/* A caller reuses its connections until a daemon closes them. */
+/* A caller reuses its connections until a daemon closes them. A part of its
+ * requests has a key that it may have lost. */
 void
 Soak::run_caller(uint64_t number)
 {
@@ -285,10 +320,13 @@
 	CURL *handle = curl_easy_init();
 
 	for (uint64_t i = 0; !stopping_; i++) {
-		std::string key = key_rotation_.current();
+		bool former = random() % 100 < FORMER_KEYS_PERCENT;
+		std::string key = former
+		    ? key_rotation_.former(1 + random() % FORMER_KEYS_COUNT)
+		    : key_rotation_.current();
 		std::string id = "c" + std::to_string(number) + "n" +
 		    std::to_string(i) + key;
-		bool measured = measuring_;
+		bool measured = measuring_ && !former;
 		bool served = send_request(handle, id, paths[random() % 3], key,
 		    *daemons_[random() % daemons_.size()]);
 
@@ -300,13 +338,28 @@
 	curl_easy_cleanup(handle);
 }
 
+/** @return whether a request was sent over revoke_ms after its key was taken
+ * away; must not run then */
 bool
-is_complete(const std::string &id, const std::string &body)
+Soak::is_sent_revoked(const RequestLog::Entry &entry)
 {
-	return body == "of:" + id ||
-	    body ==
-	    "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\n"
-	    "id: 3\ndata: x3\n\n";
+	if (entry.key.empty())
+		return false;
+
+	auto revoked_at = key_rotation_.revoked_at(entry.key);
+
+	return revoked_at.has_value() &&
+	    entry.sent_at > *revoked_at + std::chrono::milliseconds(REVOKE_MS);
+}
+
+void
+Soak::print_times(const std::string &id, const RequestLog::Entry &entry)
+{
+	printf("request=%s key=%s revoked_ms=%" PRId64 " sent_ms=%" PRId64
+	       " last_run_ms=%" PRId64 "\n",
+	    id.c_str(), entry.key.c_str(),
+	    elapsed_ms(*key_rotation_.revoked_at(entry.key)),
+	    elapsed_ms(entry.sent_at), elapsed_ms(entry.last_run_at));
 }
 
 int
@@ -314,7 +367,8 @@
 {
 	uint32_t requests = 0, complete = 0, refused = 0, wrong = 0,
 		 ran_twice = 0;
-	uint32_t denied = 0, false_not_run = 0, revoked_ran = 0;
+	uint32_t denied = 0, false_not_run = 0, revoked_sent = 0,
+		 revoked_ran = 0, unfinished_ran = 0, violations, passed_on = 0;
 	uint32_t served_percent = measured_served_ * 100 /
 	    std::max<uint32_t>(measured_requests_, 1);
 
@@ -322,6 +376,10 @@
 		bool not_run = entry.status == 503 || entry.status == 429 ||
 		    entry.status == 408 || entry.status == 421;
 
+		if (id.rfind(UNFINISHED_ID, 0) == 0) {
+			unfinished_ran++;
+			continue;
+		}
 		requests++;
 		complete += entry.status == 200;
 		refused += not_run;
@@ -330,15 +388,28 @@
 		denied += entry.status >= 400 && entry.status < 500 &&
 		    !not_run && entry.key_was_valid;
 		false_not_run += not_run && entry.runs > 0 && !entry.idempotent;
-		revoked_ran += entry.key_was_revoked;
+		if (!is_sent_revoked(entry))
+			continue;
+		revoked_sent++;
+		revoked_ran += entry.runs > 0;
+		if (entry.runs > 0)
+			print_times(id, entry);
 	}
 	printf("seed=%" PRIu64 "\nfaults=%u\nrequests=%u\nwhole=%u\n"
-	       "refused=%u\nwrong=%u\nran_twice=%u\nfalse_not_run=%u\n"
-	       "denied=%u\nrevoked_ran=%u\nserved_after_percent=%u\n",
+	       "refused=%u\nwrong=%u\nran_twice=%u\nfalse_not_run=%u\n",
 	    options_.seed, faults_.load(), requests, complete, refused, wrong,
-	    ran_twice, false_not_run, denied, revoked_ran, served_percent);
-	if (wrong + ran_twice + false_not_run + denied + revoked_ran == 0 &&
-	    served_percent >= SERVED_MIN_PERCENT && complete > 0)
+	    ran_twice, false_not_run);
+	for (const auto &daemon : daemons_)
+		passed_on += daemon->taken_count();
+	printf("passed_on=%u\ndenied=%u\nunfinished_ran=%u\nrevoked_sent=%u\n"
+	       "revoked_ran=%u\nserved_after_percent=%u\n",
+	    passed_on, denied, unfinished_ran, revoked_sent, revoked_ran,
+	    served_percent);
+	violations = wrong + ran_twice + false_not_run + denied +
+	    unfinished_ran + revoked_ran;
+	if (violations == 0 && served_percent >= SERVED_MIN_PERCENT &&
+	    complete > 0 && revoked_sent > 0 &&
+	    (passed_on > 0 || options_.daemons <= DOMAINS_COUNT))
 		return 0;
 	printf("failed_seed=%" PRIu64 " logs=%s\n", options_.seed,
 	    directory_.c_str());
@@ -362,10 +433,10 @@
 		daemons_[i]->listen_port = e2e::free_port();
 		daemons_[i]->readiness_port = e2e::free_port();
 		daemons_[i]->admin_port = e2e::free_port();
-		daemons_[i]->peer_port = e2e::free_port();
-		seeds += std::string(i == 0 ? "" : ",") +
-		    "\"127.0.0.1:" + std::to_string(daemons_[i]->peer_port) +
-		    "\"";
+		daemons_[i]->peer_address = "127.0.0." + std::to_string(i + 1) +
+		    ":" + std::to_string(e2e::free_port());
+		seeds += std::string(i == 0 ? "" : ",") + "\"" +
+		    daemons_[i]->peer_address + "\"";
 	}
 	for (uint32_t i = 0; i < options_.daemons; i++)
 		add_daemon(i, seeds);
@@ -382,6 +453,8 @@
 	}
 	threads.emplace_back(
 	    [this, seed = random()] { change_configuration(Random(seed)); });
+	threads.emplace_back(
+	    [this, seed = random()] { inject_crowds(Random(seed)); });
 	std::this_thread::sleep_for(std::chrono::seconds(options_.seconds));
 	faults_ended_ = true;
 	for (auto &thread : threads)
--- a/tests/soak/soak_harness.h
+++ b/tests/soak/soak_harness.h
@@ -6,9 +6,9 @@
 #ifndef TESTS_SOAK_SOAK_HARNESS_H
 #define TESTS_SOAK_SOAK_HARNESS_H
 
-#include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -19,6 +19,7 @@
 {
 
 using Random = std::mt19937_64;
+using Clock = std::chrono::steady_clock;
 
 /** Executions at endpoints and responses to callers, by request id. */
 class RequestLog
@@ -29,18 +30,27 @@
 		uint32_t status = 0; /**< 0 if no complete response */
 		bool idempotent = false;
 		bool key_was_valid = false; /**< when the response came */
-		/** Whether it ran with a key revoked over revoke_ms earlier. */
-		bool key_was_revoked = false;
+		std::string key; /**< empty if the route needs none */
 		std::string body;
+		Clock::time_point sent_at, last_run_at;
 	};
 
-	void record_run(const std::string &id, bool key_was_revoked)
+	void record_sent(const std::string &id, const std::string &key)
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+		Entry &entry = entries_[id];
+
+		entry.key = key;
+		entry.sent_at = Clock::now();
+	}
+
+	void record_run(const std::string &id)
 	{
 		std::lock_guard<std::mutex> lock(mutex_);
 		Entry &entry = entries_[id];
 
 		entry.runs++;
-		entry.key_was_revoked |= key_was_revoked;
+		entry.last_run_at = Clock::now();
 	}
 
 	void record_response(const std::string &id, const Entry &response)
@@ -66,6 +76,24 @@
 	std::map<std::string, Entry> entries_;
 };
 
+/** Collects a response; a callback of libcurl. */
+inline size_t
+append_body(char *bytes, size_t size, size_t count, void *context)
+{
+	static_cast<std::string *>(context)->append(bytes, size * count);
+	return size * count;
+}
+
+/** @return whether a body is the whole response to a request */
+inline bool
+is_complete(const std::string &id, const std::string &body)
+{
+	return body == "of:" + id ||
+	    body ==
+	    "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\n"
+	    "id: 3\ndata: x3\n\n";
+}
+
 /**
  * Keys of an account, replaced with each configuration. A daemon may accept a
  * revoked key for revoke_ms.
@@ -81,6 +109,17 @@
 		return "k" + std::to_string(newest_number_ - 1);
 	}
 
+	/** @return a key that a configuration has had, up to age older than
+	 * the current one */
+	std::string former(uint64_t age)
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		return "k" +
+		    std::to_string(
+			newest_number_ - 1 - std::min(age, newest_number_ - 2));
+	}
+
 	/** Whether the newest configuration contains a key. */
 	bool is_valid(const std::string &key)
 	{
@@ -105,25 +144,25 @@
 		std::lock_guard<std::mutex> lock(mutex_);
 
 		if (newest_number_ >= 2)
-			revoked_at_[newest_number_ - 2] =
-			    std::chrono::steady_clock::now();
+			revoked_at_[newest_number_ - 2] = Clock::now();
 	}
 
-	/** Whether a key has been revoked for more than age_ms. */
-	bool revoked_for(uint64_t number, uint32_t age_ms)
+	/** @return when the first configuration without a key was stored,
+	 * nothing while the newest has it */
+	std::optional<Clock::time_point> revoked_at(const std::string &key)
 	{
 		std::lock_guard<std::mutex> lock(mutex_);
-		auto found = revoked_at_.lower_bound(number);
+		auto found = revoked_at_.find(std::stoull(key.substr(1)));
 
-		return found != revoked_at_.end() &&
-		    std::chrono::steady_clock::now() >
-		    found->second + std::chrono::milliseconds(age_ms);
+		if (found == revoked_at_.end())
+			return std::nullopt;
+		return found->second;
 	}
 
       private:
 	std::mutex mutex_;
 	uint64_t newest_number_ = 0;
-	std::map<uint64_t, std::chrono::steady_clock::time_point> revoked_at_;
+	std::map<uint64_t, Clock::time_point> revoked_at_;
 };
 
 /** An endpoint that fails a part of the requests, chosen by their ids. */
@@ -141,8 +180,23 @@
 		stop();
 	}
 
-	/** Whether the key in a request id was revoked over revoke_ms ago. */
-	std::function<bool(const std::string &)> key_is_revoked;
+	/** Starts again as a new process, under the same name. */
+	void restart()
+	{
+		born_ms_++;
+	}
+
+	/** @return the entry in the store, behind a proxy's address */
+	std::string entry(const std::string &address,
+	    const std::string &phase) const
+	{
+		std::string text = e2e::endpoint_entry_json("app", address,
+		    phase);
+		size_t at = text.find(BORN);
+
+		return text.replace(at, strlen(BORN),
+		    "\"born\":" + std::to_string(born_ms_) + "}");
+	}
 
       private:
 	static std::string header_value(const std::string &request,
@@ -183,8 +237,7 @@
 			    "Content-Length: 0\r\n\r\n");
 			return;
 		}
-		request_log_->record_run(id,
-		    key_is_revoked && key_is_revoked(id));
+		request_log_->record_run(id);
 		if (selector < 6)
 			return;
 		if (selector < 9)
@@ -221,18 +274,39 @@
 		close(fd);
 	}
 
+	static constexpr char BORN[] = "\"born\":5}";
+
 	std::string name_;
 	RequestLog *request_log_;
-	uint64_t seed_;
+	uint64_t seed_, born_ms_ = 5;
 };
 
 /** A daemon process and its proxy to the store. */
 struct Daemon {
-	uint16_t listen_port, readiness_port, admin_port, peer_port;
-	std::string settings_path, log_path;
+	uint16_t listen_port, readiness_port, admin_port;
+	std::string peer_address, settings_path, log_path;
 	std::unique_ptr<FaultProxy> store_proxy;
 	std::unique_ptr<e2e::Process> process;
 	std::mutex mutex; /**< held while a fault of the process lasts */
+
+	uint32_t taken_before_count = 0; /**< by processes that have ended */
+
+	/** @return the connections that it took from others */
+	uint32_t taken_count() const
+	{
+		static const char name[] =
+		    "\nbamboorudder_handoffs_taken_total ";
+		std::string text = e2e::send_request("GET",
+		    "http://127.0.0.1:" + std::to_string(admin_port) +
+			"/metrics")
+				       .body;
+		size_t at = text.find(name);
+
+		if (at == std::string::npos)
+			return taken_before_count;
+		return taken_before_count +
+		    (uint32_t)std::stoul(text.substr(at + strlen(name)));
+	}
 };
 
 } // namespace soak
