Log when the platform's store was restored from a copy

The count of restores in all responses of the store is read now and logged when it rises, and so is a configuration in the store that is older than the one in force; platform_restores_total counts. No decision changes.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -25,24 +25,41 @@
 	return size * count;
 }
 
+/* Copies the value of a header line that has the given name. */
+static void
+read_header(const char *bytes, size_t length_bytes, const char *name,
+    char *value, size_t value_bytes)
+{
+	size_t name_bytes = strlen(name);
+	char *text;
+
+	if (length_bytes <= name_bytes || bytes[name_bytes] != ':' ||
+	    g_ascii_strncasecmp(bytes, name, name_bytes) != 0)
+		return;
+	text = g_strndup(bytes + name_bytes + 1, length_bytes - name_bytes - 1);
+	g_strlcpy(value, g_strstrip(text), value_bytes);
+	g_free(text);
+}
+
+struct header_collection {
+	const char *wanted_header; /* NULL for none */
+	struct http_response *response;
+};
+
 static size_t
 collect_header(char *bytes, size_t size, size_t count, void *context)
 {
-	static const char name[] = "etag:";
-	struct http_response *response = context;
-	char *value;
+	const struct header_collection *collection = context;
+	struct http_response *response = collection->response;
 
 	response->heads_bytes += size * count;
 	if (response->heads_bytes > HTTP_HEADS_MAX_BYTES)
 		return 0;
-	if (size * count > strlen(name) &&
-	    g_ascii_strncasecmp(bytes, name, strlen(name)) == 0) {
-		value = g_strndup(bytes + strlen(name),
-		    size * count - strlen(name));
-		g_strlcpy(response->etag, g_strstrip(value),
-		    sizeof(response->etag));
-		g_free(value);
-	}
+	read_header(bytes, size * count, "etag", response->etag,
+	    sizeof(response->etag));
+	if (collection->wanted_header != NULL)
+		read_header(bytes, size * count, collection->wanted_header,
+		    response->header_value, sizeof(response->header_value));
 	return size * count;
 }
 
@@ -104,6 +121,8 @@
 {
 	CURL *handle = curl_thread_handle(&thread_handle);
 	struct curl_slist *headers = request_headers(request);
+	struct header_collection collection = { request->wanted_header,
+		response };
 	CURLcode code;
 	long status = 0;
 	curl_off_t duration_us = 0;
@@ -120,7 +139,7 @@
 	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, collect_body);
 	curl_easy_setopt(handle, CURLOPT_WRITEDATA, response);
 	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, collect_header);
-	curl_easy_setopt(handle, CURLOPT_HEADERDATA, response);
+	curl_easy_setopt(handle, CURLOPT_HEADERDATA, &collection);
 	curl_easy_setopt(handle, CURLOPT_NOPROGRESS,
 	    request->cancelled == NULL ? 1L : 0L);
 	curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, on_progress);
--- a/common/metric.c
+++ b/common/metric.c
@@ -85,6 +85,8 @@
 	    "Calls to the platform's object API." },
 	[METRIC_PLATFORM_FAILURES] = { "platform_failures_total", "counter",
 	    "Calls to the platform's object API that failed." },
+	[METRIC_PLATFORM_RESTORES] = { "platform_restores_total", "counter",
+	    "Restores of the platform's store from a copy heard of." },
 	[METRIC_CONTROL_CPU_US] = { "control_cpu_microseconds_total", "counter",
 	    "Processor time of the control thread." },
 	[METRIC_TABLES_ADOPTED] = { "tables_adopted_total", "counter",
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -14,6 +14,7 @@
 /** Of all heads and trailers of a response. */
 #define HTTP_HEADS_MAX_BYTES (64u * 1024u)
 #define HTTP_ETAG_MAX_BYTES 64u
+#define HTTP_HEADER_VALUE_MAX_BYTES 64u
 
 #define HTTP_ERROR (http_error_quark())
 GQuark http_error_quark(void);
@@ -32,6 +33,7 @@
 	const char *bearer_token; /**< NULL for none */
 	const char *if_match; /**< quoted version, or NULL */
 	const char *if_none_match; /**< "*", or NULL */
+	const char *wanted_header; /**< response header to return, or NULL */
 	uint32_t timeout_ms;
 	/** a value other than 0 aborts the request; NULL if not needed */
 	const _Atomic uint32_t *cancelled;
@@ -40,6 +42,8 @@
 struct http_response {
 	uint32_t status;
 	char etag[HTTP_ETAG_MAX_BYTES];
+	/** Of the wanted header, cut if it is longer; "" without one. */
+	char header_value[HTTP_HEADER_VALUE_MAX_BYTES];
 	GString *body;
 	size_t heads_bytes; /**< of all heads and trailers received */
 	bool too_large; /**< longer than HTTP_RESPONSE_MAX_BYTES */
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -16,6 +16,7 @@
 #include "core/config_snapshot.h"
 #include "core/dispatch.h"
 #include "core/store_outage.h"
+#include "core/store_restore.h"
 
 /** Receives what a feed learns. The functions are called on the threads of the
  * reflectors, on_freshness also on the thread that calls
@@ -104,6 +105,7 @@
 	_Atomic uint32_t daemons_count;
 	pthread_mutex_t mutex;
 	pthread_cond_t wakeup; /**< a call to the store may be due */
+	struct store_restore restore; /**< guarded by the mutex */
 	struct reflector reflectors[RESOURCE_KIND_COUNT];
 	_Atomic uint32_t stopping;
 };
