Reproduce changes that are missed after a restore of the store

The store of the tests keeps a copy and goes back to it: revisions are given out again, a watch from one that it lacks gets 410, and the count of restores rises. core/store_revision orders revisions over restores; only the tests use it yet.

--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -17,6 +17,7 @@
 #include "core/dispatch.h"
 #include "core/store_outage.h"
 #include "core/store_restore.h"
+#include "core/store_revision.h"
 
 /** Receives what a feed learns. The functions are called on the threads of the
  * reflectors, on_freshness also on the thread that calls
--- a/tests/e2e/feed_fixture.h
+++ b/tests/e2e/feed_fixture.h
@@ -26,7 +26,7 @@
 /** Records what a feed passes to its sink. */
 struct RecordingSink {
 	std::mutex mutex;
-	std::set<std::string> endpoints, drained_domains;
+	std::set<std::string> endpoints, leaving_endpoints, drained_domains;
 	std::atomic<uint64_t> version{ 0 };
 	std::atomic<uint64_t> endpoints_version{ 0 };
 	/** Latest time at which the configuration was known to be the newest. */
@@ -60,6 +60,10 @@
 	std::lock_guard<std::mutex> lock(sink->mutex);
 
 	sink->endpoints.insert(info->name);
+	if (info->leaving)
+		sink->leaving_endpoints.insert(info->name);
+	else
+		sink->leaving_endpoints.erase(info->name);
 }
 
 inline void
@@ -165,6 +169,13 @@
 		return sink.endpoints.count(name) > 0;
 	}
 
+	bool is_leaving(const std::string &name)
+	{
+		std::lock_guard<std::mutex> lock(sink.mutex);
+
+		return sink.leaving_endpoints.count(name) > 0;
+	}
+
 	bool is_drained(const std::string &domain)
 	{
 		std::lock_guard<std::mutex> lock(sink.mutex);
--- a/tests/e2e/gateway_harness.h
+++ b/tests/e2e/gateway_harness.h
@@ -16,6 +16,7 @@
 #include <deque>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -77,15 +78,8 @@
 	    const std::string &spec)
 	{
 		std::lock_guard<std::mutex> lock(mutex_);
-		std::string object = "{\"metadata\":{\"name\":\"" + name +
-		    "\",\"revision\":" + std::to_string(++revision_) +
-		    ",\"created\":1,\"finalizers\":[],"
-		    "\"deletion_pending\":false},\"spec\":" +
-		    spec + ",\"status\":null}";
 
-		objects_[kind][name] = object;
-		events_.push_back({ revision_, kind, object, false });
-		changed_.notify_all();
+		put_locked(kind, name, spec);
 	}
 
 	void remove(const std::string &kind, const std::string &name)
@@ -109,6 +103,37 @@
 		changed_.notify_all();
 	}
 
+	/** Keeps a copy of all objects and of the history. */
+	void keep_copy()
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		copy_ = { objects_, events_, revision_ };
+	}
+
+	/** Goes back to the copy: later revisions are given out again. */
+	void restore()
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		restore_locked();
+	}
+
+	/** Restores the store just before it returns the next page after the
+	 * first one of a list, and replaces an endpoint's entry. Further changes
+	 * are of other kinds. */
+	void restore_before_next_page(const std::string &name,
+	    const std::string &spec, uint32_t further_count)
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+
+		before_page_ = [this, name, spec, further_count] {
+			restore_locked();
+			put_locked("servers", name, spec);
+			revision_ += further_count;
+		};
+	}
+
 	/** Makes all further calls fail with an HTTP status, or, with SILENT,
 	 * get no response; 0 ends that. */
 	void fail_with(int status)
@@ -151,6 +176,7 @@
 		stale_ = stale;
 		stale_objects_ = objects_;
 		stale_revision_ = revision_;
+		stale_restores_count_ = restores_count_;
 	}
 
 	/** Maximum number of objects in a page of a list. */
@@ -175,15 +201,16 @@
 		    ? ""
 		    : info->query_string;
 		std::string body;
+		uint32_t restores_count = 0;
 		int status = store->respond(uri.substr(uri.rfind('/') + 1),
-		    query, &body);
+		    query, &body, &restores_count);
 		if (status == SILENT)
 			status = store->stay_silent();
 
 		mg_printf(connection,
 		    "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-		    "Content-Length: %zu\r\n\r\n%s",
-		    status, body.size(), body.c_str());
+		    "Store-Era: %u\r\nContent-Length: %zu\r\n\r\n%s",
+		    status, restores_count + 1, body.size(), body.c_str());
 		return 1;
 	}
 
@@ -208,10 +235,46 @@
 		return 503;
 	}
 
+	void put_locked(const std::string &kind, const std::string &name,
+	    const std::string &spec)
+	{
+		std::string object = "{\"metadata\":{\"name\":\"" + name +
+		    "\",\"revision\":" + std::to_string(++revision_) +
+		    ",\"created\":1,\"finalizers\":[],"
+		    "\"deletion_pending\":false},\"spec\":" +
+		    spec + ",\"status\":null}";
+
+		objects_[kind][name] = object;
+		events_.push_back({ revision_, kind, object, false });
+		changed_.notify_all();
+	}
+
+	void restore_locked()
+	{
+		objects_ = copy_.objects;
+		events_ = copy_.events;
+		revision_ = copy_.revision;
+		last_watched_revisions_.clear();
+		restores_count_++;
+		changed_.notify_all();
+	}
+
 	int respond(const std::string &kind, const std::string &query,
-	    std::string *body)
+	    std::string *body, uint32_t *restores_count)
 	{
 		std::unique_lock<std::mutex> lock(mutex_);
+		int status = respond_locked(lock, kind, query, body);
+		bool stale = stale_ && !parameter(query, "allow_stale").empty();
+
+		*restores_count = stale ? stale_restores_count_
+					: restores_count_;
+		return status;
+	}
+
+	int respond_locked(std::unique_lock<std::mutex> &lock,
+	    const std::string &kind, const std::string &query,
+	    std::string *body)
+	{
 		std::string from = parameter(query, "watch");
 
 		call_counts_[kind]++;
@@ -230,6 +293,10 @@
 			return watch(lock, kind, std::stoull(from),
 			    (uint32_t)std::stoul(parameter(query, "wait_ms")),
 			    body);
+		if (before_page_ && !parameter(query, "after").empty()) {
+			before_page_();
+			before_page_ = nullptr;
+		}
 		list(objects_[kind], parameter(query, "after"), revision_,
 		    body);
 		return 200;
@@ -293,14 +360,15 @@
 		auto find = [&] {
 			events = events_between(kind, from, UINT64_MAX);
 			return stopping_ || failure_status_ != 0 ||
-			    from < compacted_revision_ || !events.empty();
+			    from < compacted_revision_ || from > revision_ ||
+			    !events.empty();
 		};
 
 		changed_.wait_for(lock, std::chrono::milliseconds(wait_ms),
 		    find);
 		if (failure_status_ != 0)
 			return failure_status_;
-		if (from < compacted_revision_)
+		if (from < compacted_revision_ || from > revision_)
 			return 410;
 		*body = "{\"events\":[" + events +
 		    "],\"at\":" + std::to_string(revision_) + "}";
@@ -319,8 +387,17 @@
 	std::map<std::string, std::map<std::string, std::string>>
 	    stale_objects_;
 	uint64_t stale_revision_ = 0;
+	uint32_t stale_restores_count_ = 0;
 	std::deque<Event> events_;
 	uint64_t revision_ = 10;
+	struct Copy {
+		std::map<std::string, std::map<std::string, std::string>>
+		    objects;
+		std::deque<Event> events;
+		uint64_t revision = 0;
+	} copy_;
+	uint32_t restores_count_ = 0;
+	std::function<void()> before_page_;
 	uint64_t compacted_revision_ = 0;
 	int failure_status_ = 0;
 	bool stopping_ = false;
