Order the store's revisions by its restores first

After a restore from a copy, endpoints that left and configurations were missed for good, and a changed entry was dropped as old, as the store's counter begins again at a lower number. Cause: every order was that of the number alone: where a watch goes on, which entry or list is newer, what a peer knows.

All revisions that leave a reflector now hold the count of restores in their upper bits, so that each comparison (entries, placements, lists, reports of peers) is right as it stands, and the messages between daemons keep their form. A position is watched from only while the count is the one of the last list; a higher one, from any kind or a peer, makes all kinds list anew at once, and what the store answered before a restore that is known is dropped. A list whose pages straddle a restore starts again. Without a restore the values are as before.

--- a/bamboorudderd/gateway_observe.c
+++ b/bamboorudderd/gateway_observe.c
@@ -22,7 +22,8 @@
 	char age[TEXT_BYTES], version[TEXT_BYTES], running[TEXT_BYTES];
 	char share[TEXT_BYTES], prompt_tokens[TEXT_BYTES];
 	char first_token[TEXT_BYTES];
-	char hub_list[TEXT_BYTES], hub_list_age[TEXT_BYTES], list[TEXT_BYTES];
+	char hub_list[STORE_REVISION_TEXT_BYTES], hub_list_age[TEXT_BYTES];
+	char list[STORE_REVISION_TEXT_BYTES];
 	const struct dispatch_decision *decision = &request->decision;
 	const struct gw_peer *via = request->caller == NULL
 	    ? NULL
@@ -45,11 +46,9 @@
 	g_snprintf(share, TEXT_BYTES, "%u", forecast->share_permille);
 	g_snprintf(prompt_tokens, TEXT_BYTES, "%u",
 	    request->dispatch.prompt_tokens);
-	g_snprintf(hub_list, TEXT_BYTES, "%" G_GUINT64_FORMAT,
-	    decision->hub_list.version);
+	store_revision_format(decision->hub_list.version, hub_list);
 	format_age(decision->hub_list.age_ms, hub_list_age);
-	g_snprintf(list, TEXT_BYTES, "%" G_GUINT64_FORMAT,
-	    decision->own_list.version);
+	store_revision_format(decision->own_list.version, list);
 	log_event(LOG_LEVEL_INFO, "request", "id", request->head.request_id,
 	    "route", request->route == NULL ? "-" : request->route->name,
 	    "account", request->account == NULL ? "-" : request->account->name,
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -27,7 +27,7 @@
 	void (*on_configuration)(void *context,
 	    struct config_snapshot *configuration);
 	/** A version was the newest at a time of feed_clock_ms. The version of
-	 * the endpoint list is a revision of the store. */
+	 * the endpoint list is one of store_revision_make(). */
 	void (*on_freshness)(void *context, enum resource_kind kind,
 	    const struct dispatch_freshness *freshness);
 	void (*on_endpoint)(void *context,
@@ -67,14 +67,16 @@
 	enum resource_kind resource_kind;
 	const char *object_kind; /**< kind of the objects in the store */
 	/** Applies an object; spec is NULL if it was removed or has none.
-	 * @param revision of its last change */
+	 * @param revision of its last change, as of store_revision_make() */
 	void (*apply_object)(struct reflector *reflector, const char *name,
 	    uint64_t revision, const void *spec);
 	/** Called after the response to a list or a watch.
 	 * @param changed the response held objects */
 	void (*on_response)(struct reflector *reflector, bool changed);
 	pthread_t thread;
-	uint64_t revision; /**< of the store; 0: a list is needed */
+	uint64_t revision; /**< the store's number; 0: a list is needed */
+	uint32_t restores_count; /**< of the store, at that revision */
+	uint32_t answer_restores_count; /**< of the store, at its last answer */
 	/** Time that the last response reflects, 0 if unknown. */
 	uint64_t as_of_ms;
 	GHashTable *known_names; /**< names given to the sink */
--- a/include/platform/reflector.h
+++ b/include/platform/reflector.h
@@ -20,6 +20,15 @@
 void reflector_watch(struct reflector *reflector, uint32_t max_wait_ms,
     bool allow_stale);
 
+/** @return whether the position of this reflector can't be watched from: there is
+ * none, or the store was restored since */
+bool reflector_needs_list(const struct reflector *reflector);
+
+/** Records how often the store or a peer says that the store was restored.
+ * @param revision of the store then, for the log */
+void reflector_hear_restores(struct reflector *reflector, uint32_t count,
+    uint64_t revision);
+
 /** Removes objects whose delayed removal is due. */
 void reflector_flush_removals(struct reflector *reflector);
 
--- a/include/platform/schedule.h
+++ b/include/platform/schedule.h
@@ -15,7 +15,8 @@
  * has a newer version */
 bool schedule_relies_on_peers(const struct reflector *reflector);
 
-/** @return whether this daemon itself has to call the store now */
+/** @return whether this daemon itself has to call the store now. The feed's mutex
+ * is held. */
 bool schedule_must_poll(const struct reflector *reflector, uint64_t now_ms);
 
 /** @return whether a stale read, which costs the store less, will do. The version
