--- a/core/store_outage.c
+++ b/core/store_outage.c
@@ -1,9 +1,9 @@
 #include "core/store_outage.h"
 
+#include "core/store_restore.h"
+
 /* An entry expires after some missed heartbeats, so not in a shorter time. */
 #define OUTAGE_MIN_MS 2000u
-/* Entries that expired are written again within 2 s of the store's return. */
-#define KEEP_MS 1800u
 
 bool
 store_outage_record_served(struct store_outage *outage, uint64_t served_ms)
@@ -31,5 +31,5 @@
 {
 	if (outage->ended_ms == 0 || outage->failed_ms <= outage->began_ms)
 		return 0;
-	return outage->ended_ms + KEEP_MS;
+	return outage->ended_ms + STORE_REWRITE_MS;
 }
