Confirm no configuration while a restore may have lost a newer one

After a restore, an instance that had not seen the newest configuration, or that started in between, read the older one from the copy and took it for confirmed, so a key that the lost one had taken away ran past revoke_ms; one that had seen it let an older store vouch for it. Unknown keys and routes got 401 and 404.

A response of a store that was ever restored confirms the configuration in force only if it was asked for after what was lost has been written again, the store holds no older version and no peer a newer one. Until then the last confirmation counts, the version is told to peers without a new one, and unknown keys and routes get 503. A peer that has confirmed its own vouches as before. A daemon that has just started takes the restore for recent. A first list is not stale once the store was restored.

--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -92,6 +92,11 @@
 	/** The newest configuration in the store is not in force here, as it can't
 	 * be read: no response or peer confirms the one in force. */
 	_Atomic uint32_t outdated;
+	/** A restored store holds an older configuration than the one in force,
+	 * so a newer one may be lost, too. */
+	_Atomic uint32_t older;
+	/** The last response confirmed no configuration, for a restore. */
+	_Atomic uint32_t unconfirmed;
 	/** Calls the store if that is due. @return whether it was due */
 	bool (*poll)(struct reflector *reflector);
 	bool synced; /**< the first list is complete */
@@ -109,6 +114,8 @@
 	pthread_mutex_t mutex;
 	pthread_cond_t wakeup; /**< a call to the store may be due */
 	struct store_restore restore; /**< guarded by the mutex */
+	/** When what the last restore lost has been written again; 0: none. */
+	_Atomic uint64_t settled_ms;
 	struct reflector reflectors[RESOURCE_KIND_COUNT];
 	_Atomic uint32_t stopping;
 };
@@ -138,7 +145,8 @@
 void feed_offer_freshness(struct feed *feed, enum resource_kind kind,
     const struct dispatch_freshness *freshness);
 
-/** @return whether a peer has a newer configuration */
+/** @return whether a peer has a newer configuration, or there may be one that a
+ * restore of the store lost and that will be written again */
 bool feed_is_behind(const struct feed *feed);
 
 /** @return whether the last call for the configuration failed */
--- a/include/platform/schedule.h
+++ b/include/platform/schedule.h
@@ -26,7 +26,7 @@
 
 /** @return whether the list may be stale. The first list of endpoints may: it is
  * long, all daemons of a fleet may read it in the same moment, and the next call
- * brings the changes. */
+ * brings the changes. After a restore it may be from before it. */
 bool schedule_stale_list_suffices(const struct reflector *reflector);
 
 /** @return how long a watch waits for a change; not at all after a failed call, so
