Send nothing to endpoints that only a copy of the store brings back

An endpoint whose entry had been removed without a word that it leaves was back in the list after a restore and got requests, although this daemon had seen it go. Cause: what is known of a removed process counts only if it had said that it leaves. An entry that is back unchanged (same process and number, more restores) now gets no requests for a bounded time, or until the entry changes; a live endpoint that had lapsed renews it.

Result: DispatchRestored.AnEndpointThatWasRemovedIsNotBackWithTheCopy and AnEndpointWhoseEntryStaysIsBackAfterSomeTime failed on the code before and hold with the other six.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -4,8 +4,11 @@
 
 #include "core/dispatch_private.h"
 #include "core/hash.h"
+#include "core/store_revision.h"
 
 #define DURATION_INITIAL_MS 1000u
+/* An entry that nobody renews is removed from the store before that. */
+#define RETURNED_HOLD_MS 6000u
 
 static void
 endpoint_free(gpointer pointer)
@@ -117,6 +120,37 @@
 	    gone->process_start_ms == info->process_start_ms;
 }
 
+/* @return whether an entry was read again, unchanged, after a restore of the
+ * store */
+static bool
+is_same_entry(uint64_t revision_before, uint64_t process_start_before_ms,
+    const struct dispatch_endpoint_info *info)
+{
+	return info->process_start_ms == process_start_before_ms &&
+	    store_revision_restores_count(revision_before) <
+	    store_revision_restores_count(info->revision) &&
+	    store_revision_number(revision_before) ==
+	    store_revision_number(info->revision);
+}
+
+/* Leaves an endpoint out whose entry was removed, and is back from a copy of the
+ * store, until the entry changes. */
+static void
+set_returned(struct dispatch *dispatch, struct dispatch_endpoint *endpoint,
+    const struct dispatch_endpoint_info *info, uint64_t now_ms)
+{
+	const struct dispatch_gone *gone = g_hash_table_lookup(dispatch->gone,
+	    &endpoint->endpoint_id);
+
+	if (gone != NULL &&
+	    is_same_entry(gone->revision, gone->process_start_ms, info))
+		endpoint->returned_until_ms = now_ms + RETURNED_HOLD_MS;
+	else if (endpoint->info.revision != info->revision &&
+	    !is_same_entry(endpoint->info.revision,
+		endpoint->info.process_start_ms, info))
+		endpoint->returned_until_ms = 0;
+}
+
 static bool
 is_older(const struct dispatch_endpoint *endpoint,
     const struct dispatch_endpoint_info *info)
@@ -150,6 +184,7 @@
 	dispatch->assignment_due |= !endpoint->listed ||
 	    endpoint->info.pool_id != info->pool_id ||
 	    endpoint->info.leaving != leaving;
+	set_returned(dispatch, endpoint, info, now_ms);
 	g_hash_table_remove(dispatch->gone, &endpoint_id);
 	endpoint->info = *info;
 	endpoint->info.leaving = leaving;
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -44,6 +44,9 @@
 	    endpoint->endpoint_id, endpoint->info.process_start_ms, now_ms);
 
 	wait_ms = MAX(wait_ms, limit_wait_ms(dispatch, endpoint, now_ms));
+	wait_ms = MAX(wait_ms,
+	    endpoint->returned_until_ms -
+		MIN(endpoint->returned_until_ms, now_ms));
 	return MAX(wait_ms, dispatch_cold_wait_ms(dispatch, endpoint, now_ms));
 }
 
@@ -64,6 +67,7 @@
 	    dispatch_takes_requests(dispatch, endpoint) &&
 	    !dispatch_said_leaving(dispatch, endpoint) &&
 	    now_ms >= endpoint->unreached_until_ms &&
+	    now_ms >= endpoint->returned_until_ms &&
 	    endpoint_notices_wait_ms(&dispatch->notices, endpoint->endpoint_id,
 		endpoint->info.process_start_ms, now_ms) == 0;
 }
@@ -108,6 +112,7 @@
 	bounded_table_make_room(dispatch->gone, GONE_MAX_COUNT, gone_order);
 	item->endpoint_id = endpoint->endpoint_id;
 	item->process_start_ms = endpoint->info.process_start_ms;
+	item->revision = endpoint->info.revision;
 	item->leaving = endpoint->info.leaving;
 	item->order = dispatch->gone_order_next++;
 	g_hash_table_replace(dispatch->gone, &item->endpoint_id, item);
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -191,6 +191,9 @@
 	/** This daemon could not connect to it, and doesn't try until then. */
 	uint64_t unreached_until_ms;
 	uint32_t unreached_ms; /**< length of that time */
+	/** A restored store holds an entry that was removed, so it has probably
+	 * left; gets no requests until then. */
+	uint64_t returned_until_ms;
 	struct endpoint_limit limit;
 	struct cold_pace cold;
 	bool probing; /**< a probe request is running */
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -58,6 +58,7 @@
 struct dispatch_gone {
 	uint64_t endpoint_id;
 	uint64_t process_start_ms;
+	uint64_t revision; /**< of its last entry */
 	bool leaving; /**< its process had said that it leaves */
 	uint64_t order; /**< the lowest is forgotten first */
 };
--- a/tests/unit/test_dispatch_restored.cc
+++ b/tests/unit/test_dispatch_restored.cc
@@ -61,4 +61,44 @@
 	    dispatch_list_covers(&dispatch, store_revision_make(0, 41)));
 }
 
+TEST_F(DispatchRestored, AnEndpointThatWasRemovedIsNotBackWithTheCopy)
+{
+	put("e1", 0, 40);
+	dispatch_remove_endpoint(&dispatch, "e1");
+	put("e1", 1, 40);
+	EXPECT_FALSE(may_send_to("e1"));
+	EXPECT_FALSE(decide(make_request()).start);
+}
+
+TEST_F(DispatchRestored, AnEndpointThatRenewsItsEntryIsBackAtOnce)
+{
+	put("e1", 0, 40);
+	dispatch_remove_endpoint(&dispatch, "e1");
+	put("e1", 1, 40);
+	put("e1", 1, 41);
+	EXPECT_TRUE(may_send_to("e1"));
+	EXPECT_TRUE(decide(make_request()).start);
+}
+
+TEST_F(DispatchRestored, AnEndpointWhoseEntryStaysIsBackAfterSomeTime)
+{
+	put("e1", 0, 40);
+	dispatch_remove_endpoint(&dispatch, "e1");
+	put("e1", 1, 40);
+	now_ms += 3000;
+	put("e1", 2, 40);
+	EXPECT_FALSE(may_send_to("e1"));
+	now_ms += 4000;
+	EXPECT_TRUE(may_send_to("e1"));
+	EXPECT_TRUE(decide(make_request()).start);
+}
+
+TEST_F(DispatchRestored, AnEndpointThatStayedIsInUseAllTheTime)
+{
+	put("e1", 0, 40);
+	put("e1", 1, 40);
+	EXPECT_TRUE(may_send_to("e1"));
+	EXPECT_TRUE(decide(make_request()).start);
+}
+
 } // namespace
