--- a/bamboorudderd/gateway_observe.c
+++ b/bamboorudderd/gateway_observe.c
@@ -1,6 +1,7 @@
 #include "bamboorudderd/gateway_private.h"
 #include "common/log.h"
 #include "common/metric.h"
+#include "common/revision_text.h"
 
 #define TEXT_BYTES 24
 #define US_PER_MS 1000u
@@ -22,8 +23,8 @@
 	char age[TEXT_BYTES], version[TEXT_BYTES], running[TEXT_BYTES];
 	char share[TEXT_BYTES], prompt_tokens[TEXT_BYTES];
 	char first_token[TEXT_BYTES];
-	char hub_list[STORE_REVISION_TEXT_BYTES], hub_list_age[TEXT_BYTES];
-	char list[STORE_REVISION_TEXT_BYTES];
+	char hub_list[REVISION_TEXT_BYTES], hub_list_age[TEXT_BYTES];
+	char list[REVISION_TEXT_BYTES];
 	const struct dispatch_decision *decision = &request->decision;
 	const struct gw_peer *via = request->caller == NULL
 	    ? NULL
@@ -46,9 +47,9 @@
 	g_snprintf(share, TEXT_BYTES, "%u", forecast->share_permille);
 	g_snprintf(prompt_tokens, TEXT_BYTES, "%u",
 	    request->dispatch.prompt_tokens);
-	store_revision_format(decision->hub_list.version, hub_list);
+	revision_text_format(decision->hub_list.version, hub_list);
 	format_age(decision->hub_list.age_ms, hub_list_age);
-	store_revision_format(decision->own_list.version, list);
+	revision_text_format(decision->own_list.version, list);
 	log_event(LOG_LEVEL_INFO, "request", "id", request->head.request_id,
 	    "route", request->route == NULL ? "-" : request->route->name,
 	    "account", request->account == NULL ? "-" : request->account->name,
--- a/include/core/store_revision.h
+++ b/include/core/store_revision.h
@@ -6,11 +6,8 @@
 #ifndef CORE_STORE_REVISION_H
 #define CORE_STORE_REVISION_H
 
-#include <stddef.h>
 #include <stdint.h>
 
-#define STORE_REVISION_TEXT_BYTES 32u
-
 #define STORE_REVISION_NUMBER_BITS 44u
 #define STORE_REVISION_NUMBER_MAX ((1ull << STORE_REVISION_NUMBER_BITS) - 1)
 #define STORE_REVISION_RESTORES_MAX_COUNT ((1u << 20) - 1)
@@ -25,8 +22,4 @@
 /** @return the store's own number */
 uint64_t store_revision_number(uint64_t revision);
 
-/** Writes the number, after a restore with the count of restores before it. */
-void store_revision_format(uint64_t revision,
-    char text[STORE_REVISION_TEXT_BYTES]);
-
 #endif
--- a/tests/unit/test_store_revision.cc
+++ b/tests/unit/test_store_revision.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 extern "C" {
+#include "common/revision_text.h"
 #include "core/store_revision.h"
 }
 
@@ -26,12 +27,11 @@
 
 TEST(StoreRevision, TheTextNamesTheRestores)
 {
-	char text[STORE_REVISION_TEXT_BYTES];
+	char text[REVISION_TEXT_BYTES];
 
-	store_revision_format(store_revision_make(0, 41), text);
+	revision_text_format(store_revision_make(0, 41), text);
 	EXPECT_STREQ(text, "41");
-	store_revision_format(store_revision_make(UINT32_MAX, UINT64_MAX),
-	    text);
+	revision_text_format(store_revision_make(UINT32_MAX, UINT64_MAX), text);
 	EXPECT_STREQ(text, "1048575:17592186044415");
 }
 
