--- a/bamboorudderd/gateway_observe.c
+++ b/bamboorudderd/gateway_observe.c
@@ -1,6 +1,7 @@
 #include "bamboorudderd/gateway_private.h"
 #include "common/log.h"
 #include "common/metric.h"
+#include "common/revision_text.h"
 
 #define TEXT_BYTES 24
 #define US_PER_MS 1000u
@@ -40,7 +41,8 @@
 	char age[TEXT_BYTES], version[TEXT_BYTES], running[TEXT_BYTES];
 	char share[TEXT_BYTES], prompt_tokens[TEXT_BYTES];
 	char first_token[TEXT_BYTES];
-	char hub_list[TEXT_BYTES], hub_list_age[TEXT_BYTES], list[TEXT_BYTES];
+	char hub_list[REVISION_TEXT_BYTES], hub_list_age[TEXT_BYTES];
+	char list[REVISION_TEXT_BYTES];
 	char stop_head[TEXT_BYTES], stop_attempt[TEXT_BYTES];
 	const struct dispatch_decision *decision = &request->decision;
 	const struct gw_peer *via = request->caller == NULL
@@ -64,11 +66,9 @@
 	g_snprintf(share, TEXT_BYTES, "%u", forecast->share_permille);
 	g_snprintf(prompt_tokens, TEXT_BYTES, "%u",
 	    request->dispatch.prompt_tokens);
-	g_snprintf(hub_list, TEXT_BYTES, "%" G_GUINT64_FORMAT,
-	    decision->hub_list.version);
+	revision_text_format(decision->hub_list.version, hub_list);
 	format_age(decision->hub_list.age_ms, hub_list_age);
-	g_snprintf(list, TEXT_BYTES, "%" G_GUINT64_FORMAT,
-	    decision->own_list.version);
+	revision_text_format(decision->own_list.version, list);
 	format_stop_time(request, request->arrived_ms, stop_head);
 	format_stop_time(request, request->attempt_ms, stop_attempt);
 	log_event(LOG_LEVEL_INFO, "request", "id", request->head.request_id,
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -16,6 +16,8 @@
 #include "core/config_snapshot.h"
 #include "core/dispatch.h"
 #include "core/store_outage.h"
+#include "core/store_restore.h"
+#include "core/store_revision.h"
 
 /** Receives what a feed learns. The functions are called on the threads of the
  * reflectors, on_freshness also on the thread that calls
@@ -25,7 +27,7 @@
 	void (*on_configuration)(void *context,
 	    struct config_snapshot *configuration);
 	/** A version was the newest at a time of feed_clock_ms. The version of
-	 * the endpoint list is a revision of the store. */
+	 * the endpoint list is one of store_revision_make(). */
 	void (*on_freshness)(void *context, enum resource_kind kind,
 	    const struct dispatch_freshness *freshness);
 	void (*on_endpoint)(void *context,
@@ -65,14 +67,16 @@
 	enum resource_kind resource_kind;
 	const char *object_kind; /**< kind of the objects in the store */
 	/** Applies an object; spec is NULL if it was removed or has none.
-	 * @param revision of its last change */
+	 * @param revision of its last change, as of store_revision_make() */
 	void (*apply_object)(struct reflector *reflector, const char *name,
 	    uint64_t revision, const void *spec);
 	/** Called after the response to a list or a watch.
 	 * @param changed the response held objects */
 	void (*on_response)(struct reflector *reflector, bool changed);
 	pthread_t thread;
-	uint64_t revision; /**< of the store; 0: a list is needed */
+	uint64_t revision; /**< the store's number; 0: a list is needed */
+	uint32_t restores_count; /**< of the store, at that revision */
+	uint32_t answer_restores_count; /**< of the store, at its last answer */
 	/** Time that the last response reflects, 0 if unknown. */
 	uint64_t as_of_ms;
 	GHashTable *known_names; /**< names given to the sink */
@@ -88,6 +92,11 @@
 	/** The newest configuration in the store is not in force here, as it can't
 	 * be read: no response or peer confirms the one in force. */
 	_Atomic uint32_t outdated;
+	/** A restored store holds an older configuration than the one in force,
+	 * so a newer one may be lost, too. */
+	_Atomic uint32_t older;
+	/** The last response confirmed no configuration, for a restore. */
+	_Atomic uint32_t unconfirmed;
 	/** Calls the store if that is due. @return whether it was due */
 	bool (*poll)(struct reflector *reflector);
 	bool synced; /**< the first list is complete */
@@ -104,6 +113,9 @@
 	_Atomic uint32_t daemons_count;
 	pthread_mutex_t mutex;
 	pthread_cond_t wakeup; /**< a call to the store may be due */
+	struct store_restore restore; /**< guarded by the mutex */
+	/** When what the last restore lost has been written again; 0: none. */
+	_Atomic uint64_t settled_ms;
 	struct reflector reflectors[RESOURCE_KIND_COUNT];
 	_Atomic uint32_t stopping;
 };
@@ -133,7 +145,8 @@
 void feed_offer_freshness(struct feed *feed, enum resource_kind kind,
     const struct dispatch_freshness *freshness);
 
-/** @return whether a peer has a newer configuration */
+/** @return whether a peer has a newer configuration, or there may be one that a
+ * restore of the store lost and that will be written again */
 bool feed_is_behind(const struct feed *feed);
 
 /** @return whether the last call for the configuration failed */
--- a/include/platform/schedule.h
+++ b/include/platform/schedule.h
@@ -15,7 +15,8 @@
  * has a newer version */
 bool schedule_relies_on_peers(const struct reflector *reflector);
 
-/** @return whether this daemon itself has to call the store now */
+/** @return whether this daemon itself has to call the store now. The feed's mutex
+ * is held. */
 bool schedule_must_poll(const struct reflector *reflector, uint64_t now_ms);
 
 /** @return whether a stale read, which costs the store less, will do. The version
@@ -25,7 +26,7 @@
 
 /** @return whether the list may be stale. The first list of endpoints may: it is
  * long, all daemons of a fleet may read it in the same moment, and the next call
- * brings the changes. */
+ * brings the changes. After a restore it may be from before it. */
 bool schedule_stale_list_suffices(const struct reflector *reflector);
 
 /** @return how long a watch waits for a change; not at all after a failed call, so
