Wait until a daemon stands still in a test of passed connections

Cause: in the test. A trace of a failing run shows the traffic thread read the end of the killed peer in the 1 ms before all threads had stopped; it closed the idle connection as it should, before the test sent the request. Change: the test waits for the stop (waitpid, WUNTRACED) before it kills the peer. What it expects is the same.

--- a/tests/e2e/test_gateway_handoff.cc
+++ b/tests/e2e/test_gateway_handoff.cc
@@ -1,4 +1,5 @@
 #include <fcntl.h>
+#include <sys/wait.h>
 
 #include "gateway_fixture.h"
 
@@ -277,6 +278,9 @@
 	Caller caller(listen_port(), "");
 	std::this_thread::sleep_for(std::chrono::milliseconds(300));
 	daemons[0]->signal(SIGSTOP);
+	/* all its threads stand still */
+	ASSERT_EQ(waitpid(daemons[0]->pid(), nullptr, WUNTRACED),
+	    daemons[0]->pid());
 	daemons[1]->signal(SIGKILL);
 	std::this_thread::sleep_for(std::chrono::milliseconds(200));
 	caller.send_text("GET /safe/ HTTP/1.1\r\nHost: a.example\r\n"
