Count a stop that comes during a reload from before the reload

Callers saw: requests sent up to seconds later than 3 s after SIGTERM were taken and given up, if the signal waited while the main thread handled SIGHUP or SIGUSR1. Cause: the time of the signal was read when sigwait() returned it, and other signals are delivered first and handled on the same thread. Class of fault: a time is taken when it is noticed, not when it happened. Change: the main thread notes the time before it handles another signal, and takes a stop that is pending afterwards with that time.

--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -209,12 +209,54 @@
 	json_decref(dump);
 }
 
+static bool
+is_stop_signal(int signal_number)
+{
+	return signal_number == SIGTERM || signal_number == SIGINT;
+}
+
+/* Takes a signal to stop that came while another one was handled. */
+static bool
+take_pending_stop(void)
+{
+	const struct timespec none = { 0, 0 };
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	return sigtimedwait(&signals, NULL, &none) > 0;
+}
+
+/* Handles signals until one tells the daemon to stop. @return when that one came,
+ * or before it: a signal may wait while another one is handled */
+static uint64_t
+wait_for_stop(struct daemon *daemon, const sigset_t *signals)
+{
+	struct clk clk;
+	int signal_number;
+
+	clk_init_system(&clk);
+	while (sigwait(signals, &signal_number) == 0 &&
+	    !is_stop_signal(signal_number)) {
+		uint64_t handled_ms = clk_monotonic_ms(&clk);
+
+		if (signal_number == SIGUSR1)
+			print_dump(daemon);
+		else if (signal_number == SIGHUP)
+			reload_run(&daemon->reload);
+		if (take_pending_stop())
+			return handled_ms;
+	}
+	return clk_monotonic_ms(&clk);
+}
+
 static int
 daemon_run(struct daemon *daemon)
 {
 	GError *error = NULL;
 	sigset_t signals;
-	int signal_number;
+	uint64_t signal_ms;
 
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
@@ -232,15 +274,9 @@
 	    daemon->settings.listen_address, "admin",
 	    daemon->settings.admin_address, "peer",
 	    daemon->settings.peer_address, NULL);
-	while (sigwait(&signals, &signal_number) == 0 &&
-	    signal_number != SIGTERM && signal_number != SIGINT)
-		if (signal_number == SIGUSR1)
-			print_dump(daemon);
-		else if (signal_number == SIGHUP)
-			reload_run(&daemon->reload);
+	signal_ms = wait_for_stop(daemon, &signals);
 	if (uses_gateway(daemon))
-		return stop_gateway(daemon, &signals,
-		    clk_monotonic_ms(&daemon->gateway.clk));
+		return stop_gateway(daemon, &signals, signal_ms);
 	atomic_store(&daemon->admin.draining, 1);
 	if (!drain_run(&daemon->frontend, &daemon->control, &signals))
 		daemon_abort(daemon);
--- a/tests/e2e/test_gateway_drain.cc
+++ b/tests/e2e/test_gateway_drain.cc
@@ -1,3 +1,5 @@
+#include <sys/stat.h>
+
 #include "gateway_fixture.h"
 
 using namespace e2e;
@@ -23,7 +25,7 @@
       protected:
 	/** The first request on each path runs until it is released and then gets
 	 * no response; all later ones are counted and answered. */
-	void start_and_stop()
+	void start_and_hold()
 	{
 		auto script = [this](Connection &connection,
 				  const std::string &request) {
@@ -45,6 +47,16 @@
 		hold_ = std::make_unique<Caller>(harness.listen_port,
 		    request_head("POST", "/once/hold", "hold") + "b");
 		sleep_ms(300);
+	}
+
+	void start_and_stop()
+	{
+		start_and_hold();
+		signal_stop();
+	}
+
+	void signal_stop()
+	{
 		harness.daemon->signal(SIGTERM);
 		signalled_ = std::chrono::steady_clock::now();
 	}
@@ -127,4 +139,25 @@
 	EXPECT_EQ(harness.daemon->wait_with_timeout(8000), 0);
 }
 
+/* The settings can't be read for a while as the signal comes. */
+TEST_F(GatewayDrain, ASignalDuringAReloadCountsFromWhenItCame)
+{
+	start_and_hold();
+	std::string path = harness.directory + "/daemon.toml";
+	std::filesystem::rename(path, path + ".old");
+	ASSERT_EQ(mkfifo(path.c_str(), 0600), 0);
+	harness.daemon->signal(SIGHUP);
+	sleep_ms(100);
+	signal_stop();
+	wait_until_ms(1500);
+	std::ofstream(path) << std::ifstream(path + ".old").rdbuf();
+	wait_until_ms(3200);
+	Caller late(harness.listen_port,
+	    request_head("POST", "/once/", "late") + "b");
+	EXPECT_EQ(late.receive().rfind("HTTP/1.1 503", 0), 0u);
+	EXPECT_EQ(first_request_count, 0);
+	released = true;
+	EXPECT_EQ(harness.daemon->wait_with_timeout(8000), 0);
+}
+
 } // namespace
