Read no position of another thread for the line of a restore

A peer's news of a restore was logged with the position of the reflector, which only its own thread may read; and a stale read made a daemon pause as if the store had refused to confirm. The caller now names the known revision, and a stale answer says nothing about the confirmation.

--- a/include/platform/reflector.h
+++ b/include/platform/reflector.h
@@ -24,10 +24,12 @@
  * none, or the store was restored since */
 bool reflector_needs_list(const struct reflector *reflector);
 
-/** Records how often the store or a peer says that the store was restored.
- * @param revision of the store then, for the log */
+/** Records how often the store or a peer says that the store was restored. For any
+ * thread.
+ * @param known_revision the store's number that is known here, for the log
+ * @param revision the one that the store or the peer tells, for the log */
 void reflector_hear_restores(struct reflector *reflector, uint32_t count,
-    uint64_t revision);
+    uint64_t known_revision, uint64_t revision);
 
 /** Removes objects whose delayed removal is due. */
 void reflector_flush_removals(struct reflector *reflector);
