Answer what still runs when a second signal ends a drain

Callers saw: a connection closed without a byte, also for requests that had not run, if the process got SIGTERM twice. Cause: the second signal ended the wait for the drain, and the server was stopped with its requests, while the end by time answers them first. Class of fault: two ways out of a drain, of which one skips a step. Change: a second signal begins the same shutdown as the end of the time: 504 or 503 to what still runs, time for the answers, then the exit.

--- a/bamboorudderd/gateway.c
+++ b/bamboorudderd/gateway.c
@@ -142,6 +142,17 @@
 	return false;
 }
 
+/* Answers the requests that still run, and refuses further ones. */
+static void
+begin_shutdown(struct gateway *gateway, uint64_t now_ms)
+{
+	if (gateway->shutting_down)
+		return;
+	gateway->shutting_down = true;
+	gateway->shutdown_ms = now_ms;
+	end_requests_for_exit(gateway);
+}
+
 /* Ends draining once no request has been active for a while, or at the latest
  * shortly before the platform kills the process. */
 static void
@@ -156,14 +167,10 @@
 	if (gateway->active_count > 0 || gateway->handoffs_count > 0 ||
 	    has_unfinished_exchanges(gateway))
 		gateway->idle_since_ms = now_ms;
-	if (!gateway->shutting_down &&
-	    (time_is_up ||
-		(draining_ms >= DRAIN_ACCEPT_MS &&
-		    now_ms >= gateway->idle_since_ms + DRAIN_IDLE_MS))) {
-		gateway->shutting_down = true;
-		gateway->shutdown_ms = now_ms;
-		end_requests_for_exit(gateway);
-	}
+	if (time_is_up ||
+	    (draining_ms >= DRAIN_ACCEPT_MS &&
+		now_ms >= gateway->idle_since_ms + DRAIN_IDLE_MS))
+		begin_shutdown(gateway, now_ms);
 	if (gateway->shutting_down &&
 	    now_ms >= gateway->shutdown_ms + DRAIN_FLUSH_MS)
 		atomic_store(&gateway->drained, 1);
@@ -332,6 +339,19 @@
 	    g_memdup2(&signal_ms, sizeof(signal_ms)));
 }
 
+static void
+run_end_drain(struct gateway *gateway, void *context)
+{
+	(void)context;
+	begin_shutdown(gateway, gw_now_ms(gateway));
+}
+
+void
+gateway_end_drain(struct gateway *gateway)
+{
+	gw_mailbox_post(gateway, run_end_drain, NULL);
+}
+
 bool
 gateway_drain_ends_soon(struct gateway *gateway)
 {
--- a/bamboorudderd/main.c
+++ b/bamboorudderd/main.c
@@ -163,20 +163,25 @@
 #define DRAIN_POLL_INTERVAL_MS 50u
 #define NS_PER_MS 1000000L
 
+static bool
+is_stop_signal(int signal_number)
+{
+	return signal_number == SIGTERM || signal_number == SIGINT;
+}
+
 /* Shuts down a daemon with a gateway. Waits until all received requests are
- * done or another signal arrives. */
+ * done, or have been answered as another signal arrives. */
 static int
 stop_gateway(struct daemon *daemon, const sigset_t *signals, uint64_t signal_ms)
 {
 	struct timespec pause = { 0, DRAIN_POLL_INTERVAL_MS * NS_PER_MS };
 	GThread *admin_thread = NULL;
-	int signal_number = 0;
 
 	log_event(LOG_LEVEL_INFO, "draining", NULL);
 	gateway_drain(&daemon->gateway, signal_ms);
-	while (!gateway_drained(&daemon->gateway) && signal_number != SIGTERM &&
-	    signal_number != SIGINT) {
-		signal_number = sigtimedwait(signals, NULL, &pause);
+	while (!gateway_drained(&daemon->gateway)) {
+		if (is_stop_signal(sigtimedwait(signals, NULL, &pause)))
+			gateway_end_drain(&daemon->gateway);
 		if (admin_thread == NULL &&
 		    gateway_drain_ends_soon(&daemon->gateway)) {
 			gateway_stop_feed(&daemon->gateway);
@@ -209,12 +214,6 @@
 	json_decref(dump);
 }
 
-static bool
-is_stop_signal(int signal_number)
-{
-	return signal_number == SIGTERM || signal_number == SIGINT;
-}
-
 /* Takes a signal to stop that came while another one was handled. */
 static bool
 take_pending_stop(void)
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -280,6 +280,10 @@
  * @param signal_ms when the process was told to stop, by clk_monotonic_ms() */
 void gateway_drain(struct gateway *gateway, uint64_t signal_ms);
 
+/** Ends a drain at once: requests that still run get an answer that tells whether
+ * they may have run. */
+void gateway_end_drain(struct gateway *gateway);
+
 /** @return whether draining will be over within two seconds */
 bool gateway_drain_ends_soon(struct gateway *gateway);
 
--- a/tests/e2e/test_gateway_drain.cc
+++ b/tests/e2e/test_gateway_drain.cc
@@ -160,4 +160,17 @@
 	EXPECT_EQ(harness.daemon->wait_with_timeout(8000), 0);
 }
 
+TEST_F(GatewayDrain, ASecondSignalLeavesNoRequestWithoutAnAnswer)
+{
+	start_and_stop();
+	wait_until_ms(500);
+	Caller running(harness.listen_port,
+	    request_head("POST", "/again/first", "running") + "b");
+	wait_until_ms(1000);
+	harness.daemon->signal(SIGTERM);
+	EXPECT_EQ(running.receive().rfind("HTTP/1.1 504", 0), 0u);
+	EXPECT_EQ(harness.daemon->wait_with_timeout(5000), 0);
+	released = true;
+}
+
 } // namespace
