Believe no former process or older entry of a copy of the store

Callers saw (unit tests): requests for an endpoint that this daemon had seen go, or for the process before the one that runs. Cause: an entry was taken for that of the copy only if its revision's number and its process were just those that were known last. One that had changed before it was removed, or had started again since the copy, passed for news. Change: after a restore, an entry with a number and a process not above the last ones known is the copy's: it renews no hold, and one of a former process is older.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -120,16 +120,16 @@
 	    gone->process_start_ms == info->process_start_ms;
 }
 
-/* @return whether an entry was read again, unchanged, after a restore of the
- * store */
+/* @return whether an entry was read from a copy that the store was restored from,
+ * and is not newer than what was known before */
 static bool
-is_same_entry(uint64_t revision_before, uint64_t process_start_before_ms,
+is_copied_entry(uint64_t revision_before, uint64_t process_start_before_ms,
     const struct dispatch_endpoint_info *info)
 {
-	return info->process_start_ms == process_start_before_ms &&
+	return info->process_start_ms <= process_start_before_ms &&
 	    store_revision_restores_count(revision_before) <
 	    store_revision_restores_count(info->revision) &&
-	    store_revision_number(revision_before) ==
+	    store_revision_number(revision_before) >=
 	    store_revision_number(info->revision);
 }
 
@@ -143,20 +143,32 @@
 	    &endpoint->endpoint_id);
 
 	if (gone != NULL &&
-	    is_same_entry(gone->revision, gone->process_start_ms, info))
+	    is_copied_entry(gone->revision, gone->process_start_ms, info))
 		endpoint->returned_until_ms = now_ms + RETURNED_HOLD_MS;
 	else if (endpoint->info.revision != info->revision &&
-	    !is_same_entry(endpoint->info.revision,
+	    !is_copied_entry(endpoint->info.revision,
 		endpoint->info.process_start_ms, info))
 		endpoint->returned_until_ms = 0;
 }
 
+/* @return whether an entry is of the process before the one that is known, and was
+ * brought back by a copy of the store */
+static bool
+is_former_process(const struct dispatch_endpoint_info *known,
+    const struct dispatch_endpoint_info *info)
+{
+	return info->process_start_ms != 0 &&
+	    info->process_start_ms < known->process_start_ms &&
+	    is_copied_entry(known->revision, known->process_start_ms, info);
+}
+
 static bool
 is_older(const struct dispatch_endpoint *endpoint,
     const struct dispatch_endpoint_info *info)
 {
 	return endpoint != NULL && endpoint->listed && info->revision != 0 &&
-	    info->revision < endpoint->info.revision;
+	    (info->revision < endpoint->info.revision ||
+		is_former_process(&endpoint->info, info));
 }
 
 void
--- a/tests/unit/test_dispatch_restored.cc
+++ b/tests/unit/test_dispatch_restored.cc
@@ -101,4 +101,51 @@
 	EXPECT_TRUE(decide(make_request()).start);
 }
 
+TEST_F(DispatchRestored,
+    AnEndpointThatChangedBeforeItWasRemovedGetsNothingFromTheCopy)
+{
+	put("e1", 0, 40);
+	put("e1", 0, 60);
+	dispatch_remove_endpoint(&dispatch, "e1");
+	put("e1", 1, 40);
+	EXPECT_FALSE(may_send_to("e1"));
+}
+
+TEST_F(DispatchRestored, ACopyDoesNotBringTheFormerProcessBack)
+{
+	struct dispatch_endpoint_info old_process, new_process;
+
+	put("e1", 0, 40);
+	old_process = find_endpoint("e1")->info;
+	old_process.process_start_ms = 100;
+	old_process.revision = store_revision_make(0, 40);
+	new_process = old_process;
+	new_process.process_start_ms = 200;
+	new_process.revision = store_revision_make(0, 60);
+	dispatch_put_endpoint(&dispatch, &old_process, now_ms);
+	dispatch_put_endpoint(&dispatch, &new_process, now_ms);
+	old_process.revision = store_revision_make(1, 40);
+	dispatch_put_endpoint(&dispatch, &old_process, now_ms);
+	EXPECT_EQ(find_endpoint("e1")->info.process_start_ms, 200u);
+}
+
+TEST_F(DispatchRestored, ACopyDoesNotBringTheProcessBeforeAGoneOneBack)
+{
+	struct dispatch_endpoint_info old_process, new_process;
+
+	put("e1", 0, 40);
+	old_process = find_endpoint("e1")->info;
+	old_process.process_start_ms = 100;
+	old_process.revision = store_revision_make(0, 40);
+	new_process = old_process;
+	new_process.process_start_ms = 200;
+	new_process.revision = store_revision_make(0, 60);
+	dispatch_put_endpoint(&dispatch, &old_process, now_ms);
+	dispatch_put_endpoint(&dispatch, &new_process, now_ms);
+	dispatch_remove_endpoint(&dispatch, "e1");
+	old_process.revision = store_revision_make(1, 40);
+	dispatch_put_endpoint(&dispatch, &old_process, now_ms);
+	EXPECT_FALSE(may_send_to("e1"));
+}
+
 } // namespace
