Begin the time after a restore when the store serves again

Callers saw (tests): a key that a lost configuration had taken away ran, if the store refused calls for a while after its restore. Found by the review of the incident. Cause: the time in which what was lost is written again counted from the first news of the restore, which a refusal tells, too, while nobody can write. It was the shorter side of about two seconds also where the longer one is the safe side, and entries that were held already kept the time of the restore before. Class of fault: a time is counted from when it was heard of, not from when it began. Change: it begins with the first answer that serves this daemon or a peer; until then nothing is removed or confirmed. A later restore holds entries further.

--- a/core/store_restore.c
+++ b/core/store_restore.c
@@ -1,24 +1,31 @@
 #include "core/store_restore.h"
 
-enum store_restore_order
-store_restore_hear(struct store_restore *restore, uint32_t restores_count,
-    uint64_t now_ms)
+/* Nothing can be written again before the store serves. */
+static void
+await_service(struct store_restore *restore, uint32_t restores_count)
 {
-	bool first = !restore->heard;
-
-	if (!first && restores_count < restore->restores_count)
-		return STORE_RESTORE_OLDER;
-	if (!first && restores_count == restore->restores_count)
-		return STORE_RESTORE_SAME;
 	restore->heard = true;
 	restore->restores_count = restores_count;
-	if (restores_count > 0)
-		restore->settled_ms = now_ms + STORE_REWRITE_MS;
-	return first ? STORE_RESTORE_SAME : STORE_RESTORE_NEWER;
+	if (restores_count == 0)
+		return;
+	restore->rewritten_ms = UINT64_MAX;
+	restore->settled_ms = UINT64_MAX;
 }
 
-bool
-store_restore_is_settling(const struct store_restore *restore, uint64_t now_ms)
+enum store_restore_order
+store_restore_hear(struct store_restore *restore, uint32_t restores_count,
+    bool served, uint64_t now_ms)
 {
-	return now_ms < restore->settled_ms;
+	bool first = !restore->heard;
+	bool newer = first || restores_count > restore->restores_count;
+
+	if (!newer && restores_count < restore->restores_count)
+		return STORE_RESTORE_OLDER;
+	if (newer)
+		await_service(restore, restores_count);
+	if (served && restore->settled_ms == UINT64_MAX) {
+		restore->rewritten_ms = now_ms + STORE_REWRITE_MS;
+		restore->settled_ms = now_ms + STORE_SETTLE_MS;
+	}
+	return newer && !first ? STORE_RESTORE_NEWER : STORE_RESTORE_SAME;
 }
--- a/include/platform/reflector.h
+++ b/include/platform/reflector.h
@@ -29,7 +29,7 @@
  * @param known_revision the store's number that is known here, for the log
  * @param revision the one that the store or the peer tells, for the log */
 void reflector_hear_restores(struct reflector *reflector, uint32_t count,
-    uint64_t known_revision, uint64_t revision);
+    bool served, uint64_t known_revision, uint64_t revision);
 
 /** Removes objects whose delayed removal is due. */
 void reflector_flush_removals(struct reflector *reflector);
--- a/tests/e2e/test_feed_restored.cc
+++ b/tests/e2e/test_feed_restored.cc
@@ -233,4 +233,39 @@
 	feed_finish(&newcomer);
 }
 
+TEST_F(FeedRestored, AStoreThatRefusesAfterARestoreIsNotConfirmedOnItsReturn)
+{
+	cut_off();
+	put_configuration(4);
+	store.restore();
+	std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+	uint64_t served_ms = feed_clock_ms();
+	store.fail_with(0);
+	EXPECT_FALSE(confirms_after(served_ms, 1200));
+}
+
+TEST_F(FeedRestored, ASecondRestoreExtendsTheTimeForLostEntries)
+{
+	put_endpoint("e2");
+	wait_until_seen();
+	store.restore();
+	std::this_thread::sleep_for(std::chrono::milliseconds(1400));
+	EXPECT_TRUE(has_endpoint("e2"));
+	store.restore();
+	std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+	EXPECT_TRUE(has_endpoint("e2"));
+}
+
+TEST_F(FeedRestored, AConfigurationWrittenAgainAfterTwoSecondsIsAwaited)
+{
+	cut_off();
+	put_configuration(4);
+	store.restore();
+	uint64_t restored_ms = feed_clock_ms();
+	store.fail_with(0);
+	while (feed_clock_ms() < restored_ms + 2200)
+		std::this_thread::sleep_for(std::chrono::milliseconds(5));
+	EXPECT_LE(sink.configuration_as_of_ms, restored_ms);
+}
+
 } // namespace
--- a/tests/unit/test_store_restore.cc
+++ b/tests/unit/test_store_restore.cc
@@ -10,14 +10,15 @@
 class StoreRestore : public ::testing::Test
 {
       protected:
-	store_restore_order hear(uint32_t count, uint64_t now_ms)
+	store_restore_order hear(uint32_t count, uint64_t now_ms,
+	    bool served = true)
 	{
-		return store_restore_hear(&restore, count, now_ms);
+		return store_restore_hear(&restore, count, served, now_ms);
 	}
 
 	bool is_settling(uint64_t now_ms) const
 	{
-		return store_restore_is_settling(&restore, now_ms);
+		return now_ms < restore.settled_ms;
 	}
 
 	struct store_restore restore = {};
@@ -35,8 +36,8 @@
 	hear(0, 1000);
 	EXPECT_EQ(hear(1, 5000), STORE_RESTORE_NEWER);
 	EXPECT_EQ(hear(1, 6000), STORE_RESTORE_SAME);
-	EXPECT_TRUE(is_settling(5000 + STORE_REWRITE_MS - 1));
-	EXPECT_FALSE(is_settling(5000 + STORE_REWRITE_MS));
+	EXPECT_TRUE(is_settling(5000 + STORE_SETTLE_MS - 1));
+	EXPECT_FALSE(is_settling(5000 + STORE_SETTLE_MS));
 }
 
 TEST_F(StoreRestore, TwoRestoresInOneStepSettleFromTheSecond)
@@ -44,7 +45,7 @@
 	hear(0, 1000);
 	hear(1, 5000);
 	EXPECT_EQ(hear(3, 6000), STORE_RESTORE_NEWER);
-	EXPECT_TRUE(is_settling(6000 + STORE_REWRITE_MS - 1));
+	EXPECT_TRUE(is_settling(6000 + STORE_SETTLE_MS - 1));
 }
 
 TEST_F(StoreRestore, AnAnswerFromBeforeARestoreIsOlder)
@@ -59,7 +60,20 @@
 {
 	EXPECT_EQ(hear(2, 5000), STORE_RESTORE_SAME);
 	EXPECT_TRUE(is_settling(5000));
-	EXPECT_FALSE(is_settling(5000 + STORE_REWRITE_MS));
+	EXPECT_FALSE(is_settling(5000 + STORE_SETTLE_MS));
+}
+
+TEST_F(StoreRestore, AStoreThatRefusesHasNotBegunToSettle)
+{
+	hear(0, 1000);
+	EXPECT_EQ(hear(1, 5000, false), STORE_RESTORE_NEWER);
+	EXPECT_TRUE(is_settling(60000));
+	EXPECT_EQ(restore.rewritten_ms, UINT64_MAX);
+	hear(1, 9000);
+	hear(1, 9500, false);
+	EXPECT_TRUE(is_settling(9000 + STORE_SETTLE_MS - 1));
+	EXPECT_FALSE(is_settling(9000 + STORE_SETTLE_MS));
+	EXPECT_EQ(restore.rewritten_ms, 9000 + STORE_REWRITE_MS);
 }
 
 } // namespace
