--- a/tests/e2e/test_feed_restored.cc
+++ b/tests/e2e/test_feed_restored.cc
@@ -244,6 +244,26 @@
 	EXPECT_FALSE(confirms_after(served_ms, 1200));
 }
 
+TEST_F(FeedRestored, ADaemonWhosePeersConfirmIsNotBehindForLong)
+{
+	put_configuration(4);
+	EXPECT_TRUE(eventually([&] { return sink.version == 4; }));
+	wait_until_seen();
+	set_watching(false);
+	store.restore();
+	make_changes(1);
+	offer_version(RESOURCE_ENDPOINTS,
+	    store_revision_make(1, store.revision()));
+	std::this_thread::sleep_for(std::chrono::milliseconds(500));
+	EXPECT_TRUE(feed_is_behind(&feed));
+	put_configuration(4);
+	for (int i = 0; i < 160; i++) {
+		offer_version(RESOURCE_CONFIGURATION, 4);
+		std::this_thread::sleep_for(std::chrono::milliseconds(50));
+	}
+	EXPECT_FALSE(feed_is_behind(&feed));
+}
+
 TEST_F(FeedRestored, ASecondRestoreExtendsTheTimeForLostEntries)
 {
 	put_endpoint("e2");
