Tell the peers of a stop again while connections are passed

Callers on connections that a stopping daemon passes to a peer saw their requests taken late, run, and reset at the daemon's exit.

Cause: MSG_HANDOFF_STOP was sent once, with the time since the signal as of when it was queued. A peer that read it late counted the transit as part of the window and of the end.

Change: the daemon sends it again every 200 ms while it drains and passes connections, each time with the time since the signal. The peer keeps the earliest signal of a process. It tells a process from its successor by the incarnation, no longer by the age of the message; a change of incarnation alone now updates the list of peers. Only the first message of a process is logged.

Measured: Handoff.APeerThatReadsOfAStopLateTakesNothingLate pauses the peer from the signal to 1.0 s after it.

--- a/bamboorudderd/gateway_handoff.c
+++ b/bamboorudderd/gateway_handoff.c
@@ -296,6 +296,8 @@
 {
 	struct gw_handoff *handoff, *next;
 
+	if (gateway->draining && now_ms >= gateway->stop_due_ms)
+		gw_handoffs_stop(gateway);
 	for (handoff = LIST_FIRST(&gateway->handoffs); handoff != NULL;
 	     handoff = next) {
 		next = LIST_NEXT(handoff, entries);
--- a/bamboorudderd/gateway_peers.c
+++ b/bamboorudderd/gateway_peers.c
@@ -7,6 +7,8 @@
 /* Daemons with processor time to spare are asked to take connections so often,
  * beside the others. */
 #define HIGH_CPU_WEIGHT 4u
+/* The peers are told so often of a stop, as a message may be read late. */
+#define STOP_PERIOD_MS 200u
 
 void
 gw_peers_init(struct gateway *gateway)
@@ -53,9 +55,19 @@
 /* A peer that is about to stop. */
 struct peer_stop {
 	uint64_t node_id;
+	uint64_t incarnation;
 	struct drain_admission admission;
 };
 
+/* @return whether a later process of the peer is known */
+static bool
+has_successor(const struct gateway *gateway, const struct peer_stop *stop)
+{
+	const struct gw_peer *peer = gw_find_peer(gateway, stop->node_id);
+
+	return peer != NULL && peer->incarnation > stop->incarnation;
+}
+
 /* Lets a connection that a peer passes here end after the request in progress, or
  * when it has been idle for a while. */
 static void
@@ -73,22 +85,48 @@
 	const struct peer_stop *stop = g_hash_table_lookup(gateway->peer_stops,
 	    &caller->from_node_id);
 
-	/* a later process of the peer may have the same node_id */
-	if (stop != NULL &&
-	    gw_now_ms(gateway) <= stop->admission.signal_ms + DRAIN_ACCEPT_MS)
+	if (stop != NULL && !has_successor(gateway, stop))
 		stop_connection(caller, stop);
 }
 
+/* Keeps what is heard of a stop: the first message of a process, and the earliest
+ * signal of later ones.
+ * @return the stop of the process, or NULL if another one has followed */
+static const struct peer_stop *
+keep_stop(struct gateway *gateway, struct peer_stop *heard)
+{
+	struct peer_stop *stop = g_hash_table_lookup(gateway->peer_stops,
+	    &heard->node_id);
+
+	if (has_successor(gateway, heard) ||
+	    (stop != NULL && stop->incarnation > heard->incarnation)) {
+		g_free(heard);
+		return NULL;
+	}
+	if (stop == NULL || stop->incarnation < heard->incarnation) {
+		gw_observe_peer_stop(heard->node_id, &heard->admission,
+		    gw_now_ms(gateway));
+		g_hash_table_replace(gateway->peer_stops, &heard->node_id,
+		    heard);
+		return heard;
+	}
+	drain_admission_begin(&stop->admission, heard->admission.signal_ms,
+	    heard->admission.grace_ms);
+	g_free(heard);
+	return stop;
+}
+
 static void
 apply_stop(struct gateway *gateway, void *context)
 {
 	const GPtrArray *holders = gateway->caller_memory.holders;
-	struct peer_stop *stop = context;
+	const struct peer_stop *stop = keep_stop(gateway, context);
 
+	if (stop == NULL)
+		return;
 	/* the holder is the first member of its connection */
 	for (guint i = 0; i < holders->len; i++)
 		stop_connection(holders->pdata[i], stop);
-	g_hash_table_replace(gateway->peer_stops, &stop->node_id, stop);
 }
 
 void
@@ -103,10 +141,10 @@
 	now_ms = gw_now_ms(gateway);
 	stop = g_new0(struct peer_stop, 1);
 	stop->node_id = msg->from_node_id;
+	stop->incarnation = msg->from_incarnation;
 	drain_admission_begin(&stop->admission,
 	    now_ms - MIN(now_ms, msg->u.handoff_stop.elapsed_ms),
 	    msg->u.handoff_stop.grace_ms);
-	gw_observe_peer_stop(stop->node_id, &stop->admission, now_ms);
 	gw_mailbox_post(gateway, apply_stop, stop);
 }
 
@@ -150,6 +188,7 @@
 void
 gw_handoffs_stop(struct gateway *gateway)
 {
+	gateway->stop_due_ms = gw_now_ms(gateway) + STOP_PERIOD_MS;
 	if (gateway->handoffs_count > 0)
 		mailbox_post_context(gateway->control, run_stop_handoffs, NULL);
 }
@@ -175,6 +214,7 @@
 {
 	memset(peer, 0, sizeof(*peer));
 	peer->node_id = member->node_id;
+	peer->incarnation = member->incarnation;
 	peer->weight = member->high_cpu ? HIGH_CPU_WEIGHT : 1;
 	gw_parse_address(member->address, &peer->address);
 	inet_ntop(AF_INET, &peer->address.sin_addr, peer->host,
--- a/core/drain_admission.c
+++ b/core/drain_admission.c
@@ -15,8 +15,10 @@
 drain_admission_begin(struct drain_admission *admission, uint64_t signal_ms,
     uint32_t grace_ms)
 {
+	admission->signal_ms = admission->stopping
+	    ? MIN(admission->signal_ms, signal_ms)
+	    : signal_ms;
 	admission->stopping = true;
-	admission->signal_ms = signal_ms;
 	admission->grace_ms = grace_ms;
 }
 
--- a/core/gossip.c
+++ b/core/gossip.c
@@ -284,7 +284,8 @@
 	bool platform_lost = (update->flags & MEMBER_FLAG_PLATFORM_LOST) != 0;
 	bool high_cpu = (update->flags & MEMBER_FLAG_HIGH_CPU) != 0;
 
-	if (member->leaving != leaving || member->high_cpu != high_cpu)
+	if (member->leaving != leaving || member->high_cpu != high_cpu ||
+	    member->incarnation != update->incarnation)
 		members->live_set_changed = true;
 	member->incarnation = update->incarnation;
 	member->revision = update->revision;
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -192,6 +192,7 @@
 /** A live daemon in the same failure domain. */
 struct gw_peer {
 	uint64_t node_id;
+	uint64_t incarnation; /**< identifies the process */
 	uint32_t weight; /**< see struct handoff_peer */
 	char host[ADDRESS_MAX_BYTES]; /**< IP address */
 	struct sockaddr_in address; /**< where it takes connections */
@@ -221,6 +222,7 @@
 	LIST_HEAD(, gw_turned_away) turned_away;
 	uint32_t turned_away_count;
 	uint32_t handoffs_count;
+	uint64_t stop_due_ms; /**< when the peers are told next of a stop */
 	uint32_t unanswered_count; /**< of them, that no peer took yet */
 	uint32_t unread_count; /**< connections without a request yet */
 	struct handoff handoff;
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -76,7 +76,7 @@
 
 void gw_peers_init(struct gateway *gateway);
 void gw_peers_finish(struct gateway *gateway);
-/** Tells the peers that the connections passed to them end soon. */
+/** Tells the peers that the connections passed to them end soon, if any are. */
 void gw_handoffs_stop(struct gateway *gateway);
 /** Lets a new connection end soon if the peer that passes it here stops. */
 void gw_caller_apply_stop(const struct gateway *gateway,
--- a/include/core/drain_admission.h
+++ b/include/core/drain_admission.h
@@ -25,7 +25,9 @@
 	uint32_t grace_ms; /**< it is killed this long after that */
 };
 
-/** Records that a process was told to stop, by the clock of all other times. */
+/** Records that a process was told to stop, by the clock of all other times. Of
+ * several records of one stop the earliest signal counts, as a message about it
+ * may be late. */
 void drain_admission_begin(struct drain_admission *admission,
     uint64_t signal_ms, uint32_t grace_ms);
 
--- a/tests/e2e/test_gateway_handoff.cc
+++ b/tests/e2e/test_gateway_handoff.cc
@@ -92,6 +92,26 @@
 		return listen_port_;
 	}
 
+	ScriptedEndpoint::Script count_runs()
+	{
+		return [this](Connection &connection,
+			   const std::string &request) {
+			runs_count++;
+			connection.send_text(response_text(request, "whole"));
+		};
+	}
+
+	size_t count_lines(size_t instance, const std::string &event)
+	{
+		std::string log = daemons[instance]->log();
+		size_t count = 0;
+
+		for (size_t at = 0;
+		     (at = log.find(event, at)) != std::string::npos; at++)
+			count++;
+		return count;
+	}
+
 	FakeObjectStore store;
 	std::atomic<int> runs_count{ 0 }, lost_count{ 0 };
 	ScriptedEndpoint endpoint;
@@ -139,14 +159,7 @@
 
 	bool knows_all(size_t i)
 	{
-		std::string log = daemons[i]->log();
-		size_t count = 0;
-
-		for (size_t at = 0; (at = log.find("event=member_up", at)) !=
-		     std::string::npos;
-		     at++)
-			count++;
-		return count == INSTANCES_COUNT - 1;
+		return count_lines(i, "event=member_up") == INSTANCES_COUNT - 1;
 	}
 
 	std::string directory_;
@@ -162,6 +175,22 @@
 	};
 }
 
+/** @return the head of a request whose body is one byte */
+std::string
+hop_head(uint32_t deadline_ms)
+{
+	return "POST /once/ HTTP/1.1\r\nHost: a.example\r\n"
+	       "X-Bamboorudder-Request-Id: hop\r\n"
+	       "Content-Length: 1\r\nX-Bamboorudder-Deadline-Ms: " +
+	    std::to_string(deadline_ms) + "\r\n\r\n";
+}
+
+void
+sleep_ms(uint32_t time_ms)
+{
+	std::this_thread::sleep_for(std::chrono::milliseconds(time_ms));
+}
+
 /** Sends an event, and the rest of the stream after a while. */
 ScriptedEndpoint::Script
 stream_slowly(uint32_t pause_ms)
@@ -337,25 +366,14 @@
 /* The peer goes on, but its answers end with the process that passes them on. */
 TEST_F(Handoff, APeerStartsNoWorkThatMayOutlastTheDaemonThatStops)
 {
-	auto head = [](uint32_t deadline_ms) {
-		return "POST /once/ HTTP/1.1\r\nHost: a.example\r\n"
-		       "X-Bamboorudder-Request-Id: hop\r\n"
-		       "Content-Length: 1\r\nX-Bamboorudder-Deadline-Ms: " +
-		    std::to_string(deadline_ms) + "\r\n\r\n";
-	};
-
-	endpoint.set_script(
-	    [this](Connection &connection, const std::string &request) {
-		    runs_count++;
-		    connection.send_text(response_text(request, "whole"));
-	    });
+	endpoint.set_script(count_runs());
 	start({ PASSES, TAKES, TAKES });
 	Caller late(listen_port(), ""), fits(listen_port(), "");
 	std::this_thread::sleep_for(std::chrono::milliseconds(200));
 	daemons[0]->signal(SIGTERM);
 	std::this_thread::sleep_for(std::chrono::milliseconds(2000));
-	late.send_text(head(8000));
-	fits.send_text(head(2500));
+	late.send_text(hop_head(8000));
+	fits.send_text(hop_head(2500));
 	std::this_thread::sleep_for(std::chrono::milliseconds(1200));
 	late.send_text("b");
 	fits.send_text("b");
@@ -365,6 +383,31 @@
 	EXPECT_EQ(daemons[0]->wait_with_timeout(5000), 0);
 }
 
+/* What it is told first was queued long before it reads it. */
+TEST_F(Handoff, APeerThatReadsOfAStopLateTakesNothingLate)
+{
+	endpoint.set_script(count_runs());
+	start({ PASSES, TAKES, TAKES_NONE });
+	Caller late(listen_port(), ""), outlasts(listen_port(), "");
+	sleep_ms(300);
+	daemons[1]->signal(SIGSTOP);
+	daemons[0]->signal(SIGTERM);
+	sleep_ms(1000);
+	daemons[1]->signal(SIGCONT);
+	sleep_ms(1300);
+	late.send_text(hop_head(8000));
+	outlasts.send_text("P");
+	sleep_ms(1000);
+	late.send_text("b");
+	/* until 0.7 s after the end of the daemon's requests */
+	outlasts.send_text((hop_head(2400) + "b").substr(1));
+	EXPECT_EQ(late.receive().rfind("HTTP/1.1 503", 0), 0u);
+	EXPECT_EQ(outlasts.receive().rfind("HTTP/1.1 503", 0), 0u);
+	EXPECT_EQ(runs_count, 0);
+	EXPECT_EQ(daemons[0]->wait_with_timeout(5000), 0);
+	EXPECT_EQ(count_lines(1, "event=peer_stops"), 1u);
+}
+
 /* A connection without a request does not hold up the end of the process. */
 TEST_F(Handoff, ADaemonThatStopsClosesConnectionsWithoutARequest)
 {
--- a/tests/unit/test_drain_admission.cc
+++ b/tests/unit/test_drain_admission.cc
@@ -36,6 +36,19 @@
 	EXPECT_TRUE(drain_admission_may_begin(&admission, 9000, UINT64_MAX));
 }
 
+/* A message that was read late tells of a later signal. */
+TEST(DrainAdmission, TheEarliestSignalOfAStopCounts)
+{
+	drain_admission admission = stop();
+
+	for (uint64_t late_ms : { 900u, 0u, 300u })
+		drain_admission_begin(&admission, SIGNAL_MS + late_ms,
+		    GRACE_MS);
+	EXPECT_EQ(admission.signal_ms, SIGNAL_MS);
+	drain_admission_begin(&admission, SIGNAL_MS - 40, GRACE_MS);
+	EXPECT_EQ(admission.signal_ms, SIGNAL_MS - 40);
+}
+
 /* The caller is owed a whole answer to what it sends after 3 s. */
 TEST(DrainAdmission, WorkThatMayOutlastTheProcessDoesNotBeginLate)
 {
