Answer passed requests before the daemon that passes them ends

Callers whose request still ran on a passed connection when the first daemon stopped got a reset without a byte. A request of that daemon's own gets a whole 504, or 503 when nothing ran.

Cause: the peer asked about the origin's stop only before attempts, and let running ones go on beyond the origin's exit.

Change: with the periodic check of deadlines the peer ends such requests 200 ms before the origin ends its own. That time is part of the admission (hop_ms), so that a request that is taken late still ends by its deadline and is not cut before it. A stream on a passed connection is cut 200 ms earlier than before; its caller sees an unfinished body, as before.

Measured: Handoff.APassedRequestThatStillRunsIsAnsweredBeforeTheDaemonEnds sends a request 0.3 s after the signal to an endpoint that holds it. DrainAdmission.ARequestOnAPassedConnectionEndsBeforeTheProcess passes.

--- a/bamboorudderd/gateway_peers.c
+++ b/bamboorudderd/gateway_peers.c
@@ -9,6 +9,8 @@
 #define HIGH_CPU_WEIGHT 4u
 /* The peers are told so often of a stop, as a message may be read late. */
 #define STOP_PERIOD_MS 200u
+/* Time for an answer to reach the daemon that passes it on. */
+#define HOP_MS 200u
 
 void
 gw_peers_init(struct gateway *gateway)
@@ -142,6 +144,7 @@
 	stop = g_new0(struct peer_stop, 1);
 	stop->node_id = msg->from_node_id;
 	stop->incarnation = msg->from_incarnation;
+	stop->admission.hop_ms = HOP_MS;
 	drain_admission_begin(&stop->admission,
 	    now_ms - MIN(now_ms, msg->u.handoff_stop.elapsed_ms),
 	    msg->u.handoff_stop.grace_ms);
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -425,16 +425,28 @@
 }
 
 void
-gw_request_check_deadline(struct gw_request *request, uint64_t now_ms)
+gw_request_end_for_exit(struct gw_request *request)
 {
-	if (request->submitted && request->state != GW_STATE_ENDED &&
-	    now_ms >= request->deadline_ms)
-		give_up(request, "timeout", "timeout_not_run");
+	if (request->submitted && request->state != GW_STATE_ENDED)
+		give_up(request, "exit", "shutting_down");
+}
+
+/* @return whether the peer that passes the answer on ends soon */
+static bool
+origin_ends(const struct gw_request *request, uint64_t now_ms)
+{
+	const struct gw_caller *caller = request->caller;
+
+	return caller != NULL && caller->origin.stopping &&
+	    now_ms >= drain_admission_end_ms(&caller->origin);
 }
 
 void
-gw_request_end_for_exit(struct gw_request *request)
+gw_request_check_deadline(struct gw_request *request, uint64_t now_ms)
 {
-	if (request->submitted && request->state != GW_STATE_ENDED)
-		give_up(request, "exit", "shutting_down");
+	if (request->submitted && request->state != GW_STATE_ENDED &&
+	    now_ms >= request->deadline_ms)
+		give_up(request, "timeout", "timeout_not_run");
+	else if (origin_ends(request, now_ms))
+		gw_request_end_for_exit(request);
 }
--- a/core/drain_admission.c
+++ b/core/drain_admission.c
@@ -28,8 +28,9 @@
 	uint32_t grace_ms = admission->grace_ms;
 	uint32_t exit_ms = MAX(grace_ms / EXIT_DIVISOR,
 	    MIN(EXIT_MIN_MS, grace_ms / EXIT_MIN_DIVISOR));
+	uint32_t run_ms = grace_ms - exit_ms;
 
-	return admission->signal_ms + grace_ms - exit_ms;
+	return admission->signal_ms + run_ms - MIN(admission->hop_ms, run_ms);
 }
 
 bool
--- a/include/core/drain_admission.h
+++ b/include/core/drain_admission.h
@@ -23,6 +23,7 @@
 	bool stopping;
 	uint64_t signal_ms; /**< when the process was told to stop */
 	uint32_t grace_ms; /**< it is killed this long after that */
+	uint32_t hop_ms; /**< time for an answer to reach that process */
 };
 
 /** Records that a process was told to stop, by the clock of all other times. Of
@@ -31,7 +32,8 @@
 void drain_admission_begin(struct drain_admission *admission,
     uint64_t signal_ms, uint32_t grace_ms);
 
-/** @return when the process that stops ends the requests that still run */
+/** @return when the requests that still run are ended: as the process that stops
+ * ends its own, and hop_ms earlier where it only passes their answers on */
 uint64_t drain_admission_end_ms(const struct drain_admission *admission);
 
 /** @return whether an attempt, or the wait for one, may begin now
--- a/tests/e2e/test_gateway_handoff.cc
+++ b/tests/e2e/test_gateway_handoff.cc
@@ -408,6 +408,32 @@
 	EXPECT_EQ(count_lines(1, "event=peer_stops"), 1u);
 }
 
+/* The process that passes its answer ends first. */
+TEST_F(Handoff, APassedRequestThatStillRunsIsAnsweredBeforeTheDaemonEnds)
+{
+	std::atomic<bool> released{ false };
+
+	endpoint.set_script([&](Connection &, const std::string &) {
+		runs_count++;
+		while (!released)
+			sleep_ms(5);
+	});
+	start({ PASSES, TAKES, TAKES });
+	Caller caller(listen_port(), "");
+	sleep_ms(200);
+	daemons[0]->signal(SIGTERM);
+	sleep_ms(300);
+	caller.send_text(hop_head(9000) + "b");
+	std::string response = caller.receive();
+	released = true;
+	EXPECT_EQ(response.rfind("HTTP/1.1 504", 0), 0u) << response;
+	EXPECT_NE(response.find("Content-Length: 0"), std::string::npos);
+	EXPECT_NE(response.find("\r\n\r\n"), std::string::npos);
+	EXPECT_EQ(runs_count, 1);
+	EXPECT_NE(handled_by("hop"), 0u);
+	EXPECT_EQ(daemons[0]->wait_with_timeout(5000), 0);
+}
+
 /* A connection without a request does not hold up the end of the process. */
 TEST_F(Handoff, ADaemonThatStopsClosesConnectionsWithoutARequest)
 {
--- a/tests/unit/test_drain_admission.cc
+++ b/tests/unit/test_drain_admission.cc
@@ -94,6 +94,23 @@
 	}
 }
 
+/* What is admitted late is not cut before its deadline. */
+TEST(DrainAdmission, ARequestOnAPassedConnectionEndsBeforeTheProcess)
+{
+	for (uint32_t grace_ms : { 0u, 100u, 2000u, 8000u }) {
+		drain_admission own = stop(grace_ms), passed = own;
+		passed.hop_ms = 200;
+		uint64_t end_ms = drain_admission_end_ms(&passed) - SIGNAL_MS;
+		uint64_t own_end_ms = drain_admission_end_ms(&own) - SIGNAL_MS;
+		EXPECT_EQ(end_ms,
+		    own_end_ms - std::min<uint64_t>(own_end_ms, 200));
+		if (grace_ms < 8000)
+			continue;
+		EXPECT_TRUE(may_begin(passed, 4000, end_ms - 100));
+		EXPECT_FALSE(may_begin(passed, 4000, end_ms - 99));
+	}
+}
+
 /* Before its last sixth, a caller is owed what an endpoint still works on. */
 TEST(DrainAdmission, RequestsAreNotCutBeforeTheLastSixthOfTheGrace)
 {
