Test a used connection that was passed on, late in a stop

The test of the hop lost the second request on a used connection when it began to send requests at 3.2 s, which is after the idle limit of such connections.

The new test sends it at 2.75 s, inside the idle limit of 3 s, and expects 503 and no run.

--- a/tests/e2e/test_gateway_handoff.cc
+++ b/tests/e2e/test_gateway_handoff.cc
@@ -408,6 +408,21 @@
 	EXPECT_EQ(count_lines(1, "event=peer_stops"), 1u);
 }
 
+TEST_F(Handoff, AUsedPassedConnectionTakesNoLateRequest)
+{
+	endpoint.set_script(count_runs());
+	start({ PASSES, TAKES, TAKES });
+	Caller kept(listen_port(), hop_head(8000) + "b");
+	EXPECT_EQ(kept.receive().rfind("HTTP/1.1 200", 0), 0u);
+	daemons[0]->signal(SIGTERM);
+	/* the peer closes it after 3 s without a request */
+	sleep_ms(2750);
+	kept.send_text(hop_head(8000) + "b");
+	EXPECT_EQ(kept.receive().rfind("HTTP/1.1 503", 0), 0u);
+	EXPECT_EQ(runs_count, 1);
+	EXPECT_EQ(daemons[0]->wait_with_timeout(5000), 0);
+}
+
 /* The process that passes its answer ends first. */
 TEST_F(Handoff, APassedRequestThatStillRunsIsAnsweredBeforeTheDaemonEnds)
 {
