Test connections that are passed just after the message of a stop

The daemon that stops is paused at 2.5 s, so that no repeated message hides what a peer remembers of the stop; the test passes the connection itself.

--- a/tests/e2e/gateway_fixture.h
+++ b/tests/e2e/gateway_fixture.h
@@ -79,14 +79,15 @@
 	{
 	}
 
-	Caller(uint16_t port, const std::string &text)
+	Caller(uint16_t port, const std::string &text,
+	    const std::string &host = "127.0.0.1")
 	{
 		sockaddr_in address = {};
 
 		fd_ = socket(AF_INET, SOCK_STREAM, 0);
 		address.sin_family = AF_INET;
 		address.sin_port = htons(port);
-		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		address.sin_addr.s_addr = inet_addr(host.c_str());
 		EXPECT_EQ(connect(fd_, reinterpret_cast<sockaddr *>(&address),
 			      sizeof(address)),
 		    0);
--- a/tests/e2e/test_gateway_handoff.cc
+++ b/tests/e2e/test_gateway_handoff.cc
@@ -112,6 +112,11 @@
 		return count;
 	}
 
+	uint16_t handoff_port() const
+	{
+		return handoff_port_;
+	}
+
 	FakeObjectStore store;
 	std::atomic<int> runs_count{ 0 }, lost_count{ 0 };
 	ScriptedEndpoint endpoint;
@@ -423,6 +428,36 @@
 	EXPECT_EQ(daemons[0]->wait_with_timeout(5000), 0);
 }
 
+/* The daemon that stops is paused, so that no later message stops it. */
+TEST_F(Handoff, AConnectionThatComesAfterTheStopTakesNoLateRequest)
+{
+	const std::string mark = "event=peer_stops node=";
+
+	endpoint.set_script(count_runs());
+	start({ PASSES, TAKES, TAKES_NONE });
+	Caller passed(listen_port(), "");
+	sleep_ms(200);
+	daemons[0]->signal(SIGTERM);
+	sleep_ms(2500);
+	daemons[0]->signal(SIGSTOP);
+	sleep_ms(200);
+	std::string log = daemons[1]->log();
+	size_t at = log.find(mark);
+	ASSERT_NE(at, std::string::npos);
+	uint64_t node_id = htobe64(
+	    std::stoull(log.substr(at + mark.size(), 16), nullptr, 16));
+	Caller late(handoff_port(),
+	    std::string(reinterpret_cast<const char *>(&node_id),
+		sizeof(node_id)),
+	    address(1));
+	EXPECT_EQ(late.receive(), "\x01");
+	late.send_text(hop_head(8000) + "b");
+	EXPECT_EQ(late.receive().rfind("HTTP/1.1 503", 0), 0u);
+	EXPECT_EQ(runs_count, 0);
+	daemons[0]->signal(SIGCONT);
+	EXPECT_EQ(daemons[0]->wait_with_timeout(8000), 0);
+}
+
 /* The process that passes its answer ends first. */
 TEST_F(Handoff, APassedRequestThatStillRunsIsAnsweredBeforeTheDaemonEnds)
 {
