--- a/core/drain_admission.c
+++ b/core/drain_admission.c
@@ -15,8 +15,10 @@
 drain_admission_begin(struct drain_admission *admission, uint64_t signal_ms,
     uint32_t grace_ms)
 {
+	admission->signal_ms = admission->stopping
+	    ? MIN(admission->signal_ms, signal_ms)
+	    : signal_ms;
 	admission->stopping = true;
-	admission->signal_ms = signal_ms;
 	admission->grace_ms = grace_ms;
 }
 
@@ -26,8 +28,9 @@
 	uint32_t grace_ms = admission->grace_ms;
 	uint32_t exit_ms = MAX(grace_ms / EXIT_DIVISOR,
 	    MIN(EXIT_MIN_MS, grace_ms / EXIT_MIN_DIVISOR));
+	uint32_t run_ms = grace_ms - exit_ms;
 
-	return admission->signal_ms + grace_ms - exit_ms;
+	return admission->signal_ms + run_ms - MIN(admission->hop_ms, run_ms);
 }
 
 bool
--- a/tests/unit/test_drain_admission.cc
+++ b/tests/unit/test_drain_admission.cc
@@ -36,6 +36,19 @@
 	EXPECT_TRUE(drain_admission_may_begin(&admission, 9000, UINT64_MAX));
 }
 
+/* A message that was read late tells of a later signal. */
+TEST(DrainAdmission, TheEarliestSignalOfAStopCounts)
+{
+	drain_admission admission = stop();
+
+	for (uint64_t late_ms : { 900u, 0u, 300u })
+		drain_admission_begin(&admission, SIGNAL_MS + late_ms,
+		    GRACE_MS);
+	EXPECT_EQ(admission.signal_ms, SIGNAL_MS);
+	drain_admission_begin(&admission, SIGNAL_MS - 40, GRACE_MS);
+	EXPECT_EQ(admission.signal_ms, SIGNAL_MS - 40);
+}
+
 /* The caller is owed a whole answer to what it sends after 3 s. */
 TEST(DrainAdmission, WorkThatMayOutlastTheProcessDoesNotBeginLate)
 {
@@ -81,6 +94,23 @@
 	}
 }
 
+/* What is admitted late is not cut before its deadline. */
+TEST(DrainAdmission, ARequestOnAPassedConnectionEndsBeforeTheProcess)
+{
+	for (uint32_t grace_ms : { 0u, 100u, 2000u, 8000u }) {
+		drain_admission own = stop(grace_ms), passed = own;
+		passed.hop_ms = 200;
+		uint64_t end_ms = drain_admission_end_ms(&passed) - SIGNAL_MS;
+		uint64_t own_end_ms = drain_admission_end_ms(&own) - SIGNAL_MS;
+		EXPECT_EQ(end_ms,
+		    own_end_ms - std::min<uint64_t>(own_end_ms, 200));
+		if (grace_ms < 8000)
+			continue;
+		EXPECT_TRUE(may_begin(passed, 4000, end_ms - 100));
+		EXPECT_FALSE(may_begin(passed, 4000, end_ms - 99));
+	}
+}
+
 /* Before its last sixth, a caller is owed what an endpoint still works on. */
 TEST(DrainAdmission, RequestsAreNotCutBeforeTheLastSixthOfTheGrace)
 {
