Write processes of an endpoint in one piece in the tests of restores

Cause: two tests filled in the same entries by hand, which add_endpoint() does. Change: put_process() in the fixture; the steps and expectations stay.

--- a/tests/unit/test_dispatch_restored.cc
+++ b/tests/unit/test_dispatch_restored.cc
@@ -20,6 +20,13 @@
 		    store_revision_make(restores_count, number));
 	}
 
+	void put_process(uint64_t start_ms, uint32_t restores_count,
+	    uint64_t number)
+	{
+		add_endpoint("e1", "engines", 8, start_ms, false, "z1",
+		    store_revision_make(restores_count, number));
+	}
+
 	bool may_send_to(const char *name)
 	{
 		const dispatch_endpoint *endpoint = find_endpoint(name);
@@ -113,38 +120,18 @@
 
 TEST_F(DispatchRestored, ACopyDoesNotBringTheFormerProcessBack)
 {
-	struct dispatch_endpoint_info old_process, new_process;
-
-	put("e1", 0, 40);
-	old_process = find_endpoint("e1")->info;
-	old_process.process_start_ms = 100;
-	old_process.revision = store_revision_make(0, 40);
-	new_process = old_process;
-	new_process.process_start_ms = 200;
-	new_process.revision = store_revision_make(0, 60);
-	dispatch_put_endpoint(&dispatch, &old_process, now_ms);
-	dispatch_put_endpoint(&dispatch, &new_process, now_ms);
-	old_process.revision = store_revision_make(1, 40);
-	dispatch_put_endpoint(&dispatch, &old_process, now_ms);
+	put_process(100, 0, 40);
+	put_process(200, 0, 60);
+	put_process(100, 1, 40);
 	EXPECT_EQ(find_endpoint("e1")->info.process_start_ms, 200u);
 }
 
 TEST_F(DispatchRestored, ACopyDoesNotBringTheProcessBeforeAGoneOneBack)
 {
-	struct dispatch_endpoint_info old_process, new_process;
-
-	put("e1", 0, 40);
-	old_process = find_endpoint("e1")->info;
-	old_process.process_start_ms = 100;
-	old_process.revision = store_revision_make(0, 40);
-	new_process = old_process;
-	new_process.process_start_ms = 200;
-	new_process.revision = store_revision_make(0, 60);
-	dispatch_put_endpoint(&dispatch, &old_process, now_ms);
-	dispatch_put_endpoint(&dispatch, &new_process, now_ms);
+	put_process(100, 0, 40);
+	put_process(200, 0, 60);
 	dispatch_remove_endpoint(&dispatch, "e1");
-	old_process.revision = store_revision_make(1, 40);
-	dispatch_put_endpoint(&dispatch, &old_process, now_ms);
+	put_process(100, 1, 40);
 	EXPECT_FALSE(may_send_to("e1"));
 }
 
