Use one constant for the time in which a stop takes connections

Cause: UNUSED_MS of passed connections was DRAIN_ACCEPT_MS again, with the same value and meaning; a parameter of reflector_hear_restores() was not described. Change: the one constant, and the line. Behaviour stays.

--- a/bamboorudderd/gateway_handoff.c
+++ b/bamboorudderd/gateway_handoff.c
@@ -14,9 +14,6 @@
 #define ANSWER_TIMEOUT_MS 200u
 /* Time that a caller has to close its side after the peer has closed its own. */
 #define LINGER_MS 2000u
-/* A connection without a request is closed this long after this daemon began to
- * stop. */
-#define UNUSED_MS 2600u
 /* Time without an acknowledgement after which a peer is given up. */
 #define UNACKNOWLEDGED_MAX_MS 3000u
 
@@ -273,7 +270,7 @@
 	    now_ms >= handoff->peer_ended_ms + LINGER_MS)
 		return true;
 	return !handoff->used && gateway->draining &&
-	    now_ms >= gateway->drain_start_ms + UNUSED_MS;
+	    now_ms >= gateway->drain_start_ms + DRAIN_ACCEPT_MS;
 }
 
 /* The answer may have come while this daemon was busy. */
--- a/include/platform/reflector.h
+++ b/include/platform/reflector.h
@@ -26,6 +26,7 @@
 
 /** Records how often the store or a peer says that the store was restored. For any
  * thread.
+ * @param served the store served this daemon, or the peer, after that many
  * @param known_revision the store's number that is known here, for the log
  * @param revision the one that the store or the peer tells, for the log */
 void reflector_hear_restores(struct reflector *reflector, uint32_t count,
