--- a/review/6/case.py
+++ b/review/6/case.py
@@ -73,7 +73,7 @@
     for sent_ms, request_id, answer in asked:
         seen = "no answer" if answer is None else \
             f"{answer.status} after {answer.taken_ms:.0f} ms"
-        record.write(f"sent {sent_ms - began_ms:6.0f} ms into the freeze, request "
+        record.add(f"sent {sent_ms - began_ms:6.0f} ms into the freeze, request "
                      f"{request_id}: {seen}; run by {ran.get(request_id, 'none')}")
     return judge(record, asked)
 
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -568,6 +568,10 @@
         self.file.flush()
         print(text, flush=True)
 
+    def add(self, text):
+        """Writes one of many lines, which are not printed."""
+        self.file.write(f"    {text}\n")
+
 
 def run_case(case, folder):
     """Runs case(record, trouble, hold), where hold(rig) hands over the rig for the
