Write no other text into a response that a peer has begun

What callers saw: on a connection that is passed to a peer, a caller that sends its next request while a response is under way gets the text of a 502 inside that response if the peer ends. One with a declared length is filled up by it and looks whole.

Cause: `awaiting` told which side had sent last, and was taken for "nothing of the response has come". The next request is held back until the response is whole, so that it is not lost with a peer that ends.

Ruled out: a further flag for "a response has begun", as only the framing tells where it ends.

--- a/bamboorudderd/gateway_handoff.c
+++ b/bamboorudderd/gateway_handoff.c
@@ -12,7 +12,7 @@
 
 /* Time in which a peer has to take a connection. */
 #define ANSWER_TIMEOUT_MS 200u
-/* Time that a caller has to close its side after the peer has closed its own. */
+/* Time that a side has to close after the other one has closed. */
 #define LINGER_MS 2000u
 /* Time without an acknowledgement after which a peer is given up. */
 #define UNACKNOWLEDGED_MAX_MS 3000u
@@ -69,6 +69,7 @@
 		handoff->sides[end].source.kind = GW_SOURCE_REMOVED;
 		g_byte_array_free(handoff->sides[end].pending, TRUE);
 	}
+	gw_handoff_exchange_finish(handoff);
 	gw_caller_free(gateway, handoff->caller);
 	gateway->unanswered_count -= handoff->state != HANDOFF_RELAYING;
 	gateway->handoffs_count--;
@@ -183,6 +184,7 @@
 		side->pending = g_byte_array_new();
 	}
 	handoff->sides[END_CALLER].source.fd = fd;
+	gw_handoff_exchange_init(handoff);
 	handoff->caller = gw_caller_new_passed(gateway, fd, handoff);
 	gateway->handoffs_count++;
 	gateway->unanswered_count++;
@@ -259,15 +261,20 @@
 	}
 }
 
-/* @return whether the peer has ended for good, or the caller sends no request while
+/* @return whether a side has ended for good, or the caller sends no request while
  * this daemon stops */
 static bool
 is_over(const struct gw_handoff *handoff, uint64_t now_ms)
 {
 	const struct gateway *gateway = handoff->gateway;
+	uint64_t peer_ended_ms = handoff->ended_ms[END_PEER];
+	uint64_t caller_ended_ms = handoff->ended_ms[END_CALLER];
 
-	if (handoff->peer_ended_ms > 0 &&
-	    now_ms >= handoff->peer_ended_ms + LINGER_MS)
+	if (peer_ended_ms > 0 && now_ms >= peer_ended_ms + LINGER_MS)
+		return true;
+	/* what a request still gets has a time limit of its own */
+	if (caller_ended_ms > 0 && now_ms >= caller_ended_ms + LINGER_MS &&
+	    !http_exchange_in_progress(&handoff->exchange))
 		return true;
 	return !handoff->used && gateway->draining &&
 	    now_ms >= gateway->drain_start_ms + DRAIN_ACCEPT_MS;
--- a/bamboorudderd/gateway_handoff_relay.c
+++ b/bamboorudderd/gateway_handoff_relay.c
@@ -8,60 +8,87 @@
 /* Read before other events are handled. */
 #define BLOCKS_PER_EVENT 4
 
-/* Answers a request whose peer has ended without a response: it may have run. */
-static void
-respond_unknown(struct gw_handoff *handoff)
+void
+gw_handoff_drop_peer(struct gw_handoff *handoff)
+{
+	struct handoff_side *peer = &handoff->sides[END_PEER];
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(peer->source.fd, SOL_SOCKET, SO_LINGER, &reset,
+	    sizeof(reset));
+	gw_handoff_close_side(handoff, END_PEER);
+	g_byte_array_set_size(peer->pending, 0);
+	peer->ended = true;
+	peer->shut = true;
+}
+
+void
+gw_handoff_end_caller(struct gw_handoff *handoff)
 {
-	static const char response[] = "HTTP/1.1 502 Bad Gateway\r\n"
-				       "Connection: close\r\n"
-				       "Content-Length: 0\r\n\r\n";
+	struct handoff_side *caller = &handoff->sides[END_CALLER];
 
-	handoff->awaiting = false;
-	send(handoff->sides[END_CALLER].source.fd, response,
-	    sizeof(response) - 1, MSG_NOSIGNAL);
+	caller->shut = true;
+	shutdown(caller->source.fd, SHUT_WR);
+	handoff->ended_ms[END_PEER] = gw_now_ms(handoff->gateway);
 }
 
-/* The peer has ended: a request that it owes a response must not go without. */
+/* The peer has ended: a request that it owes a response must not go without, and a
+ * response that breaks off must not look complete. */
 static void
-respond_for_peer(struct gw_handoff *handoff)
+pass_peer_end(struct gw_handoff *handoff)
 {
-	const struct handoff_side *caller = &handoff->sides[END_CALLER];
+	struct handoff_exchange exchange;
+	enum handoff_ending ending;
 
-	if (handoff->awaiting)
-		respond_unknown(handoff);
-	else if (!caller->ended && gw_has_unread(caller->source.fd))
-		gw_refuse_unread(handoff->gateway, caller->source.fd);
+	if (!handoff->sides[END_PEER].ended ||
+	    handoff->sides[END_CALLER].shut ||
+	    handoff->sides[END_CALLER].pending->len > 0)
+		return;
+	http_exchange_end_response(&handoff->exchange);
+	exchange = gw_handoff_describe(handoff);
+	ending = handoff_exchange_end(&exchange);
+	if (ending == HANDOFF_END_RESET) {
+		gw_handoff_abort(handoff);
+		return;
+	}
+	gw_handoff_answer(handoff, ending, 502);
+	gw_handoff_end_caller(handoff);
 }
 
-/* Passes the end of one side's bytes on, once all of them were taken. */
+/* Passes the end of the caller's bytes on, once the peer has taken all of them. */
 static void
-pass_end(struct gw_handoff *handoff, enum handoff_end from)
+pass_caller_end(struct gw_handoff *handoff)
 {
-	struct handoff_side *to = &handoff->sides[END_COUNT - 1 - from];
+	struct handoff_side *peer = &handoff->sides[END_PEER];
 
-	if (!handoff->sides[from].ended || to->shut || to->pending->len > 0)
+	if (!handoff->sides[END_CALLER].ended || peer->shut ||
+	    peer->pending->len > 0)
 		return;
-	if (from == END_PEER)
-		respond_for_peer(handoff);
-	to->shut = true;
-	shutdown(to->source.fd, SHUT_WR);
-	if (from == END_PEER)
-		handoff->peer_ended_ms = gw_now_ms(handoff->gateway);
+	peer->shut = true;
+	shutdown(peer->source.fd, SHUT_WR);
+	handoff->ended_ms[END_CALLER] = gw_now_ms(handoff->gateway);
+}
+
+/* @return what can be read from a side: nothing while the other one does not take
+ * its bytes, and no further requests of the caller before its response */
+static uint32_t
+readable_events(const struct gw_handoff *handoff, enum handoff_end end)
+{
+	if (handoff->sides[end].ended ||
+	    handoff->sides[END_COUNT - 1 - end].pending->len > 0)
+		return 0;
+	return end == END_CALLER && handoff->held->len > 0 ? EPOLLRDHUP
+							   : EPOLLIN;
 }
 
-/* Watches what each side can do next: nothing is read from a side whose bytes the
- * other one does not take. */
 static void
 update_watches(struct gw_handoff *handoff)
 {
 	for (int end = 0; end < END_COUNT; end++) {
 		const struct handoff_side *side = &handoff->sides[end];
-		const struct handoff_side *other =
-		    &handoff->sides[END_COUNT - 1 - end];
 		uint32_t events = side->pending->len > 0 ? EPOLLOUT : 0;
 
-		if (!side->ended && other->pending->len == 0)
-			events |= EPOLLIN;
+		events |= readable_events(handoff, (enum handoff_end)end);
 		if (events == 0)
 			gw_handoff_unwatch(handoff, (enum handoff_end)end);
 		else
@@ -99,15 +126,61 @@
 	return true;
 }
 
+/* Passes bytes of the caller on, up to the end of the request in progress. */
+static bool
+pass_request(struct gw_handoff *handoff, const uint8_t *bytes, size_t length)
+{
+	struct handoff_side *peer = &handoff->sides[END_PEER];
+	size_t passed;
+
+	/* what comes after the end of the other side is for nobody */
+	if (peer->shut)
+		return true;
+	if (!http_exchange_in_progress(&handoff->exchange))
+		handoff->deadline_ms = UINT64_MAX;
+	passed = http_exchange_add_request(&handoff->exchange, bytes, length);
+	g_byte_array_append(handoff->held, bytes + passed,
+	    (guint)(length - passed));
+	handoff->cut = !send_bytes(peer, bytes, passed);
+	return !handoff->cut;
+}
+
+/* Passes requests on that the caller sent before it had the last response. */
+static bool
+pass_held(struct gw_handoff *handoff)
+{
+	GByteArray *held = handoff->held;
+	bool sound;
+
+	if (held->len == 0 || http_exchange_in_progress(&handoff->exchange))
+		return true;
+	handoff->held = g_byte_array_new();
+	sound = pass_request(handoff, held->data, held->len);
+	g_byte_array_free(held, TRUE);
+	return sound;
+}
+
+static bool
+pass_response(struct gw_handoff *handoff, const uint8_t *bytes, size_t length)
+{
+	struct handoff_side *caller = &handoff->sides[END_CALLER];
+
+	if (caller->shut)
+		return true;
+	http_exchange_add_response(&handoff->exchange, bytes, length);
+	return send_bytes(caller, bytes, length) && pass_held(handoff);
+}
+
 /* @return false if the connection is broken */
 static bool
 read_side(struct gw_handoff *handoff, enum handoff_end from)
 {
 	struct handoff_side *side = &handoff->sides[from];
-	struct handoff_side *to = &handoff->sides[END_COUNT - 1 - from];
 	uint8_t block[BLOCK_BYTES];
 
-	for (int i = 0; i < BLOCKS_PER_EVENT && to->pending->len == 0; i++) {
+	for (int i = 0;
+	     i < BLOCKS_PER_EVENT && readable_events(handoff, from) == EPOLLIN;
+	     i++) {
 		ssize_t length = recv(side->source.fd, block, sizeof(block), 0);
 
 		if (length < 0)
@@ -116,30 +189,41 @@
 			side->ended = true;
 			return true;
 		}
-		/* a request that waited here too long is not passed on */
-		if (from == END_CALLER && gw_has_hung_up(side->source.fd))
-			return false;
-		handoff->used |= from == END_CALLER;
-		handoff->awaiting = from == END_CALLER;
-		/* what comes after the end of the other side is for nobody */
-		if (!to->shut && !send_bytes(to, block, (size_t)length))
-			return false;
+		handoff->moved_ms = gw_now_ms(handoff->gateway);
+		if (from == END_PEER) {
+			if (!pass_response(handoff, block, (size_t)length))
+				return false;
+		} else {
+			/* a request that waited here too long is not passed on */
+			if (gw_has_hung_up(side->source.fd))
+				return false;
+			handoff->used = true;
+			if (!pass_request(handoff, block, (size_t)length))
+				return false;
+		}
 		if ((size_t)length < sizeof(block))
 			break;
 	}
 	return true;
 }
 
-/* Ends the peer's side, as if it had closed it. */
-static void
-drop_peer(struct gw_handoff *handoff)
+/* @return whether the caller has left while requests of it are held back */
+static bool
+has_left(const struct gw_handoff *handoff, enum handoff_end end,
+    uint32_t events)
 {
-	struct handoff_side *peer = &handoff->sides[END_PEER];
+	return end == END_CALLER && handoff->held->len > 0 &&
+	    (events & (EPOLLRDHUP | EPOLLHUP)) != 0;
+}
 
-	gw_handoff_close_side(handoff, END_PEER);
-	g_byte_array_set_size(peer->pending, 0);
-	peer->ended = true;
-	peer->shut = true;
+void
+gw_handoff_update(struct gw_handoff *handoff)
+{
+	if (handoff->sides[END_CALLER].shut && handoff->sides[END_PEER].shut &&
+	    handoff->sides[END_CALLER].ended)
+		gw_handoff_remove(handoff);
+	else
+		update_watches(handoff);
 }
 
 void
@@ -149,22 +233,21 @@
 	struct handoff_side *side = &handoff->sides[end];
 	bool sound = (events & EPOLLERR) == 0;
 
-	if (sound && side->pending->len > 0 && (events & EPOLLOUT) != 0)
+	if (sound && side->pending->len > 0 && (events & EPOLLOUT) != 0) {
 		sound = flush_pending(side);
+		handoff->moved_ms = gw_now_ms(handoff->gateway);
+	}
 	if (sound && !side->ended && (events & (EPOLLIN | EPOLLHUP)) != 0)
 		sound = read_side(handoff, end);
-	if (!sound &&
-	    (!handoff->awaiting ||
-		gw_has_hung_up(handoff->sides[END_CALLER].source.fd))) {
+	if (has_left(handoff, end, events) ||
+	    (!sound && gw_has_hung_up(handoff->sides[END_CALLER].source.fd))) {
 		gw_handoff_abort(handoff);
 		return;
 	}
 	if (!sound)
-		drop_peer(handoff);
-	pass_end(handoff, END_CALLER);
-	pass_end(handoff, END_PEER);
-	if (handoff->sides[END_CALLER].shut && handoff->sides[END_PEER].shut)
-		gw_handoff_remove(handoff);
-	else
-		update_watches(handoff);
+		gw_handoff_drop_peer(handoff);
+	pass_caller_end(handoff);
+	pass_peer_end(handoff);
+	if (!handoff->removed)
+		gw_handoff_update(handoff);
 }
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -10,6 +10,8 @@
 #define FRESHNESS_MARGIN_MS 400u
 /* An account whose requests wait for more decisions floods this daemon. */
 #define ACCOUNT_UNDECIDED_MAX_COUNT 32u
+/* Time limit of a request whose route is not known here. */
+#define UNROUTED_TIMEOUT_MS 15000u
 #define TEXT_BYTES 24
 
 struct gw_request *
@@ -208,6 +210,15 @@
 	    refuse_unknown(request, 401, "unknown_key");
 }
 
+uint32_t
+gw_time_limit_ms(const struct config_route *route, uint32_t remaining_ms)
+{
+	uint32_t timeout_ms = route == NULL ? UNROUTED_TIMEOUT_MS
+					    : route->timeout_ms;
+
+	return remaining_ms == 0 ? timeout_ms : MIN(remaining_ms, timeout_ms);
+}
+
 static void
 set_deadlines(struct gw_request *request, uint64_t now_ms)
 {
@@ -217,7 +228,7 @@
 
 	request->caller_deadline_ms = now_ms + remaining_ms;
 	request->deadline_ms = now_ms +
-	    MIN(remaining_ms, request->route->timeout_ms);
+	    gw_time_limit_ms(request->route, remaining_ms);
 }
 
 bool
--- a/common/metric.c
+++ b/common/metric.c
@@ -63,6 +63,8 @@
 	    "Connections of callers that were passed to peers." },
 	[METRIC_HANDOFFS_TAKEN] = { "handoffs_taken_total", "counter",
 	    "Connections of callers that were taken from peers." },
+	[METRIC_HANDOFFS_UNANSWERED] = { "handoffs_unanswered_total", "counter",
+	    "Requests passed to peers that did not answer them." },
 	[METRIC_CONNECTIONS_TURNED_AWAY] = { "connections_turned_away_total",
 	    "counter", "Connections of callers that were refused unread." },
 	[METRIC_CALLERS_EVICTED] = { "callers_evicted_total", "counter",
--- a/include/bamboorudderd/gateway_handoff_private.h
+++ b/include/bamboorudderd/gateway_handoff_private.h
@@ -1,12 +1,15 @@
 /**
  * @file
  * Types and functions shared by the source files of passed connections:
- * gateway_handoff.c finds a peer, gateway_handoff_relay.c copies bytes both ways.
+ * gateway_handoff.c finds a peer, gateway_handoff_relay.c copies bytes both ways,
+ * gateway_handoff_exchange.c follows the requests and answers for silent peers.
  */
 #ifndef BAMBOORUDDERD_GATEWAY_HANDOFF_PRIVATE_H
 #define BAMBOORUDDERD_GATEWAY_HANDOFF_PRIVATE_H
 
 #include "bamboorudderd/gateway_private.h"
+#include "common/http_exchange.h"
+#include "core/handoff_exchange.h"
 
 enum handoff_end { END_CALLER, END_PEER, END_COUNT };
 
@@ -35,9 +38,17 @@
 	uint64_t tried_ids[HANDOFF_TRIES_MAX_COUNT];
 	uint32_t tried_count;
 	uint64_t asked_ms;
-	uint64_t peer_ended_ms; /**< 0: it has not */
+	uint64_t ended_ms[END_COUNT]; /**< 0: the side still sends */
+	uint64_t moved_ms; /**< when a side last sent or took bytes */
+	struct http_exchange exchange;
+	struct wire_request *head; /**< of a request; NULL outside of one */
+	char request_id[WIRE_ID_MAX_BYTES + 1];
+	uint64_t begun_ms; /**< when the head of the request ended */
+	uint64_t deadline_ms; /**< UINT64_MAX: its head has not ended */
+	/** Requests that the caller has sent before it had the last response. */
+	GByteArray *held;
 	bool used; /**< the caller has sent something */
-	bool awaiting; /**< the caller has sent something since the peer has */
+	bool cut; /**< a part of the request could not be sent to the peer */
 	bool removed;
 };
 
@@ -56,4 +67,28 @@
 void gw_handoff_relay(struct gw_handoff *handoff, enum handoff_end end,
     uint32_t events);
 
+/* gateway_handoff_exchange.c */
+
+void gw_handoff_exchange_init(struct gw_handoff *handoff);
+void gw_handoff_exchange_finish(struct gw_handoff *handoff);
+
+/** @return what is known of the request in progress */
+struct handoff_exchange gw_handoff_describe(const struct gw_handoff *handoff);
+
+/** Answers for a peer that won't: sends what handoff_exchange_end() tells, and logs
+ * it. Not for HANDOFF_END_RESET.
+ * @param status of a request that may have run */
+void gw_handoff_answer(struct gw_handoff *handoff, enum handoff_ending ending,
+    uint32_t status);
+
+/* gateway_handoff_relay.c */
+
+/** Resets the peer's side, so that the peer cancels what it does. */
+void gw_handoff_drop_peer(struct gw_handoff *handoff);
+/** Lets the caller's side end after the last byte that it was sent. */
+void gw_handoff_end_caller(struct gw_handoff *handoff);
+/** Closes the connection if both sides have ended, and waits for events of the
+ * sides otherwise. */
+void gw_handoff_update(struct gw_handoff *handoff);
+
 #endif
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -192,6 +192,11 @@
 /** Frees a request unless the server or the control thread still refers to
  * it. */
 void gw_request_release(struct gw_request *request);
+/** @param route NULL if it is not known
+ * @param remaining_ms until the caller's deadline; 0 if unknown
+ * @return how long a request may last */
+uint32_t gw_time_limit_ms(const struct config_route *route,
+    uint32_t remaining_ms);
 /** Finds the route and account of a request. @return false if it was
  * refused */
 bool gw_request_accept_head(struct gw_request *request);
--- a/tests/e2e/gateway_fixture.h
+++ b/tests/e2e/gateway_fixture.h
@@ -5,6 +5,8 @@
 #ifndef TESTS_E2E_GATEWAY_FIXTURE_H
 #define TESTS_E2E_GATEWAY_FIXTURE_H
 
+#include <poll.h>
+
 #include <atomic>
 #include <chrono>
 #include <thread>
@@ -21,6 +23,8 @@
 	{ "/again/", "streaming", 2, true, true },
 	{ "/keyed/", "safe", 1, false },
 	{ "/short/", "safe", 1, true, false, 400 },
+	{ "/short-once/", "unsafe", 1, true, false, 400 },
+	{ "/short-flow/", "streaming", 1, true, false, 400 },
 };
 
 inline const char accounts[] =
@@ -108,8 +112,62 @@
 		    (ssize_t)text.size());
 	}
 
-	/** Waits for the first bytes of the response. */
-	std::string receive() const
+	/** Sends a body until it is sent, the connection ends, or a flag is
+	 * set. */
+	void send_until_ended(size_t length,
+	    const std::atomic<bool> &ended) const
+	{
+		const std::string block(65536, 'b');
+
+		while (length > 0 && !ended) {
+			ssize_t sent = ::send(fd_, block.data(),
+			    std::min(length, block.size()),
+			    MSG_NOSIGNAL | MSG_DONTWAIT);
+
+			if (sent >= 0)
+				length -= (size_t)sent;
+			else if (errno != EAGAIN)
+				return;
+			else
+				std::this_thread::sleep_for(
+				    std::chrono::milliseconds(10));
+		}
+	}
+
+	/** Waits for the first bytes of the response, or the end.
+	 * @param timeout_ms 0: for any time */
+	std::string receive(uint32_t timeout_ms = 0) const
+	{
+		const timeval timeout = { timeout_ms / 1000,
+			(timeout_ms % 1000) * 1000 };
+
+		setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &timeout,
+		    sizeof(timeout));
+		return receive_some();
+	}
+
+	/** Receives until the connection ends or a time has passed.
+	 * @return whether it has ended */
+	bool receive_rest(uint32_t timeout_ms, std::string &text) const
+	{
+		auto until = std::chrono::steady_clock::now() +
+		    std::chrono::milliseconds(timeout_ms);
+
+		while (std::chrono::steady_clock::now() < until) {
+			pollfd ready = { fd_, POLLIN, 0 };
+
+			if (poll(&ready, 1, 10) == 0)
+				continue;
+			std::string part = receive_some();
+			if (part.empty())
+				return true;
+			text += part;
+		}
+		return false;
+	}
+
+      private:
+	std::string receive_some() const
 	{
 		char buffer[4096];
 		ssize_t count = recv(fd_, buffer, sizeof(buffer), 0);
@@ -117,7 +175,6 @@
 		return std::string(buffer, count < 0 ? 0 : (size_t)count);
 	}
 
-      private:
 	int fd_;
 };
 
--- a/tests/e2e/test_gateway_handoff.cc
+++ b/tests/e2e/test_gateway_handoff.cc
@@ -143,4 +143,82 @@
 	EXPECT_TRUE(eventually([&] { return closed->load(); }, 500));
 }
 
+/** A caller that sends its next request while a response is under way. */
+class HandoffAhead : public Handoff
+{
+      protected:
+	static std::string next_request()
+	{
+		return "GET /safe/ HTTP/1.1\r\nHost: a.example\r\n"
+		       "X-Bamboorudder-Request-Id: ahead\r\n"
+		       "X-Bamboorudder-Deadline-Ms: 8000\r\n\r\n";
+	}
+
+	/** Sends the next request, and ends the peer before it sends more of the
+	 * first response. @return what else the caller gets */
+	std::string end_peer(const Caller &caller)
+	{
+		std::string rest;
+
+		daemons[1]->signal(SIGSTOP);
+		EXPECT_EQ(waitpid(daemons[1]->pid(), nullptr, WUNTRACED),
+		    daemons[1]->pid());
+		caller.send_text(next_request());
+		sleep_ms(200);
+		daemons[1]->signal(SIGKILL);
+		EXPECT_TRUE(caller.receive_rest(5000, rest));
+		return rest;
+	}
+};
+
+/* The text of a 502 for the next request stood inside the stream. */
+TEST_F(HandoffAhead, AStreamThatBreaksOffHoldsNoOtherResponse)
+{
+	endpoint.set_script(stream_slowly(3000));
+	start({ PASSES, TAKES, TAKES_NONE });
+	Caller caller(listen_port(), "/flow/", 1);
+	ASSERT_EQ(caller.receive(3000).rfind("HTTP/1.1 200", 0), 0u);
+	std::string rest = end_peer(caller);
+	EXPECT_EQ(rest.find("HTTP/1.1"), std::string::npos) << rest;
+	EXPECT_EQ(rest.find("0\r\n\r\n"), std::string::npos) << rest;
+}
+
+/* A length that is filled up with the text of a 502 makes a cut response whole. */
+TEST_F(HandoffAhead, ALengthIsNotFilledUpWithAnotherResponse)
+{
+	endpoint.set_script(respond(std::string(3 * 1024 * 1024, 'd')));
+	start({ PASSES, TAKES, TAKES_NONE });
+	Caller caller(listen_port(), "/safe/", 1);
+	ASSERT_EQ(caller.receive(3000).rfind("HTTP/1.1 200", 0), 0u);
+	std::string rest = end_peer(caller);
+	EXPECT_EQ(rest.find("HTTP/1.1"), std::string::npos);
+	EXPECT_LT(rest.size(), 3u * 1024 * 1024);
+}
+
+TEST_F(HandoffAhead, TheNextRequestIsAnsweredAfterTheFirstResponse)
+{
+	std::string rest;
+
+	endpoint.set_script([](Connection &connection,
+				const std::string &request) {
+		connection.send_text(request.find("/flow/") != std::string::npos
+			? event_stream_head(request) +
+			    http_chunk("id: 1\ndata: a\n\n")
+			: response_text(request, "second"));
+		sleep_ms(300);
+		if (request.find("/flow/") != std::string::npos)
+			connection.send_text("0\r\n\r\n");
+	});
+	start({ PASSES, TAKES, TAKES_NONE });
+	Caller caller(listen_port(), "/flow/", 1);
+	caller.send_text(next_request() + next_request());
+	EXPECT_FALSE(caller.receive_rest(1500, rest));
+	size_t end = rest.find("0\r\n\r\n");
+	size_t second = rest.find("second");
+	ASSERT_NE(end, std::string::npos) << rest;
+	ASSERT_NE(second, std::string::npos) << rest;
+	EXPECT_LT(end, second);
+	EXPECT_NE(rest.find("second", second + 1), std::string::npos) << rest;
+}
+
 } // namespace
