Answer requests that a silent peer owes at their time limit

Cause: the daemon that passes a connection on knew bytes, not requests. It ended what the peer owed only when the peer's side ended, and a frozen process keeps its sockets.

Change: the time limit of each request that is passed on is taken from its head. 200 ms after it the caller gets 504; 503 if the end of the request was not passed on; a reset if the response has begun. The peer's side is reset. A log line and a counter tell of each.

Ruled out: a late event loop and a full window (both absent in the test, which has no load and a request of 150 bytes). Weighed: docs/design/handoff.md.

--- a/bamboorudderd/gateway_handoff.c
+++ b/bamboorudderd/gateway_handoff.c
@@ -310,6 +310,8 @@
 				on_answer_due(handoff, now_ms);
 		} else if (is_over(handoff, now_ms))
 			gw_handoff_remove(handoff);
+		else
+			gw_handoff_check_exchange(handoff, now_ms);
 	}
 }
 
--- a/bamboorudderd/gateway_handoff_exchange.c
+++ b/bamboorudderd/gateway_handoff_exchange.c
@@ -1,3 +1,4 @@
+#include <sys/epoll.h>
 #include <sys/socket.h>
 
 #include "bamboorudderd/gateway_handoff_private.h"
@@ -147,3 +148,48 @@
 		break;
 	}
 }
+
+static void
+give_up(struct gw_handoff *handoff, enum handoff_ending ending)
+{
+	struct gateway *gateway = handoff->gateway;
+
+	handoff_record_answer(&gateway->handoff,
+	    handoff->tried_ids[handoff->tried_count - 1], HANDOFF_SILENT,
+	    gw_now_ms(gateway));
+	if (ending == HANDOFF_END_RESET) {
+		log_unanswered(handoff, 0);
+		gw_handoff_abort(handoff);
+		return;
+	}
+	gw_handoff_drop_peer(handoff);
+	gw_handoff_answer(handoff, ending, 504);
+	gw_handoff_end_caller(handoff);
+	gw_handoff_update(handoff);
+}
+
+static bool
+is_due(const struct gw_handoff *handoff, uint64_t now_ms)
+{
+	const struct handoff_exchange exchange = gw_handoff_describe(handoff);
+
+	return !handoff->sides[END_PEER].ended &&
+	    now_ms >= handoff_exchange_due_ms(&exchange);
+}
+
+void
+gw_handoff_check_exchange(struct gw_handoff *handoff, uint64_t now_ms)
+{
+	struct handoff_exchange exchange;
+
+	if (!is_due(handoff, now_ms))
+		return;
+	/* the response may have come while this daemon was busy */
+	if (gw_has_unread(handoff->sides[END_PEER].source.fd)) {
+		gw_handoff_relay(handoff, END_PEER, EPOLLIN);
+		if (handoff->removed || !is_due(handoff, now_ms))
+			return;
+	}
+	exchange = gw_handoff_describe(handoff);
+	give_up(handoff, handoff_exchange_end(&exchange));
+}
--- a/include/bamboorudderd/gateway_handoff_private.h
+++ b/include/bamboorudderd/gateway_handoff_private.h
@@ -81,6 +81,9 @@
 void gw_handoff_answer(struct gw_handoff *handoff, enum handoff_ending ending,
     uint32_t status);
 
+/** Gives up what the peer owes, if that is due. */
+void gw_handoff_check_exchange(struct gw_handoff *handoff, uint64_t now_ms);
+
 /* gateway_handoff_relay.c */
 
 /** Resets the peer's side, so that the peer cancels what it does. */
--- a/tests/unit/test_http_exchange.cc
+++ b/tests/unit/test_http_exchange.cc
@@ -146,7 +146,7 @@
 	for (const char *text : { "HTTP/1.1 200 OK\r\nContent-Le",
 		 "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
 		 "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
-	         "chunked\r\n\r\n2\r\na" }) {
+		 "chunked\r\n\r\n2\r\na" }) {
 		struct http_exchange cut;
 
 		http_exchange_init(&cut, &ops, &seen);
