Take a status that is none for a broken response

What callers saw: an endpoint's status of 600, 700 or 999 was passed on to them, on the platform's path, through a peer and on the own interface.

Cause: the daemon asked only whether a status was 200 or more; libcurl refuses numbers below 100 and takes all others. RFC 9110, section 15, calls numbers outside 100 to 599 invalid.

Change: http_status_is_final() decides on both paths; anything else gets 502.

--- a/bamboorudderd/gateway_transfer.c
+++ b/bamboorudderd/gateway_transfer.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include "bamboorudderd/gateway_private.h"
+#include "common/http_header.h"
 #include "common/log.h"
 
 #define EVENTS_PER_POLL 64
@@ -208,7 +209,8 @@
 
 	curl_easy_getinfo(request->transfer, CURLINFO_RESPONSE_CODE, &status);
 	request->endpoint_response.status = (uint32_t)status;
-	request->endpoint_head_complete = status >= 200;
+	request->endpoint_head_complete = http_status_is_final(
+	    (uint32_t)status);
 	if (request->endpoint_head_complete)
 		gw_dispatch_statement(request);
 	gw_headers_filter_response(request);
--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -141,9 +141,10 @@
  * complete only after its [DONE] event, since a closed connection does not show
  * whether the stream was complete. */
 static bool
-response_is_complete(const struct transfer *transfer, CURLcode code)
+response_is_complete(struct transfer *transfer, CURLcode code)
 {
-	if (code != CURLE_OK || !transfer->headers_complete)
+	if (code != CURLE_OK || !transfer->headers_complete ||
+	    !transfer_has_status(transfer))
 		return false;
 	/* no other response can end a stream that has begun */
 	if (transfer->resume_count > 0)
@@ -153,7 +154,7 @@
 }
 
 static bool
-can_resume(const struct transfer *transfer, CURLcode code)
+can_resume(struct transfer *transfer, CURLcode code)
 {
 	return transfer->relay->can_resume && transfer->headers_sent &&
 	    !transfer->caller_disconnected &&
--- a/bamboorudderd/transfer.c
+++ b/bamboorudderd/transfer.c
@@ -102,6 +102,14 @@
 	return length;
 }
 
+bool
+transfer_has_status(struct transfer *transfer)
+{
+	curl_easy_getinfo(transfer->handle, CURLINFO_RESPONSE_CODE,
+	    &transfer->status);
+	return http_status_is_final((uint32_t)transfer->status);
+}
+
 bool
 transfer_not_run(struct transfer *transfer)
 {
@@ -260,6 +268,8 @@
 	size_t length = size * count;
 	bool continues;
 
+	if (!transfer->headers_sent && !transfer_has_status(transfer))
+		return 0;
 	if (transfer->resume_count == 0 && !transfer->headers_sent &&
 	    transfer_not_run(transfer))
 		return length;
--- a/common/http_header.c
+++ b/common/http_header.c
@@ -3,6 +3,9 @@
 #include <glib.h>
 #include <string.h>
 
+#define STATUS_FINAL_MIN 200u
+#define STATUS_MAX 599u
+
 /* Headers that apply to a single connection. */
 static const char *const hop_by_hop_names[] = { "connection", "keep-alive",
 	"proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
@@ -25,6 +28,12 @@
 	return false;
 }
 
+bool
+http_status_is_final(uint32_t status)
+{
+	return status >= STATUS_FINAL_MIN && status <= STATUS_MAX;
+}
+
 bool
 http_header_is_hop_by_hop(const char *name)
 {
--- a/include/bamboorudderd/transfer.h
+++ b/include/bamboorudderd/transfer.h
@@ -45,6 +45,9 @@
 /** Body callback of libcurl. */
 size_t transfer_on_body(char *bytes, size_t size, size_t count, void *context);
 
+/** @return whether the status is that of a final response */
+bool transfer_has_status(struct transfer *transfer);
+
 /** @return true if the endpoint reports that it did not run the request */
 bool transfer_not_run(struct transfer *transfer);
 
--- a/include/common/http_header.h
+++ b/include/common/http_header.h
@@ -1,16 +1,22 @@
 /**
  * @file
- * Rules for the HTTP header fields that the daemon forwards in either direction.
+ * Rules for statuses, and for the header fields that the daemon forwards in either
+ * direction.
  */
 #ifndef COMMON_HTTP_HEADER_H
 #define COMMON_HTTP_HEADER_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 /** Prefix of the headers that only daemons and endpoints may set; they are not
  * forwarded. */
 #define HTTP_HEADER_INTERNAL_PREFIX "Bamboorudder-"
 
+/** @return whether a status is that of a final response; other numbers are as good as
+ * no response */
+bool http_status_is_final(uint32_t status);
+
 /** @return whether a header applies to a single connection only */
 bool http_header_is_hop_by_hop(const char *name);
 
--- a/tests/e2e/gateway_fixture.h
+++ b/tests/e2e/gateway_fixture.h
@@ -189,15 +189,6 @@
 	    "Transfer-Encoding: chunked\r\n\r\n";
 }
 
-inline std::string
-http_chunk(const std::string &text)
-{
-	char size[16];
-
-	snprintf(size, sizeof(size), "%zx\r\n", text.size());
-	return size + text + "\r\n";
-}
-
 } // namespace e2e
 
 #endif
--- a/tests/e2e/responses.h
+++ b/tests/e2e/responses.h
@@ -29,15 +29,6 @@
 	return "HTTP/1.1 " + status + "\r\n" + lines + "\r\n";
 }
 
-inline std::string
-http_chunk(const std::string &text)
-{
-	char size[16];
-
-	snprintf(size, sizeof(size), "%zx\r\n", text.size());
-	return size + text + "\r\n";
-}
-
 inline std::string
 sse_event(int i)
 {
@@ -115,6 +106,11 @@
 class Responses : public ::testing::Test
 {
       protected:
+	explicit Responses(const std::string &extra_settings = "")
+	    : fleet(SETTINGS + extra_settings)
+	{
+	}
+
 	void SetUp() override
 	{
 		engine = fleet.add_engine(4, 1000);
@@ -174,7 +170,7 @@
 	}
 
 	ScriptedEndpoint scripted;
-	Fleet fleet{ SETTINGS };
+	Fleet fleet;
 	std::string engine;
 };
 
--- a/tests/e2e/scripted_endpoint.h
+++ b/tests/e2e/scripted_endpoint.h
@@ -32,15 +32,25 @@
 	{
 	}
 
-	/** Reads the head and as many body bytes as it announces. */
-	std::string read_request()
+	/** Reads the head, and bytes that come with it. */
+	std::string read_head()
 	{
 		std::string text;
-		size_t end;
 
-		while ((end = text.find("\r\n\r\n")) == std::string::npos)
+		while (text.find("\r\n\r\n") == std::string::npos)
 			if (!read_more(&text))
-				return text;
+				break;
+		return text;
+	}
+
+	/** Reads the head and as many body bytes as it announces. */
+	std::string read_request()
+	{
+		std::string text = read_head();
+		size_t end = text.find("\r\n\r\n");
+
+		if (end == std::string::npos)
+			return text;
 		size_t at = text.find("Content-Length: ");
 		size_t length = at > end ? 0 : std::stoul(text.substr(at + 16));
 		while (text.size() < end + 4 + length)
@@ -63,6 +73,14 @@
 		return true;
 	}
 
+	/** Lets the connection end by a reset instead of its end. */
+	void end_by_reset()
+	{
+		linger reset = { 1, 0 };
+
+		setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	}
+
       private:
 	bool read_more(std::string *text)
 	{
@@ -111,6 +129,17 @@
 		close(fd_);
 	}
 
+	/** Runs scripts when the head has come, while the body is still being
+	 * sent into a small window. */
+	void answer_early()
+	{
+		int window_bytes = 4096;
+
+		setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &window_bytes,
+		    sizeof(window_bytes));
+		early_ = true;
+	}
+
 	ScriptedEndpoint(const ScriptedEndpoint &) = delete;
 	ScriptedEndpoint &operator=(const ScriptedEndpoint &) = delete;
 
@@ -153,7 +182,8 @@
 	void serve(int fd)
 	{
 		Connection connection(fd);
-		std::string request = connection.read_request();
+		std::string request = early_ ? connection.read_head()
+					     : connection.read_request();
 		Script script;
 
 		{
@@ -170,6 +200,7 @@
 	int fd_;
 	uint16_t port_;
 	std::atomic<bool> stopping_{ false };
+	std::atomic<bool> early_{ false };
 	std::mutex mutex_;
 	Script script_;
 	std::vector<std::string> requests_;
@@ -177,6 +208,15 @@
 	std::thread thread_;
 };
 
+inline std::string
+http_chunk(const std::string &text)
+{
+	char size[16];
+
+	snprintf(size, sizeof(size), "%zx\r\n", text.size());
+	return size + text + "\r\n";
+}
+
 } // namespace e2e
 
 #endif
