Serve nothing on passed connections by an older configuration

Cause: a peer asked whether it has a configuration, not whether its peers have a newer one, though their reports name it.

Change: a peer that knows of a newer version declines connections, and refuses requests on those that it has with 503 and Connection: close. Its own callers are served as before. Not taken: refusing whenever the store is away or restored, as all daemons know as little then.

--- a/bamboorudderd/gateway_accept.c
+++ b/bamboorudderd/gateway_accept.c
@@ -183,6 +183,7 @@
 takes_from_peer(struct gateway *gateway, uint64_t node_id)
 {
 	return gw_find_peer(gateway, node_id) != NULL && gw_is_ready(gateway) &&
+	    !feed_is_outdated(&gateway->feed) &&
 	    !caller_memory_is_over(&gateway->caller_memory) &&
 	    handoff_accept(&gateway->handoff);
 }
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -231,6 +231,15 @@
 	    gw_time_limit_ms(request->route, remaining_ms);
 }
 
+/* The peer that passes the connection may have a newer configuration, and its
+ * callers get nothing by an older one. */
+static bool
+may_serve_peer(const struct gw_request *request)
+{
+	return request->caller == NULL || request->caller->from_node_id == 0 ||
+	    !feed_is_outdated(&request->gateway->feed);
+}
+
 bool
 gw_request_accept_head(struct gw_request *request)
 {
@@ -245,6 +254,11 @@
 		return refuse_early(request, 503, "no_configuration",
 		    GW_RETRY_AFTER_MS);
 	request->configuration = config_snapshot_ref(gateway->configuration);
+	if (!may_serve_peer(request)) {
+		request->close_connection = true;
+		return refuse_early(request, 503, "configuration_behind",
+		    GW_DRAIN_RETRY_AFTER_MS);
+	}
 	if (request->target[0] != '/')
 		return refuse_early(request, 400, "bad_target", 0);
 	request->route = config_snapshot_find_route(request->configuration,
--- a/include/platform/feed.h
+++ b/include/platform/feed.h
@@ -145,6 +145,9 @@
 void feed_offer_freshness(struct feed *feed, enum resource_kind kind,
     const struct dispatch_freshness *freshness);
 
+/** @return whether a peer has a newer configuration than this daemon */
+bool feed_is_outdated(const struct feed *feed);
+
 /** @return whether a peer has a newer configuration, or there may be one that a
  * restore of the store lost and that will be written again */
 bool feed_is_behind(const struct feed *feed);
--- a/tests/e2e/handoff_fixture.h
+++ b/tests/e2e/handoff_fixture.h
@@ -121,6 +121,13 @@
 		return handoff_port_;
 	}
 
+	/** @return the store that an instance uses */
+	virtual std::string store_url(size_t instance)
+	{
+		(void)instance;
+		return store.url();
+	}
+
 	FakeObjectStore store;
 	std::atomic<int> runs_count{ 0 }, lost_count{ 0 };
 	ScriptedEndpoint endpoint;
@@ -150,7 +157,7 @@
 		     << "failure_domain = \"z1\"\nseeds = [\"127.0.0.1:"
 		     << peer_port_ << "\"]\n"
 		     << settings << "[platform]\nform = \"objects\"\nurl = \""
-		     << store.url() << "\"\nwatch_wait_ms = 300\n"
+		     << store_url(i) << "\"\nwatch_wait_ms = 300\n"
 		     << "[retry]\nslack = 100\n"
 		     << "[shutdown]\ngrace_s = 6\n";
 		file.close();
--- a/tests/e2e/test_gateway_handoff.cc
+++ b/tests/e2e/test_gateway_handoff.cc
@@ -221,4 +221,47 @@
 	EXPECT_NE(rest.find("second", second + 1), std::string::npos) << rest;
 }
 
+/** The peer that takes connections is cut off from newer configurations. */
+class HandoffBehind : public Handoff
+{
+      protected:
+	std::string store_url(size_t instance) override
+	{
+		return instance == 1 ? older_store.url() : store.url();
+	}
+
+	FakeObjectStore older_store;
+};
+
+/* Callers of a daemon that has the newest version got what only the one before
+ * allows, from the peer that their connections were passed to. */
+TEST_F(HandoffBehind, APeerServesNothingByAnOlderConfigurationThanItsPeersHave)
+{
+	constexpr uint32_t CONFIG_APPLY_MS = 2000;
+	std::vector<RouteSpec> fewer = routes;
+
+	older_store.put("config", "main",
+	    configuration_json(3, routes, accounts));
+	older_store.put("servers", "e1",
+	    endpoint_entry_json("app", endpoint.address()));
+	endpoint.set_script(count_runs());
+	start({ PASSES, TAKES, TAKES_NONE });
+	Caller caller(listen_port(), "/safe/", 1);
+	ASSERT_EQ(caller.receive(3000).rfind("HTTP/1.1 200", 0), 0u);
+	ASSERT_EQ(handled_by("c1"), 1u);
+	fewer.erase(fewer.begin()); /* the route of the caller */
+	store.put("config", "main", configuration_json(4, fewer, accounts));
+	sleep_ms(CONFIG_APPLY_MS);
+	caller.send_text("GET /safe/ HTTP/1.1\r\nHost: a.example\r\n"
+			 "X-Bamboorudder-Request-Id: late\r\n"
+			 "X-Bamboorudder-Deadline-Ms: 8000\r\n\r\n");
+	std::string response = caller.receive(5000);
+	EXPECT_EQ(response.rfind("HTTP/1.1 503", 0), 0u) << response;
+	EXPECT_NE(response.find("Connection: close"), std::string::npos);
+	EXPECT_EQ(runs_count, 1);
+	/* it takes no further connections either */
+	EXPECT_EQ(send("/safe/", "new").status, 404);
+	EXPECT_EQ(handled_by("new"), 0u);
+}
+
 } // namespace
