Let hubs name the newest configuration that they have heard of

Cause: followers hear of versions from one hub, and a hub named its own copy alone. One that is cut off from the store, but not from its followers, kept them from hearing.

Change: a report names the newest configuration that a live peer itself has, without an age, where that is newer than the own one. It confirms nothing and is not named again by who hears of it.

--- a/core/dispatch_peers.c
+++ b/core/dispatch_peers.c
@@ -214,6 +214,16 @@
 	dispatch->peers_changed = true;
 }
 
+/* What a peer has only heard of, it names without an age: it is not named again, so
+ * that each name goes back to a daemon that has the version. */
+static void
+set_configuration_version(struct dispatch_peer *peer,
+    const struct reported_freshness *reported)
+{
+	if (reported->age_ms != UINT32_MAX)
+		peer->configuration_version = reported->version;
+}
+
 void
 dispatch_handle_report(struct dispatch *dispatch, const struct msg *msg,
     uint64_t now_ms, struct dispatch_freshness freshness[RESOURCE_KIND_COUNT])
@@ -227,6 +237,8 @@
 	peer = find_or_add_peer(dispatch, msg);
 	peer->received_ms = now_ms;
 	peer->stamp = report->stamp;
+	set_configuration_version(peer,
+	    &report->freshness[RESOURCE_CONFIGURATION]);
 	if (report->has_accounts)
 		set_accounts(dispatch, peer, report);
 }
@@ -255,6 +267,34 @@
 	return contains(dispatch->hubs, peer->node_id);
 }
 
+/* Names a newer configuration than the own one to daemons that hear of it from here
+ * alone, so that they read it themselves. */
+static void
+name_newer_configuration(const struct dispatch *dispatch,
+    struct reported_freshness *reported)
+{
+	if (dispatch->heard_configuration_version <= reported->version)
+		return;
+	reported->version = dispatch->heard_configuration_version;
+	reported->age_ms = UINT32_MAX;
+}
+
+static void
+update_heard_configuration(struct dispatch *dispatch)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	dispatch->heard_configuration_version = 0;
+	g_hash_table_iter_init(&iter, dispatch->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dispatch_peer *peer = value;
+		dispatch->heard_configuration_version =
+		    MAX(dispatch->heard_configuration_version,
+			peer->configuration_version);
+	}
+}
+
 static void
 send_report(struct dispatch *dispatch, uint64_t to_node_id, bool accounts,
     struct effects *effects)
@@ -269,6 +309,8 @@
 	for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++)
 		report->freshness[kind] = dispatch_report_freshness(dispatch,
 		    (enum resource_kind)kind);
+	name_newer_configuration(dispatch,
+	    &report->freshness[RESOURCE_CONFIGURATION]);
 	if (accounts)
 		dispatch_fill_accounts(dispatch, report);
 }
@@ -363,6 +405,7 @@
 	if (now_ms < dispatch->report_due_ms)
 		return;
 	dispatch->report_due_ms = now_ms + dispatch->config.report_period_ms;
+	update_heard_configuration(dispatch);
 	if (dispatch->is_hub)
 		report_as_hub(dispatch, now_ms, effects);
 	else
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -234,6 +234,8 @@
 	uint32_t hub_index; /**< in hub_candidates */
 	struct dispatch_freshness freshness[RESOURCE_KIND_COUNT];
 	uint64_t stamp_ms; /**< of the last tick, on the clock of freshness */
+	/** Newest configuration that a live peer has; 0: unknown. */
+	uint64_t heard_configuration_version;
 	uint64_t first_stamp_ms; /**< of the first tick */
 	/** Added to stamps, so that those of other processes can't be read. */
 	uint64_t stamp_offset;
--- a/include/core/dispatch_private.h
+++ b/include/core/dispatch_private.h
@@ -50,6 +50,8 @@
 	uint64_t incarnation; /**< identifies its process */
 	uint64_t received_ms;
 	uint64_t stamp; /**< the peer's last one, to be echoed */
+	/** Configuration that it has itself; 0: unknown. */
+	uint64_t configuration_version;
 	struct load_account *accounts;
 	uint32_t accounts_count;
 };
--- a/tests/unit/hubs_fleet.h
+++ b/tests/unit/hubs_fleet.h
@@ -163,6 +163,9 @@
 	std::vector<bool> running;
 	bool loses_events = false;
 	uint64_t last_hash = 0;
+	/** Daemons read no newer version that they are told of; the newest of
+	 * these is kept in freshness. */
+	bool keeps_own_copies = false;
 	std::vector<dispatch_freshness> freshness[RESOURCE_KIND_COUNT] = {
 		std::vector<dispatch_freshness>(400),
 		std::vector<dispatch_freshness>(400),
@@ -221,6 +224,12 @@
 	{
 		for (int kind = 0; kind < RESOURCE_KIND_COUNT; kind++) {
 			dispatch_freshness &best = freshness[kind][to];
+
+			if (keeps_own_copies) {
+				if (reported[kind].version >= best.version)
+					best = reported[kind];
+				continue;
+			}
 			if (reported[kind].version == 0 ||
 			    reported[kind].as_of_ms < best.as_of_ms)
 				continue;
--- a/tests/unit/test_hubs.cc
+++ b/tests/unit/test_hubs.cc
@@ -321,6 +321,42 @@
 		}
 }
 
+/* review/8: a hub that is cut off from the store told its followers of its own copy
+ * alone, though the other hubs had told it of a newer version. */
+TEST(Hubs, AHubWithAnOlderConfigurationNamesTheNewestThatItHasHeardOf)
+{
+	constexpr uint64_t OLDER = 5, NEWER = 6;
+	constexpr size_t COUNT = 30;
+	Fleet fleet(COUNT, 0);
+	auto freshness_of = [&](size_t i) {
+		return fleet.freshness[RESOURCE_CONFIGURATION][i];
+	};
+	size_t cut = 0;
+
+	fleet.keeps_own_copies = true;
+	fleet.run_for(500);
+	while (!fleet.cores[cut]->is_hub)
+		cut++;
+	for (size_t i = 0; i < COUNT; i++)
+		dispatch_set_freshness(fleet.cores[i].get(),
+		    RESOURCE_CONFIGURATION,
+		    fleet.cores[i]->is_hub && i != cut ? NEWER : OLDER,
+		    fleet.now_ms + i * 100000);
+	uint64_t newer_ms = fleet.now_ms;
+	fleet.run_for(1000);
+	for (size_t i = 0; i < COUNT; i++) {
+		if (fleet.cores[i]->is_hub)
+			continue;
+		EXPECT_EQ(freshness_of(i).version, NEWER) << i;
+		/* what a hub has only heard of confirms nothing */
+		if (freshness_of(i).as_of_ms != 0) {
+			EXPECT_LE(freshness_of(i).as_of_ms - i * 100000,
+			    newer_ms)
+			    << i;
+		}
+	}
+}
+
 /** Daemons 1 and 2 of a fleet, seen from a process of daemon 1. */
 class EchoingPeer
 {
