Let a script of an endpoint outlive the local that it reads

Cause: e2e-gateway_handoff_stop failed in build-tsan on arm64: the script of one case read a local variable of the test, which scripted_endpoint.h forbids, and may outlast it. The daemon had no part in it.

Change: the script and the test share the flag; the checks are the same.

--- a/tests/e2e/test_gateway_handoff_stop.cc
+++ b/tests/e2e/test_gateway_handoff_stop.cc
@@ -143,13 +143,14 @@
 /* The process that passes its answer ends first. */
 TEST_F(Handoff, APassedRequestThatStillRunsIsAnsweredBeforeTheDaemonEnds)
 {
-	std::atomic<bool> released{ false };
+	auto released = std::make_shared<std::atomic<bool>>(false);
 
-	endpoint.set_script([&](Connection &, const std::string &) {
-		runs_count++;
-		while (!released)
-			sleep_ms(5);
-	});
+	endpoint.set_script(
+	    [this, released](Connection &, const std::string &) {
+		    runs_count++;
+		    while (!*released)
+			    sleep_ms(5);
+	    });
 	start({ PASSES, TAKES, TAKES });
 	Caller caller(listen_port(), "");
 	sleep_ms(200);
@@ -157,7 +158,7 @@
 	sleep_ms(300);
 	caller.send_text(hop_head(9000) + "b");
 	std::string response = caller.receive();
-	released = true;
+	*released = true;
 	EXPECT_EQ(response.rfind("HTTP/1.1 504", 0), 0u) << response;
 	EXPECT_NE(response.find("Content-Length: 0"), std::string::npos);
 	EXPECT_NE(response.find("\r\n\r\n"), std::string::npos);
