Read the status of a transfer in one place

Cause: the check for false statuses wrote the call a third time. Change: read_status(), and a fixed-width type for a size in the scripted endpoint of the tests. Behaviour stays as it is.

--- a/bamboorudderd/transfer.c
+++ b/bamboorudderd/transfer.c
@@ -102,19 +102,24 @@
 	return length;
 }
 
-bool
-transfer_has_status(struct transfer *transfer)
+static void
+read_status(struct transfer *transfer)
 {
 	curl_easy_getinfo(transfer->handle, CURLINFO_RESPONSE_CODE,
 	    &transfer->status);
+}
+
+bool
+transfer_has_status(struct transfer *transfer)
+{
+	read_status(transfer);
 	return http_status_is_final((uint32_t)transfer->status);
 }
 
 bool
 transfer_not_run(struct transfer *transfer)
 {
-	curl_easy_getinfo(transfer->handle, CURLINFO_RESPONSE_CODE,
-	    &transfer->status);
+	read_status(transfer);
 	return transfer->not_run && transfer->status >= 400;
 }
 
@@ -173,8 +178,7 @@
 {
 	struct response_head head;
 
-	curl_easy_getinfo(transfer->handle, CURLINFO_RESPONSE_CODE,
-	    &transfer->status);
+	read_status(transfer);
 	response_head_init(&head, transfer->relay->caller,
 	    (uint32_t)transfer->status);
 	forward_headers(transfer, &head);
--- a/tests/e2e/scripted_endpoint.h
+++ b/tests/e2e/scripted_endpoint.h
@@ -133,7 +133,7 @@
 	 * sent into a small window. */
 	void answer_early()
 	{
-		int window_bytes = 4096;
+		int32_t window_bytes = 4096;
 
 		setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &window_bytes,
 		    sizeof(window_bytes));
