End an exchange with a peer in one function

Cause: what follows a peer that is silent and one that has ended was written twice, and so was the reset of a side; only one of the two logged a response that breaks off, though docs/OPERATIONS.md names the line for both.

Change: gw_handoff_end_exchange() serves both, gw_handoff_reset_side() resets, gw_handoff_peer_id() names the peer. What callers see stays as it is; new is the line `handoff_unanswered` with status "-", and its count, where a peer ends within a response.

--- a/bamboorudderd/gateway_handoff.c
+++ b/bamboorudderd/gateway_handoff.c
@@ -45,6 +45,12 @@
 	side->watched = false;
 }
 
+uint64_t
+gw_handoff_peer_id(const struct gw_handoff *handoff)
+{
+	return handoff->tried_ids[handoff->tried_count - 1];
+}
+
 void
 gw_handoff_unwatch(struct gw_handoff *handoff, enum handoff_end end)
 {
@@ -78,16 +84,23 @@
 	g_ptr_array_add(gateway->removed_sources, handoff);
 }
 
-/* A response that breaks off must not look like a complete one. */
 void
-gw_handoff_abort(struct gw_handoff *handoff)
+gw_handoff_reset_side(struct gw_handoff *handoff, enum handoff_end end)
 {
 	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	int fd = handoff->sides[end].source.fd;
+
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	gw_handoff_close_side(handoff, end);
+}
 
+/* A response that breaks off must not look like a complete one. */
+void
+gw_handoff_abort(struct gw_handoff *handoff)
+{
 	for (int end = 0; end < END_COUNT; end++)
-		if (handoff->sides[end].source.fd >= 0)
-			setsockopt(handoff->sides[end].source.fd, SOL_SOCKET,
-			    SO_LINGER, &reset, sizeof(reset));
+		gw_handoff_reset_side(handoff, (enum handoff_end)end);
 	gw_handoff_remove(handoff);
 }
 
@@ -155,9 +168,8 @@
 	struct gateway *gateway = handoff->gateway;
 	int fd = handoff->sides[END_CALLER].source.fd;
 
-	handoff_record_answer(&gateway->handoff,
-	    handoff->tried_ids[handoff->tried_count - 1], answer,
-	    gw_now_ms(gateway));
+	handoff_record_answer(&gateway->handoff, gw_handoff_peer_id(handoff),
+	    answer, gw_now_ms(gateway));
 	gw_handoff_close_side(handoff, END_PEER);
 	if (ask_next_peer(handoff))
 		return;
@@ -228,9 +240,8 @@
 		on_not_taken(handoff, HANDOFF_DECLINED);
 		return;
 	}
-	handoff_record_answer(&gateway->handoff,
-	    handoff->tried_ids[handoff->tried_count - 1], HANDOFF_ACCEPTED,
-	    gw_now_ms(gateway));
+	handoff_record_answer(&gateway->handoff, gw_handoff_peer_id(handoff),
+	    HANDOFF_ACCEPTED, gw_now_ms(gateway));
 	metric_add(METRIC_HANDOFFS, 1);
 	gateway->load_counts.passed_count++;
 	handoff->state = HANDOFF_RELAYING;
--- a/bamboorudderd/gateway_handoff_exchange.c
+++ b/bamboorudderd/gateway_handoff_exchange.c
@@ -96,7 +96,7 @@
 {
 	const struct gateway *gateway = handoff->gateway;
 	const struct gw_peer *peer = gw_find_peer(gateway,
-	    handoff->tried_ids[handoff->tried_count - 1]);
+	    gw_handoff_peer_id(handoff));
 	char waited[TEXT_BYTES], text[TEXT_BYTES];
 
 	metric_add(METRIC_HANDOFFS_UNANSWERED, 1);
@@ -124,10 +124,10 @@
 }
 
 void
-gw_handoff_answer(struct gw_handoff *handoff, enum handoff_ending ending,
+gw_handoff_end_exchange(struct gw_handoff *handoff, enum handoff_ending ending,
     uint32_t status)
 {
-	const struct handoff_side *caller = &handoff->sides[END_CALLER];
+	struct handoff_side *caller = &handoff->sides[END_CALLER];
 
 	switch (ending) {
 	case HANDOFF_END_NOT_RUN:
@@ -145,8 +145,13 @@
 			gw_refuse_unread(handoff->gateway, caller->source.fd);
 		break;
 	case HANDOFF_END_RESET:
-		break;
+		log_unanswered(handoff, 0);
+		gw_handoff_abort(handoff);
+		return;
 	}
+	caller->shut = true;
+	shutdown(caller->source.fd, SHUT_WR);
+	handoff->ended_ms[END_PEER] = gw_now_ms(handoff->gateway);
 }
 
 static void
@@ -154,18 +159,12 @@
 {
 	struct gateway *gateway = handoff->gateway;
 
-	handoff_record_answer(&gateway->handoff,
-	    handoff->tried_ids[handoff->tried_count - 1], HANDOFF_SILENT,
-	    gw_now_ms(gateway));
-	if (ending == HANDOFF_END_RESET) {
-		log_unanswered(handoff, 0);
-		gw_handoff_abort(handoff);
-		return;
-	}
+	handoff_record_answer(&gateway->handoff, gw_handoff_peer_id(handoff),
+	    HANDOFF_SILENT, gw_now_ms(gateway));
 	gw_handoff_drop_peer(handoff);
-	gw_handoff_answer(handoff, ending, 504);
-	gw_handoff_end_caller(handoff);
-	gw_handoff_update(handoff);
+	gw_handoff_end_exchange(handoff, ending, 504);
+	if (!handoff->removed)
+		gw_handoff_update(handoff);
 }
 
 static bool
--- a/bamboorudderd/gateway_handoff_relay.c
+++ b/bamboorudderd/gateway_handoff_relay.c
@@ -12,33 +12,19 @@
 gw_handoff_drop_peer(struct gw_handoff *handoff)
 {
 	struct handoff_side *peer = &handoff->sides[END_PEER];
-	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
 
-	setsockopt(peer->source.fd, SOL_SOCKET, SO_LINGER, &reset,
-	    sizeof(reset));
-	gw_handoff_close_side(handoff, END_PEER);
+	gw_handoff_reset_side(handoff, END_PEER);
 	g_byte_array_set_size(peer->pending, 0);
 	peer->ended = true;
 	peer->shut = true;
 }
 
-void
-gw_handoff_end_caller(struct gw_handoff *handoff)
-{
-	struct handoff_side *caller = &handoff->sides[END_CALLER];
-
-	caller->shut = true;
-	shutdown(caller->source.fd, SHUT_WR);
-	handoff->ended_ms[END_PEER] = gw_now_ms(handoff->gateway);
-}
-
 /* The peer has ended: a request that it owes a response must not go without, and a
  * response that breaks off must not look complete. */
 static void
 pass_peer_end(struct gw_handoff *handoff)
 {
 	struct handoff_exchange exchange;
-	enum handoff_ending ending;
 
 	if (!handoff->sides[END_PEER].ended ||
 	    handoff->sides[END_CALLER].shut ||
@@ -46,13 +32,7 @@
 		return;
 	http_exchange_end_response(&handoff->exchange);
 	exchange = gw_handoff_describe(handoff);
-	ending = handoff_exchange_end(&exchange);
-	if (ending == HANDOFF_END_RESET) {
-		gw_handoff_abort(handoff);
-		return;
-	}
-	gw_handoff_answer(handoff, ending, 502);
-	gw_handoff_end_caller(handoff);
+	gw_handoff_end_exchange(handoff, handoff_exchange_end(&exchange), 502);
 }
 
 /* Passes the end of the caller's bytes on, once the peer has taken all of them. */
--- a/include/bamboorudderd/gateway_handoff_private.h
+++ b/include/bamboorudderd/gateway_handoff_private.h
@@ -60,6 +60,12 @@
 /** Closes one side, which ends its events as well. */
 void gw_handoff_close_side(struct gw_handoff *handoff, enum handoff_end end);
 
+/** Closes one side by a reset. */
+void gw_handoff_reset_side(struct gw_handoff *handoff, enum handoff_end end);
+
+/** @return the peer that was asked last, or has taken the connection */
+uint64_t gw_handoff_peer_id(const struct gw_handoff *handoff);
+
 /** Closes both sides and frees what the connection holds. */
 void gw_handoff_remove(struct gw_handoff *handoff);
 
@@ -75,11 +81,12 @@
 /** @return what is known of the request in progress */
 struct handoff_exchange gw_handoff_describe(const struct gw_handoff *handoff);
 
-/** Answers for a peer that won't: sends what handoff_exchange_end() tells, and logs
- * it. Not for HANDOFF_END_RESET.
+/** Answers for a peer that won't, and ends the caller's side; resets the connection
+ * if the caller has a part of the response.
+ * @param ending by handoff_exchange_end()
  * @param status of a request that may have run */
-void gw_handoff_answer(struct gw_handoff *handoff, enum handoff_ending ending,
-    uint32_t status);
+void gw_handoff_end_exchange(struct gw_handoff *handoff,
+    enum handoff_ending ending, uint32_t status);
 
 /** Gives up what the peer owes, if that is due. */
 void gw_handoff_check_exchange(struct gw_handoff *handoff, uint64_t now_ms);
@@ -88,8 +95,6 @@
 
 /** Resets the peer's side, so that the peer cancels what it does. */
 void gw_handoff_drop_peer(struct gw_handoff *handoff);
-/** Lets the caller's side end after the last byte that it was sent. */
-void gw_handoff_end_caller(struct gw_handoff *handoff);
 /** Closes the connection if both sides have ended, and waits for events of the
  * sides otherwise. */
 void gw_handoff_update(struct gw_handoff *handoff);
