--- a/review/11/case.py
+++ b/review/11/case.py
@@ -73,7 +73,10 @@
             answer = Answer(0, end=type(error).__name__)
         if answer.status == 0:
             self.unanswered.append(request_id)
-            self.record.add("client: channel closed without an answer to", request_id)
+            self.record.add("client sent", request_id,
+                            "and the channel closed without an answer")
+        else:
+            self.record.add("client sent", request_id, "and got", answer)
         return (answer.status != 0 and
                 answer.headers.get("connection", "").lower() != "close")
 
