Give each transfer to an endpoint a libcurl handle of its own

Cause: libcurl 7.88 keeps in an easy handle a reference to the last field that it read. The field is freed when the handle is reset or used again, the reference isn't cleared, and a line that begins with a blank is appended to that field. gateway_transfer.c kept up to 64 handles and used them for other endpoints.

Why it works: a new handle refers to no field, and libcurl then refuses the line. Connections were never used again here, so that only the allocation of the handle is paid.

--- a/bamboorudderd/gateway_transfer.c
+++ b/bamboorudderd/gateway_transfer.c
@@ -20,7 +20,6 @@
 /* Of all heads and trailers of an attempt. */
 #define RESPONSE_HEADS_MAX_BYTES (64u * 1024u)
 #define RESPONSE_HEADERS_MAX_COUNT 64u
-#define IDLE_HANDLES_MAX_COUNT 64u
 /* Time without an acknowledgement after which a connection is given up. */
 #define UNACKNOWLEDGED_MAX_MS 3000u
 #define KEEPALIVE_IDLE_S 1
@@ -118,7 +117,6 @@
 gw_transfers_init(struct gateway *gateway)
 {
 	gateway->removed_sources = g_ptr_array_new_with_free_func(g_free);
-	gateway->idle_handles = g_ptr_array_new();
 	gateway->transfers = curl_multi_init();
 	if (gateway->transfers == NULL)
 		return FALSE;
@@ -133,9 +131,6 @@
 void
 gw_transfers_finish(struct gateway *gateway)
 {
-	for (guint i = 0; i < gateway->idle_handles->len; i++)
-		curl_easy_cleanup(g_ptr_array_index(gateway->idle_handles, i));
-	g_ptr_array_free(gateway->idle_handles, TRUE);
 	curl_multi_cleanup(gateway->transfers);
 	g_ptr_array_free(gateway->removed_sources, TRUE);
 }
@@ -375,10 +370,9 @@
 	struct gateway *gateway = request->gateway;
 	char *url = g_strdup_printf("http://%s%s", request->decision.address,
 	    request->target);
-	CURL *handle = gateway->idle_handles->len > 0
-	    ? g_ptr_array_steal_index_fast(gateway->idle_handles,
-		  gateway->idle_handles->len - 1)
-	    : curl_easy_init();
+	/* never a used handle: it refers to freed fields of its last response,
+	 * to which libcurl appends a line that begins with a blank */
+	CURL *handle = curl_easy_init();
 
 	request->transfer = handle;
 	request->attempt_ms = gw_now_ms(gateway);
@@ -430,11 +424,7 @@
 		    transfer_info(request, CURLINFO_SIZE_UPLOAD_T) +
 			transfer_info(request, CURLINFO_SIZE_DOWNLOAD_T));
 	curl_multi_remove_handle(gateway->transfers, request->transfer);
-	curl_easy_reset(request->transfer);
-	if (gateway->idle_handles->len < IDLE_HANDLES_MAX_COUNT)
-		g_ptr_array_add(gateway->idle_handles, request->transfer);
-	else
-		curl_easy_cleanup(request->transfer);
+	curl_easy_cleanup(request->transfer);
 	curl_slist_free_all(request->transfer_headers);
 	request->transfer_headers = NULL;
 	request->transfer = NULL;
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -236,7 +236,6 @@
 	struct MHD_Daemon *readiness_server; /**< on an address of its own */
 	CURLM *transfers;
 	GPtrArray *removed_sources; /**< freed once all events are handled */
-	GPtrArray *idle_handles; /**< CURL handles for reuse */
 	uint64_t transfers_due_ms; /**< libcurl's timer, 0 if not set */
 	uint64_t check_due_ms;
 	pthread_mutex_t mailbox_mutex;
