Give each blocking transfer a libcurl handle of its own

A store whose response begins its first field with a blank ended the daemon, and so did an endpoint on the project's own interface.

Cause: the client of the store and relay.c kept an easy handle for each thread and used it again after curl_easy_reset(), so that a folded line was appended to a freed field.

Change: curl_thread keeps a multi handle for each thread in place of an easy one; connections belong to it, so that those to the store stay open. Each transfer has a new easy handle.

SendsRequestsOneAfterTheOtherOnOneConnection passed before and passes now: three requests, one connection. e2e-responses, e2e-path and e2e-feed pass.

--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -13,7 +13,7 @@
 #define LOW_SPEED_BYTES_PER_S 1L
 #define MS_PER_S 1000u
 
-static GPrivate thread_handle = G_PRIVATE_INIT(curl_thread_free);
+static GPrivate thread_connections = G_PRIVATE_INIT(curl_thread_free);
 
 static struct curl_slist *
 append_header(struct curl_slist *list, const char *name, const char *value)
@@ -99,12 +99,11 @@
 	struct curl_slist *headers = request_headers(transfer);
 	char *url = g_strdup_printf("http://%s%s", relay->address,
 	    relay->target);
-	CURL *handle = transfer->handle;
+	CURL *handle = transfer_next_handle(transfer);
 	curl_off_t first_byte_us = 0;
 	CURLcode code;
 
 	transfer->headers_bytes = 0;
-	curl_easy_reset(handle);
 	curl_easy_setopt(handle, CURLOPT_URL, url);
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, transfer_on_header);
@@ -113,7 +112,7 @@
 	curl_easy_setopt(handle, CURLOPT_WRITEDATA, transfer);
 	set_connection_options(handle, relay->config);
 	set_method_and_body(handle, relay);
-	code = curl_easy_perform(handle);
+	code = curl_thread_perform(&thread_connections, handle);
 	curl_easy_getinfo(handle, CURLINFO_STARTTRANSFER_TIME_T,
 	    &first_byte_us);
 	if (first_byte_us > 0)
@@ -199,7 +198,7 @@
 	struct transfer transfer;
 	enum relay_outcome outcome;
 
-	transfer_init(&transfer, relay, curl_thread_handle(&thread_handle));
+	transfer_init(&transfer, relay);
 	outcome = classify_outcome(&transfer,
 	    resume_stream(&transfer, perform(&transfer)));
 	if (outcome == RELAY_TRUNCATED) {
--- a/bamboorudderd/transfer.c
+++ b/bamboorudderd/transfer.c
@@ -13,12 +13,10 @@
 #define EVENT_MAX_BYTES (256u * 1024u)
 
 void
-transfer_init(struct transfer *transfer, const struct relay *relay,
-    CURL *handle)
+transfer_init(struct transfer *transfer, const struct relay *relay)
 {
 	memset(transfer, 0, sizeof(*transfer));
 	transfer->relay = relay;
-	transfer->handle = handle;
 	transfer->headers = g_ptr_array_new_with_free_func(g_free);
 	transfer->partial_event = g_string_new(NULL);
 	transfer->json_body = g_string_new(NULL);
@@ -32,6 +30,15 @@
 	g_string_free(transfer->partial_event, TRUE);
 	g_string_free(transfer->json_body, TRUE);
 	g_free(transfer->connection);
+	curl_easy_cleanup(transfer->handle);
+}
+
+CURL *
+transfer_next_handle(struct transfer *transfer)
+{
+	curl_easy_cleanup(transfer->handle);
+	transfer->handle = curl_easy_init();
+	return transfer->handle;
 }
 
 static bool
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -4,7 +4,7 @@
 
 #include "common/curl_thread.h"
 
-static GPrivate thread_handle = G_PRIVATE_INIT(curl_thread_free);
+static GPrivate thread_connections = G_PRIVATE_INIT(curl_thread_free);
 
 GQuark
 http_error_quark(void)
@@ -119,7 +119,7 @@
 http_perform(const struct http_request *request, struct http_response *response,
     GError **error)
 {
-	CURL *handle = curl_thread_handle(&thread_handle);
+	CURL *handle = curl_easy_init();
 	struct curl_slist *headers = request_headers(request);
 	struct header_collection collection = { request->wanted_header,
 		response };
@@ -129,7 +129,6 @@
 
 	memset(response, 0, sizeof(*response));
 	response->body = g_string_new(NULL);
-	curl_easy_reset(handle);
 	curl_easy_setopt(handle, CURLOPT_URL, request->url);
 	curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request->method);
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
@@ -151,9 +150,10 @@
 		curl_easy_setopt(handle, CURLOPT_POSTFIELDS,
 		    request->body == NULL ? "" : request->body);
 	}
-	code = curl_easy_perform(handle);
+	code = curl_thread_perform(&thread_connections, handle);
 	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(handle, CURLINFO_TOTAL_TIME_T, &duration_us);
+	curl_easy_cleanup(handle);
 	curl_slist_free_all(headers);
 	response->duration_us = (uint64_t)duration_us;
 	response->status = (uint32_t)status;
--- a/include/bamboorudderd/transfer.h
+++ b/include/bamboorudderd/transfer.h
@@ -16,7 +16,7 @@
 /** State of an attempt while libcurl performs it. */
 struct transfer {
 	const struct relay *relay;
-	CURL *handle;
+	CURL *handle; /**< of the last exchange; NULL before the first */
 	GPtrArray *headers; /**< lines of the headers without CR LF */
 	size_t headers_bytes; /**< of all heads and trailers of an attempt */
 	char *connection; /**< value of the Connection header or NULL */
@@ -34,10 +34,12 @@
 	GString *json_body; /**< body of a JSON response, to read its usage */
 };
 
-void transfer_init(struct transfer *transfer, const struct relay *relay,
-    CURL *handle);
+void transfer_init(struct transfer *transfer, const struct relay *relay);
 void transfer_finish(struct transfer *transfer);
 
+/** @return a new handle for the first exchange, or to resume a stream */
+CURL *transfer_next_handle(struct transfer *transfer);
+
 /** Header callback of libcurl. Trailers are dropped. */
 size_t transfer_on_header(char *bytes, size_t size, size_t count,
     void *context);
--- a/include/common/curl_thread.h
+++ b/include/common/curl_thread.h
@@ -1,8 +1,11 @@
 /**
  * @file
- * Thread-local libcurl handles. A handle is reused by all transfers of its
- * thread, so that connections stay open between them, and is freed when the
- * thread ends.
+ * Blocking transfers of libcurl, whose connections stay open between the transfers
+ * of a thread.
+ *
+ * Each transfer needs an easy handle of its own, from curl_easy_init(): a used one,
+ * even after curl_easy_reset(), refers to freed fields of its last response, to which
+ * libcurl appends a field line that begins with a blank.
  */
 #ifndef COMMON_CURL_THREAD_H
 #define COMMON_CURL_THREAD_H
@@ -10,13 +13,15 @@
 #include <curl/curl.h>
 #include <glib.h>
 
-/** Destructor of a handle, to be passed to G_PRIVATE_INIT. */
-void curl_thread_free(gpointer handle);
+/** Closes a thread's connections; to be passed to G_PRIVATE_INIT. */
+void curl_thread_free(gpointer connections);
 
 /**
- * @param key names a use of libcurl; each use has a handle of its own
- * @return this thread's handle for the key, created on first use
+ * Runs a transfer and waits for its end.
+ * @param key names a use of libcurl; each use has connections of its own
+ * @param handle a new one with its options set; the caller frees it
+ * @return the result of the transfer, CURLE_FAILED_INIT if it couldn't be run
  */
-CURL *curl_thread_handle(GPrivate *key);
+CURLcode curl_thread_perform(GPrivate *key, CURL *handle);
 
 #endif
--- a/tests/e2e/test_folded_heads.cc
+++ b/tests/e2e/test_folded_heads.cc
@@ -3,6 +3,15 @@
  * reach the fields of an earlier response, whose memory is free.
  */
 #include "gateway_fixture.h"
+#include "responses.h"
+
+extern "C" {
+/* C++ has no _Atomic; the layout is the same without it, and the test uses no
+ * atomic field */
+#define _Atomic
+#include "common/http_client.h"
+#undef _Atomic
+}
 
 using namespace e2e;
 
@@ -12,6 +21,9 @@
 /* Freed memory may still hold the old bytes, so one response can do no harm. */
 constexpr int ROUNDS_COUNT = 8;
 
+/* The threads of the own interface read responses by turns. */
+constexpr int THREADS_ROUNDS_COUNT = 128;
+
 /** Text before a response's fields, of which the last line begins blank. */
 const std::vector<std::string> folded_starts = {
 	"HTTP/1.1 200 OK\r\n ",
@@ -30,15 +42,15 @@
 	/** Lets every other response begin with the given text. */
 	void fold_every_other_response()
 	{
-		first_endpoint.set_script([this](Connection &connection,
-					      const std::string &request) {
-			std::string text = response_text(request, "whole");
-
-			if (++first_request_count % 2 == 0)
-				text.replace(0, text.find("\r\n") + 2,
-				    GetParam());
-			connection.send_text(text);
-		});
+		first_endpoint.set_script(
+		    [this](Connection &connection, const std::string &request) {
+			    std::string text = response_text(request, "whole");
+
+			    if (++first_request_count % 2 == 0)
+				    text.replace(0, text.find("\r\n") + 2,
+					GetParam());
+			    connection.send_text(text);
+		    });
 	}
 };
 
@@ -59,4 +71,86 @@
 INSTANTIATE_TEST_SUITE_P(Starts, GatewayFoldedHeads,
     ::testing::ValuesIn(folded_starts));
 
+class OwnFoldedHeads : public Responses,
+		       public ::testing::WithParamInterface<std::string>
+{
+      protected:
+	/** Sends a request that is sent to the endpoint once. */
+	Response post()
+	{
+		return send_request("POST", fleet.daemons[0].url("/plain"), "x",
+		    AUTHORIZATION);
+	}
+
+	std::atomic<int> requests_count{ 0 };
+};
+
+TEST_P(OwnFoldedHeads, DoNotEndTheDaemonAfterASoundResponse)
+{
+	const std::string rest = "X-A: 1\r\nContent-Length: 5\r\n\r\nwhole";
+
+	scripted.set_script(
+	    [this, rest](Connection &connection, const std::string &) {
+		    std::string start = ++requests_count % 2 == 0
+			? GetParam()
+			: "HTTP/1.1 200 OK\r\n";
+
+		    connection.send_text(start + rest);
+	    });
+	for (int i = 0; i < THREADS_ROUNDS_COUNT; i++) {
+		ASSERT_EQ(post().body, "whole");
+		ASSERT_NE(post().status, 0);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Starts, OwnFoldedHeads,
+    ::testing::ValuesIn(folded_starts));
+
+class ClientFoldedHeads : public ::testing::TestWithParam<std::string>
+{
+      protected:
+	/** @return whether a complete response came */
+	bool perform()
+	{
+		std::string url = "http://" + store.address() + "/objects/a";
+		http_request request = {};
+		http_response response = {};
+		GError *error = nullptr;
+
+		request.method = "GET";
+		request.url = url.c_str();
+		request.timeout_ms = 10000;
+		if (http_perform(&request, &response, &error) != FALSE) {
+			http_response_finish(&response);
+			return true;
+		}
+		g_error_free(error);
+		return false;
+	}
+
+	std::atomic<int> requests_count{ 0 };
+	ScriptedEndpoint store;
+};
+
+/* The store's responses are read by the same library. */
+TEST_P(ClientFoldedHeads, DoNotEndTheProcessAfterASoundResponse)
+{
+	store.set_script([this](Connection &connection, const std::string &) {
+		std::string start = ++requests_count % 2 == 0
+		    ? GetParam()
+		    : "HTTP/1.1 200 OK\r\n";
+
+		connection.send_text(
+		    start + "ETag: \"7\"\r\nContent-Length: 2\r\n\r\n{}");
+	});
+	for (int i = 0; i < ROUNDS_COUNT; i++) {
+		ASSERT_TRUE(perform());
+		perform();
+	}
+	EXPECT_EQ(requests_count, 2 * ROUNDS_COUNT);
+}
+
+INSTANTIATE_TEST_SUITE_P(Starts, ClientFoldedHeads,
+    ::testing::ValuesIn(folded_starts));
+
 } // namespace
--- a/tests/e2e/test_http_client.cc
+++ b/tests/e2e/test_http_client.cc
@@ -77,4 +77,21 @@
 	EXPECT_EQ(http_etag_version(response.etag), 7u);
 }
 
+/* A new connection for each request would cost a round trip. */
+TEST_F(HttpClient, SendsRequestsOneAfterTheOtherOnOneConnection)
+{
+	constexpr int REQUESTS_COUNT = 3;
+
+	server.set_script([](Connection &connection, const std::string &) {
+		for (int i = 0; i < REQUESTS_COUNT; i++) {
+			connection.send_text("HTTP/1.1 200 OK\r\n"
+					     "Content-Length: 2\r\n\r\n{}");
+			connection.read_head();
+		}
+	});
+	for (int i = 0; i < REQUESTS_COUNT; i++)
+		EXPECT_TRUE(perform());
+	EXPECT_EQ(server.requests().size(), 1u);
+}
+
 } // namespace
