--- a/bench/load_generator.c
+++ b/bench/load_generator.c
@@ -98,7 +98,6 @@
 		    generator->free_requests->len - 1);
 	request = g_new0(struct load_request, 1);
 	request->generator = generator;
-	request->handle = curl_easy_init();
 	g_ptr_array_add(generator->requests, request);
 	return request;
 }
@@ -122,9 +121,10 @@
 	struct load_generator *generator = request->generator;
 	const char *account =
 	    generator->scenario->accounts[request_account(request)].name;
-	CURL *handle = request->handle;
+	CURL *handle = curl_easy_init();
 	char url[URL_BYTES], header[HEADER_BYTES];
 
+	request->handle = handle;
 	g_snprintf(url, sizeof(url), "http://%s" TESTBED_PATH,
 	    generator->testbed->daemons[request->daemon].listen);
 	request->headers = curl_slist_append(NULL, "Expect:");
@@ -133,7 +133,6 @@
 	g_snprintf(header, sizeof(header), "X-Request-Id: %s",
 	    request->checker.id);
 	request->headers = curl_slist_append(request->headers, header);
-	curl_easy_reset(handle);
 	curl_easy_setopt(handle, CURLOPT_URL, url);
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, request->headers);
 	curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request->body);
@@ -209,6 +208,8 @@
 	count_outcome(request, code);
 	end_first_token_wait(request);
 	curl_multi_remove_handle(generator->multi, request->handle);
+	curl_easy_cleanup(request->handle);
+	request->handle = NULL;
 	curl_slist_free_all(request->headers);
 	request->headers = NULL;
 	request->source = NULL;
--- a/bench/relay.c
+++ b/bench/relay.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "common/curl_thread.h"
 #include "histogram.h"
 #include "load_generator.h"
 #include "process.h"
@@ -68,9 +69,12 @@
 	scenario->workloads[0].outstanding_count = outstanding_count;
 }
 
+static GPrivate timed_connections = G_PRIVATE_INIT(curl_thread_free);
+
 /* Repeated request that measures the time to first token. */
 struct timed_request {
-	CURL *handle;
+	char url[TEXT_BYTES];
+	const char *body;
 	struct curl_slist *headers;
 	struct stream_checker checker;
 	uint64_t sent_us;
@@ -94,29 +98,20 @@
 timed_request_init(struct timed_request *request, const char *address,
     const char *body)
 {
-	char url[TEXT_BYTES];
-
 	memset(request, 0, sizeof(*request));
 	histogram_init(&request->histogram);
-	request->handle = curl_easy_init();
+	request->body = body;
 	request->headers = curl_slist_append(NULL,
 	    "Authorization: Bearer " ACCOUNT);
 	request->headers = curl_slist_append(request->headers,
 	    "X-Request-Id: " ACCOUNT);
-	g_snprintf(url, sizeof(url), "http://%s" TESTBED_PATH, address);
-	curl_easy_setopt(request->handle, CURLOPT_URL, url);
-	curl_easy_setopt(request->handle, CURLOPT_HTTPHEADER, request->headers);
-	curl_easy_setopt(request->handle, CURLOPT_COPYPOSTFIELDS, body);
-	curl_easy_setopt(request->handle, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(request->handle, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(request->handle, CURLOPT_WRITEFUNCTION, on_timed_body);
-	curl_easy_setopt(request->handle, CURLOPT_WRITEDATA, request);
+	g_snprintf(request->url, sizeof(request->url), "http://%s" TESTBED_PATH,
+	    address);
 }
 
 static void
 timed_request_finish(struct timed_request *request)
 {
-	curl_easy_cleanup(request->handle);
 	curl_slist_free_all(request->headers);
 	histogram_finish(&request->histogram);
 }
@@ -125,10 +120,22 @@
 static bool
 timed_request_run(struct timed_request *request)
 {
+	CURL *handle = curl_easy_init();
+	CURLcode code;
+
 	stream_checker_init(&request->checker, ACCOUNT,
 	    FIRST_TOKEN_STREAM_TOKENS);
+	curl_easy_setopt(handle, CURLOPT_URL, request->url);
+	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, request->headers);
+	curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request->body);
+	curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_timed_body);
+	curl_easy_setopt(handle, CURLOPT_WRITEDATA, request);
 	request->sent_us = bench_now_us();
-	return curl_easy_perform(request->handle) == CURLE_OK &&
+	code = curl_thread_perform(&timed_connections, handle);
+	curl_easy_cleanup(handle);
+	return code == CURLE_OK &&
 	    stream_checker_is_complete(&request->checker);
 }
 
--- a/bench/slot_sampler.c
+++ b/bench/slot_sampler.c
@@ -5,12 +5,15 @@
 #include <string.h>
 
 #include "bench.h"
+#include "common/curl_thread.h"
 
 #define REQUEST_TIMEOUT_MS 1000L
 #define TEXT_BYTES 512
 #define RECOVERY_SAMPLES_COUNT 5u
 #define URL_BYTES 96
 
+static GPrivate sampler_connections = G_PRIVATE_INIT(curl_thread_free);
+
 struct text_buffer {
 	char bytes[TEXT_BYTES];
 	size_t length;
@@ -27,16 +30,34 @@
 	return size * count;
 }
 
+static CURLcode
+read_counts(const char *address, struct text_buffer *buffer)
+{
+	CURL *handle = curl_easy_init();
+	char url[URL_BYTES];
+	CURLcode code;
+
+	g_snprintf(url, sizeof(url), "http://%s/standin/counts", address);
+	curl_easy_setopt(handle, CURLOPT_URL, url);
+	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(handle, CURLOPT_WRITEDATA, buffer);
+	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, REQUEST_TIMEOUT_MS);
+	code = curl_thread_perform(&sampler_connections, handle);
+	curl_easy_cleanup(handle);
+	return code;
+}
+
 /* @return number of running requests of an engine, or -1 on failure */
 static int64_t
-read_running(CURL *handle)
+read_running(const char *address)
 {
 	struct text_buffer buffer = { 0 };
 	json_t *counts;
 	int64_t running;
 
-	curl_easy_setopt(handle, CURLOPT_WRITEDATA, &buffer);
-	if (curl_easy_perform(handle) != CURLE_OK)
+	if (read_counts(address, &buffer) != CURLE_OK)
 		return -1;
 	counts = json_loadb(buffer.bytes, buffer.length, 0, NULL);
 	if (counts == NULL)
@@ -49,13 +70,14 @@
 }
 
 static void
-take_sample(struct slot_sampler *sampler, CURL **handles)
+take_sample(struct slot_sampler *sampler)
 {
 	uint32_t slots = sampler->testbed->config.scenario->slots_per_replica;
 	struct slot_sample sample = { .taken_at_us = bench_now_us() };
 
 	for (uint32_t i = 0; i < sampler->testbed->engine_count; i++) {
-		int64_t running = read_running(handles[i]);
+		int64_t running = read_running(
+		    sampler->testbed->engines[i].address);
 		if (running < 0)
 			continue;
 		sample.responding_engines_count++;
@@ -64,35 +86,15 @@
 	g_array_append_val(sampler->samples, sample);
 }
 
-static CURL *
-open_handle(const char *address)
-{
-	CURL *handle = curl_easy_init();
-	char url[URL_BYTES];
-
-	g_snprintf(url, sizeof(url), "http://%s/standin/counts", address);
-	curl_easy_setopt(handle, CURLOPT_URL, url);
-	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, REQUEST_TIMEOUT_MS);
-	return handle;
-}
-
 static void *
 sampler_thread(void *context)
 {
 	struct slot_sampler *sampler = context;
-	CURL *handles[TESTBED_ENGINES_MAX_COUNT] = { 0 };
 
-	for (uint32_t i = 0; i < sampler->testbed->engine_count; i++)
-		handles[i] = open_handle(sampler->testbed->engines[i].address);
 	while (!atomic_load(&sampler->stopping)) {
-		take_sample(sampler, handles);
+		take_sample(sampler);
 		bench_sleep_ms(SLOT_SAMPLE_PERIOD_MS);
 	}
-	for (uint32_t i = 0; i < sampler->testbed->engine_count; i++)
-		curl_easy_cleanup(handles[i]);
 	return NULL;
 }
 
--- a/bench/stream_readers.c
+++ b/bench/stream_readers.c
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #include "bench.h"
+#include "common/curl_thread.h"
 #include "stream_checker.h"
 #include "testbed.h"
 
@@ -42,6 +43,8 @@
 	return size * count;
 }
 
+static GPrivate reader_connections = G_PRIVATE_INIT(curl_thread_free);
+
 double
 read_with_libcurl_us_per_token(const char *address, uint32_t tokens_count)
 {
@@ -63,7 +66,7 @@
 	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(handle, CURLOPT_WRITEDATA, &checker);
 	cpu_us = thread_cpu_us();
-	curl_easy_perform(handle);
+	curl_thread_perform(&reader_connections, handle);
 	cpu_us = thread_cpu_us() - cpu_us;
 	curl_easy_cleanup(handle);
 	curl_slist_free_all(headers);
