Need a key wherever a configuration has the field of accounts

Cause: authenticate() asked whether the configuration has an account and meant whether it has the field; a list that is empty, of which no entry can be read, or a field that is no list opened all routes. By the same belief gw_request_check_permission() sent another attempt of a request that an open configuration had accepted.

The log line configuration_in_force tells it.

--- a/bamboorudderd/gateway_mailbox.c
+++ b/bamboorudderd/gateway_mailbox.c
@@ -288,6 +288,7 @@
 	g_snprintf(version, TEXT_BYTES, "%" G_GUINT64_FORMAT,
 	    configuration->version);
 	log_event(LOG_LEVEL_INFO, "configuration_in_force", "version", version,
+	    "keys", configuration->keys_required ? "required" : "not_required",
 	    NULL);
 	config_snapshot_unref(gateway->configuration);
 	gateway->configuration = configuration;
--- a/bamboorudderd/gateway_request.c
+++ b/bamboorudderd/gateway_request.c
@@ -162,7 +162,7 @@
 		return GW_PERMISSION_LATE;
 	if (!may_begin(request))
 		return GW_PERMISSION_STOPPING;
-	if (request->account == NULL)
+	if (!config_snapshot_needs_key(gateway->configuration, request->route))
 		return GW_PERMISSION_GIVEN;
 	if (!configuration_is_fresh(gateway))
 		return GW_PERMISSION_UNCONFIRMED;
@@ -198,8 +198,7 @@
 {
 	struct gateway *gateway = request->gateway;
 
-	if (request->route->anonymous ||
-	    request->configuration->accounts->len == 0)
+	if (!config_snapshot_needs_key(request->configuration, request->route))
 		return true;
 	request->account = config_snapshot_find_account(request->configuration,
 	    request->head.key);
--- a/core/config_snapshot.c
+++ b/core/config_snapshot.c
@@ -129,6 +129,13 @@
 	return NULL;
 }
 
+bool
+config_snapshot_needs_key(const struct config_snapshot *configuration,
+    const struct config_route *route)
+{
+	return configuration->keys_required && !route->anonymous;
+}
+
 const struct config_account *
 config_snapshot_find_account(const struct config_snapshot *configuration,
     const char *key)
--- a/include/core/config_snapshot.h
+++ b/include/core/config_snapshot.h
@@ -69,6 +69,9 @@
 	GArray *pools; /**< struct config_pool */
 	GArray *accounts; /**< struct config_account */
 	GHashTable *keys; /**< key text to account index + 1 */
+	/** Routes need a key unless they are anonymous; true with no account, too,
+	 * so that a configuration that takes the last one away opens nothing. */
+	bool keys_required;
 	GStringChunk *texts; /**< of routes and accounts */
 	struct config_limits limits;
 	/** Routes, targets, pools and accounts that could not be read. */
@@ -101,6 +104,10 @@
 config_snapshot_find_route(const struct config_snapshot *configuration,
     const char *host, const char *path);
 
+/** @return whether a route's requests need the key of an account */
+bool config_snapshot_needs_key(const struct config_snapshot *configuration,
+    const struct config_route *route);
+
 /** @return the account that holds a key, or NULL */
 const struct config_account *
 config_snapshot_find_account(const struct config_snapshot *configuration,
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -129,6 +129,40 @@
 	config_snapshot_unref(configuration);
 }
 
+/* review/13: a configuration without accounts is not one without the field. */
+TEST(Platform, KeysAreRequiredWhereTheConfigurationHasAFieldOfAccounts)
+{
+	const struct {
+		const char *field;
+		bool required;
+		uint32_t left_out_count;
+	} cases[] = { { "", false, 0 }, { ", \"tenants\": []", true, 0 },
+		{ ", \"tenants\": {}", true, 1 },
+		{ ", \"tenants\": null", true, 1 },
+		{ ", \"tenants\": [7]", true, 1 },
+		{ ", \"tenants\": [{\"name\": \"t\"}]", true, 0 } };
+
+	for (const auto &item : cases) {
+		struct config_snapshot *configuration = decode(
+		    std::string(R"({"version": 7, "routes": [
+		      {"hostname": "h", "path_prefix": "/a/", "backend": "p"},
+		      {"hostname": "h", "path_prefix": "/b/", "backend": "p",
+                       "anonymous": true}])") +
+		    item.field + "}");
+		ASSERT_NE(configuration, nullptr) << item.field;
+		EXPECT_EQ(config_snapshot_needs_key(configuration,
+			      config_snapshot_find_route(configuration, "h",
+				  "/a/")),
+		    item.required)
+		    << item.field;
+		EXPECT_FALSE(config_snapshot_needs_key(configuration,
+		    config_snapshot_find_route(configuration, "h", "/b/")));
+		EXPECT_EQ(configuration->left_out_count, item.left_out_count)
+		    << item.field;
+		config_snapshot_unref(configuration);
+	}
+}
+
 TEST(Platform, UnreadablePartsOfAConfigurationLeaveTheRestInForce)
 {
 	struct config_snapshot *configuration = decode(R"({"version": 7,
