Take no empty text for a key

Cause: the key of a request is empty until its header is read, and the table of keys held the empty text.

Evidence: Platform.AnEmptyKeyIsNoKeyOfAnAccount and the list with an empty key of GatewayKeys.NoneIsAcceptedWhereNoAccountIsLeft failed before and pass.

--- a/core/config_snapshot.c
+++ b/core/config_snapshot.c
@@ -62,12 +62,15 @@
 	    text == NULL ? "" : text);
 }
 
-void
+bool
 config_snapshot_add_key(struct config_snapshot *configuration, const char *key,
     uint32_t account_index)
 {
+	if (key[0] == '\0')
+		return false;
 	g_hash_table_insert(configuration->keys, g_strdup(key),
 	    GUINT_TO_POINTER(account_index + 1));
+	return true;
 }
 
 /* Sorts by host, then by prefix length, longest first. */
--- a/include/core/config_snapshot.h
+++ b/include/core/config_snapshot.h
@@ -74,7 +74,7 @@
 	bool keys_required;
 	GStringChunk *texts; /**< of routes and accounts */
 	struct config_limits limits;
-	/** Routes, targets, pools and accounts that could not be read. */
+	/** Parts that could not be read: routes, targets, pools, accounts, keys. */
 	uint32_t left_out_count;
 	gint reference_count;
 };
@@ -89,8 +89,10 @@
 const char *config_snapshot_add_text(struct config_snapshot *configuration,
     const char *text);
 
-/** Adds a key for the account at an index. */
-void config_snapshot_add_key(struct config_snapshot *configuration,
+/** Adds a key for the account at an index. A request without a key has the empty
+ * text, so that is no key.
+ * @return false if the key is empty */
+bool config_snapshot_add_key(struct config_snapshot *configuration,
     const char *key, uint32_t account_index);
 
 /** Sorts the routes for lookups; ends the changes to the snapshot. */
--- a/tests/e2e/test_gateway_keys.cc
+++ b/tests/e2e/test_gateway_keys.cc
@@ -88,7 +88,8 @@
 	"[{\"name\":7,\"api_keys\":[\"k1\"]}]", "[{\"api_keys\":[\"k1\"]}]",
 	"[{\"name\":\"desk\",\"api_keys\":[]}]",
 	"[{\"name\":\"desk\",\"api_keys\":[7]}]",
-	"[{\"name\":\"desk\",\"api_keys\":\"k1\"}]"));
+	"[{\"name\":\"desk\",\"api_keys\":\"k1\"}]",
+	"[{\"name\":\"desk\",\"api_keys\":[\"\"]}]"));
 
 TEST_F(GatewayKeys, NoneIsNeededWithoutTheField)
 {
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -163,6 +163,19 @@
 	}
 }
 
+/* A request without a key has the empty text where others have theirs. */
+TEST(Platform, AnEmptyKeyIsNoKeyOfAnAccount)
+{
+	struct config_snapshot *configuration = decode(R"({"version": 7,
+	  "routes": [], "tenants": [{"name": "t", "api_keys": ["", 7, "k"]}]})");
+
+	ASSERT_NE(configuration, nullptr);
+	EXPECT_EQ(config_snapshot_find_account(configuration, ""), nullptr);
+	EXPECT_NE(config_snapshot_find_account(configuration, "k"), nullptr);
+	EXPECT_EQ(configuration->left_out_count, 2u);
+	config_snapshot_unref(configuration);
+}
+
 TEST(Platform, UnreadablePartsOfAConfigurationLeaveTheRestInForce)
 {
 	struct config_snapshot *configuration = decode(R"({"version": 7,
