Check each line of an endpoint's head before anything is concluded from it

Cause: the daemon believed what libcurl makes of a head, and asked only whether a length or a signature is there.

Change: common/http_head.c checks heads and trailers by RFC 9112, 4 to 6, and RFC 9110, 5.5, with http-parser for names and lengths. The platform's path asks it; what fails is a lost response, and the log line attempt says why.

--- a/bamboorudderd/gateway_attempt.c
+++ b/bamboorudderd/gateway_attempt.c
@@ -147,6 +147,12 @@
 	return g_string_free(text, FALSE);
 }
 
+static const char *
+transfer_error(CURLcode code)
+{
+	return code == CURLE_OK ? "-" : curl_easy_strerror(code);
+}
+
 /* Lost responses are logged as warnings, which the lines of a flood of requests
  * do not displace: the segments that they share tell what crashed an engine. */
 static void
@@ -155,6 +161,7 @@
 {
 	char status[TEXT_BYTES], duration[TEXT_BYTES], events[TEXT_BYTES];
 	char *segments = format_segments(request);
+	const char *problem = request->endpoint_head.problem;
 
 	g_snprintf(status, TEXT_BYTES, "%u", request->endpoint_response.status);
 	g_snprintf(duration, TEXT_BYTES, "%" G_GUINT64_FORMAT,
@@ -164,7 +171,7 @@
 	log_event(level, "attempt", "id", request->head.request_id, "endpoint",
 	    request->decision.name, "ended", result_name, "status", status,
 	    "taken_ms", duration, "events", events, "segments", segments,
-	    "error", code == CURLE_OK ? "-" : curl_easy_strerror(code), NULL);
+	    "error", problem != NULL ? problem : transfer_error(code), NULL);
 	g_free(segments);
 }
 
--- a/bamboorudderd/gateway_transfer.c
+++ b/bamboorudderd/gateway_transfer.c
@@ -17,9 +17,6 @@
 #define RESPONSES_MEMORY_DIVISOR 4u
 #define BYTES_PER_MB (1024u * 1024u)
 #define EVENT_MAX_BYTES (1024u * 1024u)
-/* Of all heads and trailers of an attempt. */
-#define RESPONSE_HEADS_MAX_BYTES (64u * 1024u)
-#define RESPONSE_HEADERS_MAX_COUNT 64u
 /* Time without an acknowledgement after which a connection is given up. */
 #define UNACKNOWLEDGED_MAX_MS 3000u
 #define KEEPALIVE_IDLE_S 1
@@ -166,21 +163,14 @@
 }
 
 static void
-add_endpoint_header(struct gw_request *request, char *line)
+add_endpoint_header(struct gw_request *request)
 {
-	char *colon = strchr(line, ':');
-	struct gw_header header;
+	const struct http_head *head = &request->endpoint_head;
+	struct gw_header header = { g_strdup(head->name),
+		g_strdup(head->value) };
 
-	if (colon == NULL ||
-	    request->endpoint_headers->len > RESPONSE_HEADERS_MAX_COUNT)
-		return;
-	*colon = '\0';
-	header.name = g_strchomp(line);
-	header.value = g_strstrip(colon + 1);
 	wire_parse_response_header(&request->endpoint_response, header.name,
 	    header.value);
-	header.name = g_strdup(header.name);
-	header.value = g_strdup(header.value);
 	g_array_append_val(request->endpoint_headers, header);
 }
 
@@ -200,12 +190,10 @@
 static bool
 finish_endpoint_head(struct gw_request *request)
 {
-	long status = 0;
+	uint32_t status = request->endpoint_head.status;
 
-	curl_easy_getinfo(request->transfer, CURLINFO_RESPONSE_CODE, &status);
-	request->endpoint_response.status = (uint32_t)status;
-	request->endpoint_head_complete = http_status_is_final(
-	    (uint32_t)status);
+	request->endpoint_response.status = status;
+	request->endpoint_head_complete = http_status_is_final(status);
 	if (request->endpoint_head_complete)
 		gw_dispatch_statement(request);
 	gw_headers_filter_response(request);
@@ -220,24 +208,24 @@
 	struct gw_request *request = context;
 	size_t length = size * count;
 	bool wanted = true;
-	char *line;
 
-	request->endpoint_heads_bytes += length;
-	if (request->endpoint_heads_bytes > RESPONSE_HEADS_MAX_BYTES)
-		return 0;
-	if (length > 5 && strncmp(bytes, "HTTP/", 5) == 0) {
+	switch (http_head_add_line(&request->endpoint_head, bytes, length)) {
+	case HTTP_HEAD_STATUS:
 		clear_endpoint_response(request);
-		return length;
-	}
-	/* trailers are not relayed to callers */
-	if (request->endpoint_head_complete)
-		return length;
-	line = g_strchomp(g_strndup(bytes, length));
-	if (line[0] == '\0')
+		break;
+	case HTTP_HEAD_FIELD:
+		add_endpoint_header(request);
+		break;
+	case HTTP_HEAD_END:
 		wanted = finish_endpoint_head(request);
-	else
-		add_endpoint_header(request, line);
-	g_free(line);
+		break;
+	case HTTP_HEAD_TRAILER:
+		/* trailers are not relayed to callers */
+		break;
+	case HTTP_HEAD_INVALID:
+		wanted = false;
+		break;
+	}
 	return wanted ? length : 0;
 }
 
@@ -379,7 +367,7 @@
 	request->state = request->streaming ? GW_STATE_RESPONDING
 					    : GW_STATE_FORWARDING;
 	request->first_token_reported = false;
-	request->endpoint_heads_bytes = 0;
+	http_head_init(&request->endpoint_head);
 	clear_endpoint_response(request);
 	request->transfer_headers = gw_headers_for_endpoint(request);
 	curl_easy_setopt(handle, CURLOPT_URL, url);
@@ -425,6 +413,7 @@
 			transfer_info(request, CURLINFO_SIZE_DOWNLOAD_T));
 	curl_multi_remove_handle(gateway->transfers, request->transfer);
 	curl_easy_cleanup(request->transfer);
+	http_head_finish(&request->endpoint_head);
 	curl_slist_free_all(request->transfer_headers);
 	request->transfer_headers = NULL;
 	request->transfer = NULL;
--- a/include/bamboorudderd/gateway.h
+++ b/include/bamboorudderd/gateway.h
@@ -20,6 +20,7 @@
 #include "bamboorudderd/control.h"
 #include "bamboorudderd/settings.h"
 #include "common/clk.h"
+#include "common/http_head.h"
 #include "common/sse.h"
 #include "core/caller_memory.h"
 #include "core/config_snapshot.h"
@@ -142,13 +143,13 @@
 	CURL *transfer; /**< of the current attempt, or NULL */
 	struct gw_source *transfer_source; /**< its socket, or NULL */
 	struct curl_slist *transfer_headers;
+	struct http_head endpoint_head; /**< check of the head and trailer */
 	struct wire_response endpoint_response;
 	GArray *endpoint_headers; /**< struct gw_header */
 	/** Received bytes that are not in response_bytes yet. */
 	GByteArray *endpoint_body;
 	bool endpoint_head_complete;
 	bool endpoint_head_too_large; /**< the server can't relay it */
-	size_t endpoint_heads_bytes; /**< heads and trailers of the attempt */
 	/* of the response to the caller */
 	uint32_t status;
 	GArray *response_headers; /**< struct gw_header */
--- /dev/null
+++ b/tests/e2e/test_malformed_heads.cc
@@ -0,0 +1,88 @@
+/*
+ * A head that is not HTTP/1.x tells neither what the response is nor where it ends.
+ * It must not reach a caller as a success.
+ */
+#include "gateway_fixture.h"
+
+using namespace e2e;
+
+namespace
+{
+
+const std::string BODY(800, 'b');
+const std::string LENGTH = "Content-Length: 800\r\n";
+
+/** A head of which only a part is malformed. */
+struct Head {
+	const char *name;
+	std::string fields; /* beside id and signature */
+	std::string signature = "X-Bamboorudder-Replica-Signature: sig\r\n";
+	std::string status_line = "HTTP/1.1 200 OK\r\n";
+};
+
+const std::vector<Head> heads = {
+	/* review/12 */
+	{ "TwoLengths", LENGTH + "Content-Length: 500\r\n" },
+	{ "ListOfLengths", "Content-Length: 500, 800\r\n" },
+	{ "LetterInALength", "Content-Length: 80O\r\n" },
+	{ "BlankInALength", "Content-Length: 8 00\r\n" },
+	{ "LengthBesideChunks", LENGTH + "Transfer-Encoding: chunked\r\n" },
+	{ "BlankBeforeTheColon", "Content-Length : 800\r\n" },
+	/* review/14 */
+	{ "ReturnInASignature", LENGTH,
+	    "X-Bamboorudder-Replica-Signature: sig\r-1\r\n" },
+	{ "FoldedSignature", LENGTH,
+	    "X-Bamboorudder-Replica-Signature:\r\n sig-1\r\n" },
+	{ "FoldedField", LENGTH + "X-Kept: one\r\n two\r\n" },
+	{ "NoColon", LENGTH + "X-Kept\r\n" },
+	{ "EmptyName", LENGTH + ": value\r\n" },
+	{ "BlankInAName", LENGTH + "X Kept: value\r\n" },
+	{ "ControlCharacter", LENGTH + "X-Kept: a\x01z\r\n" },
+	{ "LongStatus", LENGTH, "X-Bamboorudder-Replica-Signature: sig\r\n",
+	    "HTTP/1.1 2000 OK\r\n" },
+	{ "MalformedInterimHead", LENGTH,
+	    "X-Bamboorudder-Replica-Signature: sig\r\n",
+	    "HTTP/1.1 103 Early Hints\r\nX-Kept\r\n\r\nHTTP/1.1 200 OK\r\n" },
+};
+
+std::string
+head_name(const ::testing::TestParamInfo<Head> &info)
+{
+	return info.param.name;
+}
+
+class MalformedHeads : public Gateway,
+		       public ::testing::WithParamInterface<Head>
+{
+};
+
+TEST_P(MalformedHeads, AreNoSuccessAndAreLogged)
+{
+	const Head &head = GetParam();
+
+	first_endpoint.set_script(
+	    [this, head](Connection &connection, const std::string &request) {
+		    size_t start = request.find("X-Bamboorudder-Request-Id");
+		    size_t end = request.find("\r\n", start) + 2;
+
+		    first_request_count++;
+		    connection.send_text(head.status_line +
+			request.substr(start, end - start) + head.signature +
+			head.fields + "\r\n" + BODY);
+	    });
+	start();
+	Response response = harness.send("POST", "/once/", {}, "b");
+	EXPECT_EQ(response.status, 502) << response.body.size();
+	EXPECT_TRUE(harness.logged("event=attempt"));
+	EXPECT_TRUE(harness.logged("ended=no_answer"));
+	EXPECT_EQ(first_request_count, 1);
+	/* the daemon and its other responses are not affected */
+	first_endpoint.set_script(
+	    count_and_respond(&first_request_count, BODY));
+	EXPECT_EQ(harness.send("POST", "/once/", {}, "b").body, BODY);
+}
+
+INSTANTIATE_TEST_SUITE_P(Heads, MalformedHeads, ::testing::ValuesIn(heads),
+    head_name);
+
+} // namespace
