Check heads on the own interface and of the store, too

A 503 of which only a part of the head had come, or with a malformed line, still told that the request was not run, and it was sent again.

Cause: the same belief on the related paths; relay.c asked for the run header of a head without asking whether the head had ended.

Change: transfer.c and http_client.c read lines by http_head; relay.c believes a complete head only. An interim head's ETag no longer counts for the final one.

--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -103,7 +103,6 @@
 	curl_off_t first_byte_us = 0;
 	CURLcode code;
 
-	transfer->headers_bytes = 0;
 	curl_easy_setopt(handle, CURLOPT_URL, url);
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, transfer_on_header);
@@ -183,7 +182,9 @@
 		return RELAY_CALLER_DISCONNECTED;
 	if (!transfer->headers_sent && no_bytes_sent(transfer, code))
 		return RELAY_NOT_SENT;
-	if (!transfer->headers_sent && transfer_not_run(transfer))
+	/* what a part of a head says counts for nothing */
+	if (!transfer->headers_sent && transfer->headers_complete &&
+	    transfer_not_run(transfer))
 		return RELAY_REFUSED;
 	if (!response_is_complete(transfer, code))
 		return transfer->headers_sent ? RELAY_TRUNCATED
--- a/bamboorudderd/transfer.c
+++ b/bamboorudderd/transfer.c
@@ -7,7 +7,6 @@
 #include "common/http_header.h"
 #include "common/metric.h"
 
-#define HEADERS_MAX_BYTES 65536u
 #define HEADERS_MAX_COUNT 56u
 #define JSON_BODY_MAX_BYTES (1024u * 1024u)
 #define EVENT_MAX_BYTES (256u * 1024u)
@@ -30,6 +29,7 @@
 	g_string_free(transfer->partial_event, TRUE);
 	g_string_free(transfer->json_body, TRUE);
 	g_free(transfer->connection);
+	http_head_finish(&transfer->head);
 	curl_easy_cleanup(transfer->handle);
 }
 
@@ -38,6 +38,8 @@
 {
 	curl_easy_cleanup(transfer->handle);
 	transfer->handle = curl_easy_init();
+	http_head_finish(&transfer->head);
+	http_head_init(&transfer->head);
 	return transfer->handle;
 }
 
@@ -69,8 +71,11 @@
 }
 
 static void
-store_header(struct transfer *transfer, char *line)
+store_header(struct transfer *transfer)
 {
+	const struct http_head *head = &transfer->head;
+	char *line = g_strdup_printf("%s: %s", head->name, head->value);
+
 	if (header_is(line, HEADER_RUN))
 		transfer->not_run = strcmp(header_value(line), "not-run") == 0;
 	else if (header_is(line, "content-type"))
@@ -82,31 +87,36 @@
 	g_ptr_array_add(transfer->headers, line);
 }
 
+/* @return whether the response is wanted */
+static bool
+add_line(struct transfer *transfer, const char *bytes, size_t length)
+{
+	switch (http_head_add_line(&transfer->head, bytes, length)) {
+	case HTTP_HEAD_STATUS:
+		clear_headers(transfer);
+		return true;
+	case HTTP_HEAD_FIELD:
+		if (transfer->headers->len >= HEADERS_MAX_COUNT)
+			return false;
+		store_header(transfer);
+		return true;
+	case HTTP_HEAD_END:
+		transfer->headers_complete = true;
+		return true;
+	case HTTP_HEAD_TRAILER:
+		return true;
+	default:
+		return false;
+	}
+}
+
 size_t
 transfer_on_header(char *bytes, size_t size, size_t count, void *context)
 {
 	struct transfer *transfer = context;
 	size_t length = size * count;
-	char *line;
 
-	transfer->headers_bytes += length;
-	if (transfer->headers_bytes > HEADERS_MAX_BYTES)
-		return 0;
-	if (transfer->headers_sent && transfer->resume_count == 0)
-		return length;
-	if (length > 5 && strncmp(bytes, "HTTP/", 5) == 0) {
-		clear_headers(transfer);
-		return length;
-	}
-	if (transfer->headers->len >= HEADERS_MAX_COUNT)
-		return 0;
-	line = g_strchomp(g_strndup(bytes, length));
-	transfer->headers_complete = line[0] == '\0';
-	if (strchr(line, ':') != NULL && line[0] != ' ' && line[0] != '\t')
-		store_header(transfer, line);
-	else
-		g_free(line);
-	return length;
+	return add_line(transfer, bytes, length) ? length : 0;
 }
 
 static void
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/curl_thread.h"
+#include "common/http_head.h"
 
 static GPrivate thread_connections = G_PRIVATE_INIT(curl_thread_free);
 
@@ -25,42 +26,47 @@
 	return size * count;
 }
 
-/* Copies the value of a header line that has the given name. */
-static void
-read_header(const char *bytes, size_t length_bytes, const char *name,
-    char *value, size_t value_bytes)
-{
-	size_t name_bytes = strlen(name);
-	char *text;
-
-	if (length_bytes <= name_bytes || bytes[name_bytes] != ':' ||
-	    g_ascii_strncasecmp(bytes, name, name_bytes) != 0)
-		return;
-	text = g_strndup(bytes + name_bytes + 1, length_bytes - name_bytes - 1);
-	g_strlcpy(value, g_strstrip(text), value_bytes);
-	g_free(text);
-}
-
-struct header_collection {
+/* What a request wants of the head of its response. */
+struct head_reader {
+	struct http_head head;
 	const char *wanted_header; /* NULL for none */
 	struct http_response *response;
 };
 
-static size_t
-collect_header(char *bytes, size_t size, size_t count, void *context)
+static void
+read_field(const struct head_reader *reader)
 {
-	const struct header_collection *collection = context;
-	struct http_response *response = collection->response;
+	const struct http_head *head = &reader->head;
+	struct http_response *response = reader->response;
+
+	if (g_ascii_strcasecmp(head->name, "etag") == 0)
+		g_strlcpy(response->etag, head->value, sizeof(response->etag));
+	if (reader->wanted_header != NULL &&
+	    g_ascii_strcasecmp(head->name, reader->wanted_header) == 0)
+		g_strlcpy(response->header_value, head->value,
+		    sizeof(response->header_value));
+}
 
-	response->heads_bytes += size * count;
-	if (response->heads_bytes > HTTP_HEADS_MAX_BYTES)
+static size_t
+on_header(char *bytes, size_t size, size_t count, void *context)
+{
+	struct head_reader *reader = context;
+	size_t length = size * count;
+
+	switch (http_head_add_line(&reader->head, bytes, length)) {
+	case HTTP_HEAD_STATUS:
+		/* what an interim head said is not of this response */
+		reader->response->etag[0] = '\0';
+		reader->response->header_value[0] = '\0';
+		return length;
+	case HTTP_HEAD_FIELD:
+		read_field(reader);
+		return length;
+	case HTTP_HEAD_INVALID:
 		return 0;
-	read_header(bytes, size * count, "etag", response->etag,
-	    sizeof(response->etag));
-	if (collection->wanted_header != NULL)
-		read_header(bytes, size * count, collection->wanted_header,
-		    response->header_value, sizeof(response->header_value));
-	return size * count;
+	default:
+		return length;
+	}
 }
 
 static struct curl_slist *
@@ -121,14 +127,15 @@
 {
 	CURL *handle = curl_easy_init();
 	struct curl_slist *headers = request_headers(request);
-	struct header_collection collection = { request->wanted_header,
-		response };
+	struct head_reader reader = { .wanted_header = request->wanted_header,
+		.response = response };
 	CURLcode code;
 	long status = 0;
 	curl_off_t duration_us = 0;
 
 	memset(response, 0, sizeof(*response));
 	response->body = g_string_new(NULL);
+	http_head_init(&reader.head);
 	curl_easy_setopt(handle, CURLOPT_URL, request->url);
 	curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request->method);
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
@@ -137,8 +144,8 @@
 	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
 	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, collect_body);
 	curl_easy_setopt(handle, CURLOPT_WRITEDATA, response);
-	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, collect_header);
-	curl_easy_setopt(handle, CURLOPT_HEADERDATA, &collection);
+	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(handle, CURLOPT_HEADERDATA, &reader);
 	curl_easy_setopt(handle, CURLOPT_NOPROGRESS,
 	    request->cancelled == NULL ? 1L : 0L);
 	curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, on_progress);
@@ -155,12 +162,15 @@
 	curl_easy_getinfo(handle, CURLINFO_TOTAL_TIME_T, &duration_us);
 	curl_easy_cleanup(handle);
 	curl_slist_free_all(headers);
+	http_head_finish(&reader.head);
 	response->duration_us = (uint64_t)duration_us;
 	response->status = (uint32_t)status;
 	if (code == CURLE_OK)
 		return TRUE;
 	g_set_error(error, HTTP_ERROR, error_of(code, response), "%s %s: %s",
-	    request->method, request->url, curl_easy_strerror(code));
+	    request->method, request->url,
+	    reader.head.problem != NULL ? reader.head.problem
+					: curl_easy_strerror(code));
 	http_response_finish(response);
 	return FALSE;
 }
--- a/include/bamboorudderd/transfer.h
+++ b/include/bamboorudderd/transfer.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 
 #include "bamboorudderd/relay.h"
+#include "common/http_head.h"
 #include "common/sse.h"
 
 /** State of an attempt while libcurl performs it. */
@@ -18,7 +19,7 @@
 	const struct relay *relay;
 	CURL *handle; /**< of the last exchange; NULL before the first */
 	GPtrArray *headers; /**< lines of the headers without CR LF */
-	size_t headers_bytes; /**< of all heads and trailers of an attempt */
+	struct http_head head; /**< check of the head and trailer */
 	char *connection; /**< value of the Connection header or NULL */
 	long status;
 	bool is_stream;
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -11,8 +11,6 @@
 #include <stdint.h>
 
 #define HTTP_RESPONSE_MAX_BYTES (4u * 1024u * 1024u)
-/** Of all heads and trailers of a response. */
-#define HTTP_HEADS_MAX_BYTES (64u * 1024u)
 #define HTTP_ETAG_MAX_BYTES 64u
 #define HTTP_HEADER_VALUE_MAX_BYTES 64u
 
@@ -21,7 +19,9 @@
 
 enum http_error_code {
 	HTTP_ERROR_CONNECT, /**< nothing was sent */
-	HTTP_ERROR_TRANSFER, /**< the request may have taken effect */
+	/** The request may have taken effect; its response did not arrive, or has a
+	 * malformed head. */
+	HTTP_ERROR_TRANSFER,
 	/** The same; the response is longer than HTTP_RESPONSE_MAX_BYTES. */
 	HTTP_ERROR_TOO_LARGE
 };
@@ -45,7 +45,6 @@
 	/** Of the wanted header, cut if it is longer; "" without one. */
 	char header_value[HTTP_HEADER_VALUE_MAX_BYTES];
 	GString *body;
-	size_t heads_bytes; /**< of all heads and trailers received */
 	bool too_large; /**< longer than HTTP_RESPONSE_MAX_BYTES */
 	uint64_t duration_us; /**< set for a failed request, too */
 };
--- a/tests/e2e/test_malformed_heads.cc
+++ b/tests/e2e/test_malformed_heads.cc
@@ -3,6 +3,15 @@
  * It must not reach a caller as a success.
  */
 #include "gateway_fixture.h"
+#include "responses.h"
+
+extern "C" {
+/* C++ has no _Atomic; the layout is the same without it, and the test uses no
+ * atomic field */
+#define _Atomic
+#include "common/http_client.h"
+#undef _Atomic
+}
 
 using namespace e2e;
 
@@ -45,6 +54,12 @@
 	    "HTTP/1.1 103 Early Hints\r\nX-Kept\r\n\r\nHTTP/1.1 200 OK\r\n" },
 };
 
+void
+PrintTo(const Head &head, std::ostream *out)
+{
+	*out << head.name;
+}
+
 std::string
 head_name(const ::testing::TestParamInfo<Head> &info)
 {
@@ -85,4 +100,84 @@
 INSTANTIATE_TEST_SUITE_P(Heads, MalformedHeads, ::testing::ValuesIn(heads),
     head_name);
 
+class OwnMalformedHeads : public Responses,
+			  public ::testing::WithParamInterface<Head>
+{
+      protected:
+	Response post()
+	{
+		return send_request("POST", fleet.daemons[0].url("/plain"), "b",
+		    AUTHORIZATION);
+	}
+};
+
+TEST_P(OwnMalformedHeads, AreNoSuccess)
+{
+	const Head &head = GetParam();
+
+	scripted.set_script(
+	    [head](Connection &connection, const std::string &) {
+		    connection.send_text(head.status_line + head.signature +
+			head.fields + "\r\n" + BODY);
+	    });
+	Response response = post();
+	EXPECT_EQ(response.status, 502);
+	EXPECT_EQ(response.headers["bamboorudder-run"], "unknown");
+}
+
+INSTANTIATE_TEST_SUITE_P(Heads, OwnMalformedHeads, ::testing::ValuesIn(heads),
+    head_name);
+
+/* What a malformed head says of a run counts for nothing. */
+TEST_F(OwnMalformedHeads, DoNotTellThatARequestWasNotRun)
+{
+	scripted.set_script([](Connection &connection, const std::string &) {
+		connection.send_text("HTTP/1.1 503 Full\r\n"
+				     "Bamboorudder-Run: not-run\r\n"
+				     "Content-Length: 0\r\nX-Kept\r\n\r\n");
+	});
+	Response response = post();
+	EXPECT_EQ(response.status, 502);
+	EXPECT_EQ(scripted.requests().size(), 1u);
+}
+
+class ClientMalformedHeads : public ::testing::TestWithParam<Head>
+{
+      protected:
+	/** @return whether a response came */
+	bool perform()
+	{
+		std::string url = "http://" + store.address() + "/objects/a";
+		http_request request = {};
+		http_response response = {};
+		GError *error = nullptr;
+
+		request.method = "GET";
+		request.url = url.c_str();
+		request.timeout_ms = 10000;
+		if (http_perform(&request, &response, &error) != FALSE) {
+			http_response_finish(&response);
+			return true;
+		}
+		g_error_free(error);
+		return false;
+	}
+
+	ScriptedEndpoint store;
+};
+
+TEST_P(ClientMalformedHeads, AreNoResponse)
+{
+	const Head &head = GetParam();
+
+	store.set_script([head](Connection &connection, const std::string &) {
+		connection.send_text(head.status_line + head.signature +
+		    head.fields + "\r\n" + BODY);
+	});
+	EXPECT_FALSE(perform());
+}
+
+INSTANTIATE_TEST_SUITE_P(Heads, ClientMalformedHeads,
+    ::testing::ValuesIn(heads), head_name);
+
 } // namespace
