Relay every field of a success, or none of it

Cause: gw_response_queue() ignored that the server had refused a header.

Change: an empty value is sent as a blank, which belongs to no value; a response with a tab in a field that is relayed is a lost one (502), and the log line attempt says so; any other refusal closes the connection.

Evidence: EveryFieldOfASuccessArrives and ASuccessWithAFieldThatCannotBeSentIsNone failed before and pass.

--- a/bamboorudderd/gateway_headers.c
+++ b/bamboorudderd/gateway_headers.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "bamboorudderd/gateway_private.h"
 
 static void
@@ -32,6 +34,16 @@
 	}
 }
 
+bool
+gw_headers_are_sendable(const GArray *headers)
+{
+	for (guint i = 0; i < headers->len; i++)
+		if (strchr(g_array_index(headers, struct gw_header, i).value,
+			'\t') != NULL)
+			return false;
+	return true;
+}
+
 static void
 add_header(void *context, const char *name, const char *value)
 {
--- a/bamboorudderd/gateway_response.c
+++ b/bamboorudderd/gateway_response.c
@@ -139,22 +139,37 @@
 	    gateway->settings->connections_max_count * KEEP_ALIVE_MAX_PERCENT;
 }
 
-enum MHD_Result
-gw_response_queue(struct gw_request *request)
+/* @return whether the server takes all headers */
+static bool
+add_headers(const struct gw_request *request, struct MHD_Response *response)
 {
-	struct MHD_Response *response = make_response(request);
-	enum MHD_Result result;
-
 	for (guint i = 0; i < request->response_headers->len; i++) {
 		const struct gw_header *header =
 		    &g_array_index(request->response_headers, struct gw_header,
 			i);
-		MHD_add_response_header(response, header->name, header->value);
+		/* the server refuses empty values; blanks belong to none */
+		const char *value = header->value[0] == '\0' ? " "
+							     : header->value;
+
+		if (MHD_add_response_header(response, header->name, value) ==
+		    MHD_NO)
+			return false;
 	}
+	return true;
+}
+
+enum MHD_Result
+gw_response_queue(struct gw_request *request)
+{
+	struct MHD_Response *response = make_response(request);
+	enum MHD_Result result = MHD_NO;
+
 	if (must_close_connection(request))
 		MHD_add_response_header(response, "Connection", "close");
-	result = MHD_queue_response(request->connection, request->status,
-	    response);
+	/* a response without one of its headers is not the endpoint's */
+	if (add_headers(request, response))
+		result = MHD_queue_response(request->connection,
+		    request->status, response);
 	MHD_destroy_response(response);
 	return result;
 }
--- a/bamboorudderd/gateway_transfer.c
+++ b/bamboorudderd/gateway_transfer.c
@@ -197,9 +197,15 @@
 	if (request->endpoint_head_complete)
 		gw_dispatch_statement(request);
 	gw_headers_filter_response(request);
-	request->endpoint_head_too_large = request->endpoint_head_complete &&
-	    is_relayed_with_head(request) && !gw_response_head_fits(request);
-	return !request->endpoint_head_too_large;
+	if (!request->endpoint_head_complete || !is_relayed_with_head(request))
+		return true;
+	request->endpoint_head_too_large = !gw_response_head_fits(request);
+	if (request->endpoint_head_too_large)
+		return false;
+	if (gw_headers_are_sendable(request->endpoint_headers))
+		return true;
+	request->endpoint_head.problem = "tab in a field that is relayed";
+	return false;
 }
 
 static size_t
--- a/include/bamboorudderd/gateway_private.h
+++ b/include/bamboorudderd/gateway_private.h
@@ -285,6 +285,8 @@
 /** Drops the headers of a complete response head that are not relayed to the
  * caller. */
 void gw_headers_filter_response(struct gw_request *request);
+/** @return whether the server can send all headers: it refuses tabs */
+bool gw_headers_are_sendable(const GArray *headers);
 /** @return the headers to send to the endpoint; to be freed with
  * curl_slist_free_all() */
 struct curl_slist *gw_headers_for_endpoint(struct gw_request *request);
--- a/tests/e2e/test_gateway_heads.cc
+++ b/tests/e2e/test_gateway_heads.cc
@@ -178,4 +178,47 @@
 	})) << harness.daemon->log();
 }
 
+/* The server refuses an empty value, and one with a tab. */
+TEST_F(GatewayHeads, EveryFieldOfASuccessArrives)
+{
+	first_endpoint.set_script([this](Connection &connection,
+				      const std::string &request) {
+		first_request_count++;
+		connection.send_text(response_text(request, "whole", "200 OK",
+		    "X-Empty:\r\nX-Blank: \t \r\nX-Last: l\xc3\xa9\r\n"));
+	});
+	start();
+	Response response = book(1000, 8);
+	EXPECT_EQ(response.status, 200);
+	EXPECT_EQ(response.headers.count("x-empty"), 1u);
+	EXPECT_EQ(response.headers["x-empty"], "");
+	EXPECT_EQ(response.headers.count("x-blank"), 1u);
+	EXPECT_EQ(response.headers["x-last"], "l\xc3\xa9");
+}
+
+TEST_F(GatewayHeads, ASuccessWithAFieldThatCannotBeSentIsNone)
+{
+	first_endpoint.set_script(
+	    [this](Connection &connection, const std::string &request) {
+		    first_request_count++;
+		    connection.send_text(response_text(request, "whole",
+			"200 OK", "X-Tab: one\ttwo\r\n"));
+	    });
+	start();
+	EXPECT_EQ(book(1000, 8).status, 502);
+	EXPECT_TRUE(harness.logged("error=\"tab in a field that is relayed\""));
+	EXPECT_EQ(first_request_count, 1);
+}
+
+TEST_F(GatewayHeads, MoreFieldsThanAreReadAreNoResponse)
+{
+	respond_with_head(300 * 20, 300);
+	start();
+	EXPECT_EQ(book(1000, 8).status, 502);
+	respond_with_head(100 * 20, 100);
+	Response response = book(1000, 8);
+	EXPECT_EQ(response.status, 200);
+	EXPECT_EQ(response.headers.count("x-field-099"), 1u);
+}
+
 } // namespace
