--- a/tests/e2e/test_malformed_heads.cc
+++ b/tests/e2e/test_malformed_heads.cc
@@ -2,6 +2,8 @@
  * A head that is not HTTP/1.x tells neither what the response is nor where it ends.
  * It must not reach a caller as a success.
  */
+#include <fstream>
+
 #include "gateway_fixture.h"
 #include "responses.h"
 
@@ -100,6 +102,46 @@
 INSTANTIATE_TEST_SUITE_P(Heads, MalformedHeads, ::testing::ValuesIn(heads),
     head_name);
 
+/** The inputs from which the fuzz target starts. */
+std::vector<std::string>
+corpus_heads()
+{
+	std::vector<std::string> heads;
+
+	for (const auto &entry : std::filesystem::directory_iterator(
+		 SOURCE_ROOT "/tests/fuzz/corpus/http_head")) {
+		std::ifstream file(entry.path(), std::ios::binary);
+		std::ostringstream text;
+
+		text << file.rdbuf();
+		heads.push_back(text.str());
+	}
+	return heads;
+}
+
+/* The sanitizers of a build show what such a head does to the library. */
+TEST_F(Gateway, NoHeadOfTheFuzzCorpusEndsTheDaemon)
+{
+	std::vector<std::string> corpus = corpus_heads();
+
+	ASSERT_FALSE(corpus.empty());
+	first_endpoint.set_script([this, corpus](Connection &connection,
+				      const std::string &request) {
+		int number = first_request_count++;
+
+		if (number % 2 == 0)
+			connection.send_text(response_text(request, "whole"));
+		else
+			connection.send_text(
+			    corpus[(size_t)number / 2 % corpus.size()] + "ok");
+	});
+	start();
+	for (size_t i = 0; i < corpus.size(); i++) {
+		ASSERT_EQ(harness.send("POST", "/once/", {}, "b").status, 200);
+		ASSERT_NE(harness.send("POST", "/once/", {}, "b").status, 0);
+	}
+}
+
 class OwnMalformedHeads : public Responses,
 			  public ::testing::WithParamInterface<Head>
 {
