Let a daemon that leaves as the last one decide by itself

What callers saw: after POST /v1/drain on the last live daemon the next request ended it, and got no answer.

Cause: the daemon that leaves is in no list of live ones; without another one there was no hub, and dispatch_check_suspects() took a remainder by the number of hubs.

Change: dispatch_set_daemons() takes an empty list for this daemon alone.

Evidence: GatewayOperatorDrain.OfTheLastDaemonLeavesItServing got no answer before and 200 now; Dispatch.DecidesByItselfWithoutALiveDaemon ended its process before.

--- a/core/dispatch_peers.c
+++ b/core/dispatch_peers.c
@@ -92,12 +92,19 @@
 dispatch_set_daemons(struct dispatch *dispatch,
     const struct dispatch_daemon *daemons, size_t count)
 {
+	const struct dispatch_daemon self = {
+		.node_id = dispatch->config.node_id,
+		.domain_id = dispatch->config.domain_id,
+	};
 	GArray *ranked = g_array_new(FALSE, FALSE,
 	    sizeof(struct dispatch_daemon));
 	guint hubs_count = MAX(HUBS_MIN_COUNT,
 	    (guint)(count / DAEMONS_PER_HUB));
 
 	g_array_append_vals(ranked, daemons, (guint)count);
+	/* a daemon that leaves as the last one has nobody else to decide */
+	if (count == 0)
+		g_array_append_val(ranked, self);
 	g_array_sort(ranked, compare_daemons);
 	if (ranked->len > hubs_count)
 		g_array_set_size(ranked, hubs_count);
--- a/include/core/dispatch.h
+++ b/include/core/dispatch.h
@@ -289,7 +289,8 @@
     bool drained, uint64_t now_ms);
 
 /**
- * Sets the live daemons, this one included, and selects the hubs among them.
+ * Sets the live daemons, this one included unless it leaves, and selects the hubs
+ * among them. With none left this daemon is the only hub.
  * Each daemon reports to one hub, and hubs exchange reports, so that the messages
  * of a daemon do not grow with the fleet. In a small fleet every daemon is a
  * hub.
--- a/tests/e2e/test_gateway_drain.cc
+++ b/tests/e2e/test_gateway_drain.cc
@@ -173,4 +173,34 @@
 	released = true;
 }
 
+class GatewayOperatorDrain : public Gateway
+{
+      protected:
+	GatewayOperatorDrain()
+	    : Gateway("", "",
+		  "tokens = [\"editor:edit:" + sha256("editor-token") + "\"]\n")
+	{
+	}
+};
+
+/* There was no hub left to choose from: the next request ended the daemon. */
+TEST_F(GatewayOperatorDrain, OfTheLastDaemonLeavesItServing)
+{
+	first_endpoint.set_script(count_and_respond(&first_request_count));
+	start();
+	ASSERT_EQ(harness.send("GET", "/safe/").status, 200);
+	ASSERT_EQ(send_request("POST",
+		      "http://127.0.0.1:" + std::to_string(harness.admin_port) +
+			  "/v1/drain",
+		      "", { "Authorization: Bearer editor-token" })
+		      .status,
+	    202);
+	std::this_thread::sleep_for(std::chrono::milliseconds(500));
+	for (int i = 1; i <= 3; i++) {
+		Response response = harness.send("GET", "/safe/");
+		EXPECT_EQ(response.status, 200) << response.error;
+		EXPECT_EQ(first_request_count, 1 + i);
+	}
+}
+
 } // namespace
--- a/tests/unit/test_dispatch.cc
+++ b/tests/unit/test_dispatch.cc
@@ -205,4 +205,32 @@
 	EXPECT_EQ(g_hash_table_size(dispatch.endpoints), 0u);
 }
 
+/* A daemon that leaves as the last one is in no list of live ones. */
+TEST_F(Dispatch, DecidesByItselfWithoutALiveDaemon)
+{
+	const dispatch_daemon self[] = { { NODE, 1, true } };
+
+	add_endpoint("e1");
+	for (size_t count : { 1u, 0u, 1u, 0u }) {
+		dispatch_set_daemons(&dispatch, self, count);
+		dispatch_decision decision = decide(make_request(3000));
+		EXPECT_TRUE(decision.start) << count;
+		end(decision.seq, OUTCOME_COMPLETE);
+		dispatch_tick(&dispatch, now_ms, now_ms, &effects);
+		EXPECT_EQ(effects.count, 0u) << count;
+	}
+}
+
+/* One that leaves while others live decides on nothing. */
+TEST_F(Dispatch, LeavesTheDecisionsToTheOnlyOtherDaemon)
+{
+	const dispatch_daemon other[] = { { 8, 1, true } };
+
+	add_endpoint("e1");
+	dispatch_set_daemons(&dispatch, other, 1);
+	EXPECT_FALSE(dispatch.is_hub);
+	ASSERT_EQ(dispatch.hub_ids->len, 1u);
+	EXPECT_EQ(g_array_index(dispatch.hub_ids, uint64_t, 0), 8u);
+}
+
 } // namespace
