Pass targets on as they were sent

What callers saw: a target with a number sign reached the endpoint cut at the sign, one with bytes outside ASCII escaped, so that another request ran than the caller's.

Cause: the target was a part of the URL that libcurl takes apart.

Change: it is set as CURLOPT_REQUEST_TARGET, on the platform's path and on the own interface.

Evidence: CallerHeads.TargetsArriveAsTheyWereSent failed for four of nine targets before and passes; e2e-gateway, e2e-path, e2e-responses and e2e-at_most_once pass.

--- a/bamboorudderd/gateway_transfer.c
+++ b/bamboorudderd/gateway_transfer.c
@@ -333,7 +333,6 @@
 	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(handle, CURLOPT_HTTP09_ALLOWED, 0L);
-	curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
 	    (long)settings->connect_timeout_ms);
 	/* never reuse a connection: a late second response on it would be taken
@@ -362,8 +361,7 @@
 gw_transfer_start(struct gw_request *request)
 {
 	struct gateway *gateway = request->gateway;
-	char *url = g_strdup_printf("http://%s%s", request->decision.address,
-	    request->target);
+	char *url = g_strdup_printf("http://%s/", request->decision.address);
 	/* never a used handle: it refers to freed fields of its last response,
 	 * to which libcurl appends a line that begins with a blank */
 	CURL *handle = curl_easy_init();
@@ -377,6 +375,8 @@
 	clear_endpoint_response(request);
 	request->transfer_headers = gw_headers_for_endpoint(request);
 	curl_easy_setopt(handle, CURLOPT_URL, url);
+	/* as part of the URL it would be cut at a number sign */
+	curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, request->target);
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, request->transfer_headers);
 	set_transfer_options(request, handle);
 	curl_multi_add_handle(gateway->transfers, handle);
--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -76,7 +76,6 @@
 	curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(handle, CURLOPT_HTTP09_ALLOWED, 0L);
-	curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
 	/* a late second response on a reused connection would be taken for the
 	 * response to the next request, and libcurl resends a request if a reused
 	 * connection died */
@@ -97,13 +96,13 @@
 {
 	const struct relay *relay = transfer->relay;
 	struct curl_slist *headers = request_headers(transfer);
-	char *url = g_strdup_printf("http://%s%s", relay->address,
-	    relay->target);
+	char *url = g_strdup_printf("http://%s/", relay->address);
 	CURL *handle = transfer_next_handle(transfer);
 	curl_off_t first_byte_us = 0;
 	CURLcode code;
 
 	curl_easy_setopt(handle, CURLOPT_URL, url);
+	curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, relay->target);
 	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, transfer_on_header);
 	curl_easy_setopt(handle, CURLOPT_HEADERDATA, transfer);
