--- a/tests/e2e/test_caller_heads.cc
+++ b/tests/e2e/test_caller_heads.cc
@@ -60,6 +60,27 @@
 	}
 }
 
+/* review-3: a route, a key or the own response was not found. */
+TEST_F(CallerHeads, BlanksAroundAValueBelongToNone)
+{
+	first_endpoint.set_script(
+	    [this](Connection &connection, const std::string &) {
+		    first_request_count++;
+		    connection.send_text(
+			"HTTP/1.1 200 OK\r\nX-Bamboorudder-Request-Id: b1\r\n"
+			"X-Bamboorudder-Replica-Signature: sig\r\n"
+			"Content-Length: 2\r\n\r\nok");
+	    });
+	start();
+	EXPECT_EQ(send_head("/keyed/",
+		      "Host: \t a.example \t\r\n"
+		      "X-Bamboorudder-Request-Id:\tb1 \t \r\n"
+		      "X-Bamboorudder-Credential:  k1\t \r\n")
+		      .rfind("HTTP/1.1 200", 0),
+	    0u);
+	EXPECT_EQ(first_request_count, 1);
+}
+
 class OwnCallerHeads : public Responses
 {
 };
