--- a/tests/e2e/test_folded_heads.cc
+++ b/tests/e2e/test_folded_heads.cc
@@ -3,16 +3,9 @@
  * reach the fields of an earlier response, whose memory is free.
  */
 #include "gateway_fixture.h"
+#include "http_client_fixture.h"
 #include "responses.h"
 
-extern "C" {
-/* C++ has no _Atomic; the layout is the same without it, and the test uses no
- * atomic field */
-#define _Atomic
-#include "common/http_client.h"
-#undef _Atomic
-}
-
 using namespace e2e;
 
 namespace
@@ -81,22 +74,20 @@
 		return send_request("POST", fleet.daemons[0].url("/plain"), "x",
 		    AUTHORIZATION);
 	}
-
-	std::atomic<int> requests_count{ 0 };
 };
 
 TEST_P(OwnFoldedHeads, DoNotEndTheDaemonAfterASoundResponse)
 {
+	auto count = std::make_shared<std::atomic<int>>(0);
 	const std::string rest = "X-A: 1\r\nContent-Length: 5\r\n\r\nwhole";
 
-	scripted.set_script(
-	    [this, rest](Connection &connection, const std::string &) {
-		    std::string start = ++requests_count % 2 == 0
-			? GetParam()
-			: "HTTP/1.1 200 OK\r\n";
+	scripted.set_script([count, rest](Connection &connection,
+				const std::string &) {
+		std::string start = ++*count % 2 == 0 ? GetParam()
+						      : "HTTP/1.1 200 OK\r\n";
 
-		    connection.send_text(start + rest);
-	    });
+		connection.send_text(start + rest);
+	});
 	for (int i = 0; i < THREADS_ROUNDS_COUNT; i++) {
 		ASSERT_EQ(post().body, "whole");
 		ASSERT_NE(post().status, 0);
@@ -106,39 +97,19 @@
 INSTANTIATE_TEST_SUITE_P(Starts, OwnFoldedHeads,
     ::testing::ValuesIn(folded_starts));
 
-class ClientFoldedHeads : public ::testing::TestWithParam<std::string>
+class ClientFoldedHeads : public HttpClient,
+			  public ::testing::WithParamInterface<std::string>
 {
-      protected:
-	/** @return whether a complete response came */
-	bool perform()
-	{
-		std::string url = "http://" + store.address() + "/objects/a";
-		http_request request = {};
-		http_response response = {};
-		GError *error = nullptr;
-
-		request.method = "GET";
-		request.url = url.c_str();
-		request.timeout_ms = 10000;
-		if (http_perform(&request, &response, &error) != FALSE) {
-			http_response_finish(&response);
-			return true;
-		}
-		g_error_free(error);
-		return false;
-	}
-
-	std::atomic<int> requests_count{ 0 };
-	ScriptedEndpoint store;
 };
 
 /* The store's responses are read by the same library. */
 TEST_P(ClientFoldedHeads, DoNotEndTheProcessAfterASoundResponse)
 {
-	store.set_script([this](Connection &connection, const std::string &) {
-		std::string start = ++requests_count % 2 == 0
-		    ? GetParam()
-		    : "HTTP/1.1 200 OK\r\n";
+	auto count = std::make_shared<std::atomic<int>>(0);
+
+	server.set_script([count](Connection &connection, const std::string &) {
+		std::string start = ++*count % 2 == 0 ? GetParam()
+						      : "HTTP/1.1 200 OK\r\n";
 
 		connection.send_text(
 		    start + "ETag: \"7\"\r\nContent-Length: 2\r\n\r\n{}");
@@ -147,7 +118,7 @@
 		ASSERT_TRUE(perform());
 		perform();
 	}
-	EXPECT_EQ(requests_count, 2 * ROUNDS_COUNT);
+	EXPECT_EQ(*count, 2 * ROUNDS_COUNT);
 }
 
 INSTANTIATE_TEST_SUITE_P(Starts, ClientFoldedHeads,
--- a/tests/e2e/test_http_client.cc
+++ b/tests/e2e/test_http_client.cc
@@ -1,47 +1,10 @@
-#include <gtest/gtest.h>
-
-#include "scripted_endpoint.h"
-
-extern "C" {
-/* C++ has no _Atomic; the layout is the same without it, and the test uses no
- * atomic field */
-#define _Atomic
-#include "common/http_client.h"
-#undef _Atomic
-}
+#include "http_client_fixture.h"
 
 using namespace e2e;
 
 namespace
 {
 
-constexpr uint32_t TIMEOUT_MS = 10000;
-
-class HttpClient : public ::testing::Test
-{
-      protected:
-	/** @return whether a complete response came */
-	bool perform()
-	{
-		std::string url = "http://" + server.address() + "/objects/a";
-		http_request request = {};
-		GError *error = nullptr;
-
-		request.method = "GET";
-		request.url = url.c_str();
-		request.timeout_ms = TIMEOUT_MS;
-		if (http_perform(&request, &response, &error) != FALSE) {
-			http_response_finish(&response);
-			return true;
-		}
-		g_error_free(error);
-		return false;
-	}
-
-	ScriptedEndpoint server;
-	http_response response = {};
-};
-
 TEST_F(HttpClient, HeadsThatNeverEndAreNotReadUntilTheTimeout)
 {
 	const std::pair<std::string, std::string> endless[] = {
@@ -61,7 +24,8 @@
 				    continue;
 		    });
 		EXPECT_FALSE(perform()) << start;
-		EXPECT_LT(response.duration_us, TIMEOUT_MS * 1000 / 2) << start;
+		EXPECT_LT(response.duration_us, CLIENT_TIMEOUT_MS * 1000 / 2)
+		    << start;
 	}
 }
 
--- a/tests/e2e/test_malformed_heads.cc
+++ b/tests/e2e/test_malformed_heads.cc
@@ -5,16 +5,9 @@
 #include <fstream>
 
 #include "gateway_fixture.h"
+#include "http_client_fixture.h"
 #include "responses.h"
 
-extern "C" {
-/* C++ has no _Atomic; the layout is the same without it, and the test uses no
- * atomic field */
-#define _Atomic
-#include "common/http_client.h"
-#undef _Atomic
-}
-
 using namespace e2e;
 
 namespace
@@ -183,36 +176,16 @@
 	EXPECT_EQ(scripted.requests().size(), 1u);
 }
 
-class ClientMalformedHeads : public ::testing::TestWithParam<Head>
+class ClientMalformedHeads : public HttpClient,
+			     public ::testing::WithParamInterface<Head>
 {
-      protected:
-	/** @return whether a response came */
-	bool perform()
-	{
-		std::string url = "http://" + store.address() + "/objects/a";
-		http_request request = {};
-		http_response response = {};
-		GError *error = nullptr;
-
-		request.method = "GET";
-		request.url = url.c_str();
-		request.timeout_ms = 10000;
-		if (http_perform(&request, &response, &error) != FALSE) {
-			http_response_finish(&response);
-			return true;
-		}
-		g_error_free(error);
-		return false;
-	}
-
-	ScriptedEndpoint store;
 };
 
 TEST_P(ClientMalformedHeads, AreNoResponse)
 {
 	const Head &head = GetParam();
 
-	store.set_script([head](Connection &connection, const std::string &) {
+	server.set_script([head](Connection &connection, const std::string &) {
 		connection.send_text(head.status_line + head.signature +
 		    head.fields + "\r\n" + BODY);
 	});
