--- a/common/http_head.c
+++ b/common/http_head.c
@@ -110,7 +110,8 @@
 	return HTTP_HEAD_STATUS;
 }
 
-/* Sets name and value. @return whether the line has both */
+/* Sets name and value, without the blanks around them.
+ * @return whether the line has both */
 static bool
 split_line(struct http_head *head)
 {
@@ -119,25 +120,22 @@
 	if (colon == NULL)
 		return false;
 	*colon = '\0';
-	head->name = line;
+	head->blank_before_colon = colon > line && colon[-1] == ' ';
+	head->name = g_strchomp(line);
 	head->value = g_strstrip(colon + 1);
 	return true;
 }
 
-/* Checks what the parser doesn't of the fields that tell where the body ends.
- * Blanks after a name keep libcurl from seeing one of them. */
+/* Checks what the parser doesn't of a name and of the fields that tell where the
+ * body ends. libcurl doesn't see one of these with a blank before its colon. */
 static const char *
-find_framing_problem(struct http_head *head)
+find_field_problem(struct http_head *head)
 {
-	bool trimmed = strchr(head->name, ' ') == NULL;
-	bool is_length, is_coding;
+	bool is_length = g_ascii_strcasecmp(head->name, FIELD_LENGTH) == 0;
+	bool is_coding = g_ascii_strcasecmp(head->name, FIELD_CODING) == 0;
 
-	if (!trimmed)
-		g_strchomp((char *)head->name);
-	is_length = g_ascii_strcasecmp(head->name, FIELD_LENGTH) == 0;
-	is_coding = g_ascii_strcasecmp(head->name, FIELD_CODING) == 0;
 	if (strchr(head->name, ' ') != NULL ||
-	    (!trimmed && (is_length || is_coding)))
+	    (head->blank_before_colon && (is_length || is_coding)))
 		return "blank in a field name";
 	if (is_length && head->value[0] == '\0')
 		return "empty Content-Length";
@@ -150,7 +148,7 @@
 	return NULL;
 }
 
-/* Checks a field line with the parser. */
+/* Checks a line of a head or trailer that is not blank. */
 static bool
 check_field(struct http_head *head, const char *bytes, size_t length)
 {
@@ -165,7 +163,7 @@
 	else if (!split_line(head))
 		problem = "field line without a colon";
 	else
-		problem = find_framing_problem(head);
+		problem = find_field_problem(head);
 	head->problem = problem;
 	return problem == NULL;
 }
--- a/include/common/http_head.h
+++ b/include/common/http_head.h
@@ -38,12 +38,15 @@
 	http_parser parser;
 	enum http_head_state state;
 	GString *line; /**< name and value are parts of it */
-	const char *name; /**< of the last field; valid until the next line */
-	const char *value; /**< without the blanks around it */
+	/** Of the last field, without the blanks around them; valid until the next
+	 * line. */
+	const char *name;
+	const char *value;
 	uint32_t status;
 	size_t received_bytes;
 	uint32_t fields_count; /**< so far in this head or trailer */
-	bool chunked;
+	bool blank_before_colon; /**< in the last field line */
+	bool chunked; /**< the head has a Transfer-Encoding */
 	const char *problem; /**< NULL as long as all lines are valid */
 };
 
