Take a response's status and fields from the check of its head alone

The own interface and the client of the store asked libcurl again for the status that http_head had read, and the own interface joined name and value to a line and split it again. What callers get stays the same: e2e-responses, e2e-at_most_once, e2e-at_most_once_faults, e2e-false_responses, e2e-malformed_heads and e2e-http_client pass.

--- a/bamboorudderd/relay.c
+++ b/bamboorudderd/relay.c
@@ -147,7 +147,7 @@
 	if (transfer->resume_count > 0)
 		return transfer->is_stream && transfer->sse.done;
 	return !transfer->relay->is_model || !transfer->is_stream ||
-	    transfer->status != 200 || transfer->sse.done;
+	    transfer->head.status != 200 || transfer->sse.done;
 }
 
 static bool
--- a/bamboorudderd/transfer.c
+++ b/bamboorudderd/transfer.c
@@ -43,15 +43,6 @@
 	return transfer->handle;
 }
 
-static bool
-header_is(const char *line, const char *name)
-{
-	size_t length = strlen(name);
-
-	return g_ascii_strncasecmp(line, name, length) == 0 &&
-	    line[length] == ':';
-}
-
 static const char *
 header_value(const char *line)
 {
@@ -74,17 +65,18 @@
 store_header(struct transfer *transfer)
 {
 	const struct http_head *head = &transfer->head;
-	char *line = g_strdup_printf("%s: %s", head->name, head->value);
 
-	if (header_is(line, HEADER_RUN))
-		transfer->not_run = strcmp(header_value(line), "not-run") == 0;
-	else if (header_is(line, "content-type"))
-		transfer->is_stream = strstr(line, "text/event-stream") != NULL;
-	else if (header_is(line, "connection")) {
+	if (g_ascii_strcasecmp(head->name, HEADER_RUN) == 0)
+		transfer->not_run = strcmp(head->value, "not-run") == 0;
+	else if (g_ascii_strcasecmp(head->name, "content-type") == 0)
+		transfer->is_stream = strstr(head->value,
+					  "text/event-stream") != NULL;
+	else if (g_ascii_strcasecmp(head->name, "connection") == 0) {
 		g_free(transfer->connection);
-		transfer->connection = g_strdup(header_value(line));
+		transfer->connection = g_strdup(head->value);
 	}
-	g_ptr_array_add(transfer->headers, line);
+	g_ptr_array_add(transfer->headers,
+	    g_strdup_printf("%s: %s", head->name, head->value));
 }
 
 /* @return whether the response is wanted */
@@ -119,25 +111,16 @@
 	return add_line(transfer, bytes, length) ? length : 0;
 }
 
-static void
-read_status(struct transfer *transfer)
-{
-	curl_easy_getinfo(transfer->handle, CURLINFO_RESPONSE_CODE,
-	    &transfer->status);
-}
-
 bool
-transfer_has_status(struct transfer *transfer)
+transfer_has_status(const struct transfer *transfer)
 {
-	read_status(transfer);
-	return http_status_is_final((uint32_t)transfer->status);
+	return http_status_is_final(transfer->head.status);
 }
 
 bool
-transfer_not_run(struct transfer *transfer)
+transfer_not_run(const struct transfer *transfer)
 {
-	read_status(transfer);
-	return transfer->not_run && transfer->status >= 400;
+	return transfer->not_run && transfer->head.status >= 400;
 }
 
 static void
@@ -175,10 +158,10 @@
 
 	curl_easy_getinfo(transfer->handle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
 	    &length);
-	transfer->no_body = transfer->status == 204 ||
-	    transfer->status == 304 ||
+	transfer->no_body = transfer->head.status == 204 ||
+	    transfer->head.status == 304 ||
 	    strcmp(info->request_method, "HEAD") == 0;
-	if (length >= 0 && transfer->status != 204)
+	if (length >= 0 && transfer->head.status != 204)
 		response_head_add_number(head, "Content-Length",
 		    (uint64_t)length);
 	else if (!transfer->no_body) {
@@ -195,9 +178,8 @@
 {
 	struct response_head head;
 
-	read_status(transfer);
 	response_head_init(&head, transfer->relay->caller,
-	    (uint32_t)transfer->status);
+	    transfer->head.status);
 	forward_headers(transfer, &head);
 	response_head_add(&head, HEADER_REQUEST_ID,
 	    transfer->relay->request_id);
@@ -295,7 +277,7 @@
 	    transfer_not_run(transfer))
 		return length;
 	if (transfer->resume_count > 0 &&
-	    (transfer_not_run(transfer) || transfer->status != 200 ||
+	    (transfer_not_run(transfer) || transfer->head.status != 200 ||
 		!transfer->is_stream))
 		return 0;
 	continues = transfer->is_stream
@@ -330,6 +312,6 @@
 		mg_send_chunk(transfer->relay->caller, "", 0);
 	set_reported_tokens(transfer);
 	if (transfer->relay->recorded_response != NULL)
-		transfer->relay->recorded_response->status = (uint32_t)transfer
-								 ->status;
+		transfer->relay->recorded_response->status = transfer->head
+								 .status;
 }
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -130,7 +130,6 @@
 	struct head_reader reader = { .wanted_header = request->wanted_header,
 		.response = response };
 	CURLcode code;
-	long status = 0;
 	curl_off_t duration_us = 0;
 
 	memset(response, 0, sizeof(*response));
@@ -158,13 +157,12 @@
 		    request->body == NULL ? "" : request->body);
 	}
 	code = curl_thread_perform(&thread_connections, handle);
-	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(handle, CURLINFO_TOTAL_TIME_T, &duration_us);
 	curl_easy_cleanup(handle);
 	curl_slist_free_all(headers);
 	http_head_finish(&reader.head);
 	response->duration_us = (uint64_t)duration_us;
-	response->status = (uint32_t)status;
+	response->status = reader.head.status;
 	if (code == CURLE_OK)
 		return TRUE;
 	g_set_error(error, HTTP_ERROR, error_of(code, response), "%s %s: %s",
--- a/include/bamboorudderd/transfer.h
+++ b/include/bamboorudderd/transfer.h
@@ -21,7 +21,6 @@
 	GPtrArray *headers; /**< lines of the headers without CR LF */
 	struct http_head head; /**< check of the head and trailer */
 	char *connection; /**< value of the Connection header or NULL */
-	long status;
 	bool is_stream;
 	bool not_run; /**< the response states that the request was not run */
 	bool headers_complete; /**< all headers were received */
@@ -49,10 +48,10 @@
 size_t transfer_on_body(char *bytes, size_t size, size_t count, void *context);
 
 /** @return whether the status is that of a final response */
-bool transfer_has_status(struct transfer *transfer);
+bool transfer_has_status(const struct transfer *transfer);
 
 /** @return true if the endpoint reports that it did not run the request */
-bool transfer_not_run(struct transfer *transfer);
+bool transfer_not_run(const struct transfer *transfer);
 
 /** Finishes a complete response: flushes the rest and sets the token count. */
 void transfer_complete(struct transfer *transfer);
