--- a/tests/e2e/gateway_fixture.h
+++ b/tests/e2e/gateway_fixture.h
@@ -50,6 +50,19 @@
 		})) << harness.daemon->log();
 	}
 
+	/** Sends a request until one is not refused unrun, as a busy daemon
+	 * does. */
+	Response send_until_taken()
+	{
+		Response response;
+
+		EXPECT_TRUE(eventually([&] {
+			response = harness.send("POST", "/once/", {}, "b");
+			return response.status != 503;
+		}));
+		return response;
+	}
+
 	/** Counts requests and responds to each with a complete response. */
 	static ScriptedEndpoint::Script
 	count_and_respond(std::atomic<int> *count,
--- a/tests/e2e/test_folded_heads.cc
+++ b/tests/e2e/test_folded_heads.cc
@@ -32,19 +32,6 @@
 			   public ::testing::WithParamInterface<std::string>
 {
       protected:
-	/** Sends a request until one is not refused unrun, as a busy daemon
-	 * does. */
-	Response send_until_taken()
-	{
-		Response response;
-
-		EXPECT_TRUE(eventually([&] {
-			response = harness.send("POST", "/once/", {}, "b");
-			return response.status != 503;
-		}));
-		return response;
-	}
-
 	/** Lets every other response begin with the given text. */
 	void fold_every_other_response()
 	{
